--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -306,7 +306,8 @@
             .filter_map(|model| {
                 let copies = u32::try_from(self.copies(model)).unwrap_or(u32::MAX);
                 let requests = self.requests(model);
-                (copies > 0 && requests > copies * REQUESTS_A_COPY).then_some((requests / copies, model))
+                let crowded = copies > 0 && requests > copies * REQUESTS_A_COPY;
+                crowded.then(|| (requests / copies, model))
             })
             .collect();
         crowded.sort_by(|a, b| b.cmp(a));
--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -141,7 +141,8 @@
     reader.finish();
     let section = find(sections, "limits");
     let mut reader = field::Reader::new(&section, faults);
-    let descriptors: u64 = reader.whole("descriptors", DESCRIPTORS, 1024);
+    let descriptors = reader.optional_whole("descriptors", DESCRIPTORS);
+    let descriptors: u64 = descriptors.unwrap_or(1024);
     reader.finish();
     let section = find(sections, "log");
     let mut reader = field::Reader::new(&section, faults);
--- a/crates/fireflywheel_daemon/src/fleet/daemon.rs
+++ b/crates/fireflywheel_daemon/src/fleet/daemon.rs
@@ -86,6 +86,14 @@
         })
     }
 
+    /// Waits until a task ends that never should. The process is then of no use, and one that is started anew
+    /// is better than one that has lost a part of itself.
+    pub async fn failed(&mut self) {
+        let ended = self.tasks.join_next().await;
+        let why = ended.and_then(Result::err).map_or_else(|| "ended".to_owned(), |error| error.to_string());
+        log::error!(why = why.as_str(); "a task that never should end has ended");
+    }
+
     /// Stops without cutting a request that can end in time.
     pub async fn stop(mut self) {
         let begun = self.node.now();
