Read an engine's count of orders from its report only

The directory's entries and the engines' reports have a field of one name. In a report it counts orders, in an entry it counts entries. Ruled out: the lease (held from the third second) and the link.

Conclusion: what an entry says and what a report says are two types now.

--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -21,6 +21,8 @@
     Held {
         /// The engine's id.
         server: SmolStr,
+        /// Unix milliseconds of its start.
+        born: u64,
         /// What it holds.
         held: server::Held,
     },
--- a/crates/fireflywheel/src/fleet/server.rs
+++ b/crates/fireflywheel/src/fleet/server.rs
@@ -25,17 +25,24 @@
     pub ready: bool,
     /// When it will be gone, if it said so.
     pub leaves: Option<clock::Instant>,
+    /// Unix milliseconds of its start.
+    pub born: u64,
     /// What it holds, as of its last entry.
     pub held: Held,
 }
 
-/// What a model engine holds. `born` and `seq` order what is said of it at different times.
+/// What an engine says when it is asked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Orders accepted since its start.
+    pub orders: u64,
+    /// What it holds.
+    pub held: Held,
+}
+
+/// What a model engine holds.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Held {
-    /// Unix milliseconds of its start.
-    pub born: u64,
-    /// Orders accepted since its start.
-    pub seq: u64,
     /// An order is being carried out.
     pub busy: bool,
     /// Models in memory, with their adapters.
@@ -49,12 +56,6 @@
 }
 
 impl Held {
-    /// Whether this was said before `other`: of an earlier start, or before more orders.
-    #[must_use]
-    pub fn is_older_than(&self, other: &Self) -> bool {
-        (self.born, self.seq) < (other.born, other.seq)
-    }
-
     /// Whether a request for `model`, or for `adapter` on it, can run now.
     #[must_use]
     pub fn holds(&self, model: &str, adapter: Option<&str>) -> bool {
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -69,6 +69,7 @@
             let result = connect(&steward, &holder.address).await;
             let why = result.err().map_or_else(|| "ended".to_owned(), |error| error.to_string());
             steward.set_linked(false);
+            steward.node.set_told(false);
             log::info!(steward = holder.instance.as_str(), why = why.as_str(); "no link to the steward");
         }
         time::sleep(PAUSE).await;
@@ -152,8 +153,9 @@
         Frame::Beat { instances, .. } => {
             steward.node.learn_instances(instances as usize);
             steward.set_linked(true);
+            steward.node.set_told(true);
         }
-        Frame::Held { server, held } => steward.node.learn_held(&server, held),
+        Frame::Held { server, born, held } => steward.node.learn_held(&server, born, held),
         Frame::Forecast(forecasts) => steward.node.learn_forecasts(forecasts),
         Frame::Hello { .. } | Frame::Demand(_) => {}
     }
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -26,6 +26,9 @@
 /// Prompts that share at least this many tokens are sent to the server that has read them: below it, reading
 /// them again takes less time than the way to another server.
 const WARM_TOKENS: u32 = 512;
+/// After the steward's last word, entries of the directory are as new as that after this time: two heartbeats
+/// and the time until they are read.
+const TOLD: Duration = Duration::from_millis(1600);
 /// A server that says when it will be gone gets no request in its last moments.
 const LEAVING_MARGIN: Duration = Duration::from_millis(300);
 
@@ -60,6 +63,8 @@
     forecasts: BTreeMap<(SmolStr, SmolStr), Instant>,
     budgets: BTreeMap<SmolStr, Budget>,
     instances: Option<usize>,
+    /// Until when the steward's word goes before the directory's; none while there is a link to it.
+    told_until: Option<Instant>,
     next_waiting: u64,
     draining: bool,
 }
@@ -67,7 +72,8 @@
 #[derive(Debug)]
 struct Known {
     server: Server,
-    held: Held,
+    /// What the steward said that it holds.
+    told: Option<Held>,
     seen: Seen,
     running: BTreeMap<(SmolStr, Option<SmolStr>), u32>,
     /// Its entry is gone, but it may only have lapsed while the store was away.
@@ -242,19 +248,29 @@
         self.wake();
     }
 
-    /// The steward says what an engine holds.
-    pub fn learn_held(&self, id: &str, held: Held) {
+    /// The steward says what an engine holds that was started at `born`.
+    pub fn learn_held(&self, id: &str, born: u64, held: Held) {
         let mut state = self.lock();
-        if let Some(known) = state.servers.get_mut(id) {
-            if held.is_older_than(&known.held) {
-                return;
-            }
-            known.held = held;
+        if let Some(known) = state.servers.get_mut(id)
+            && known.server.born == born
+        {
+            known.told = Some(held);
         }
         drop(state);
         self.wake();
     }
 
+    /// There is a word of the steward from now on, or there is none any more.
+    pub fn set_told(&self, told: bool) {
+        let until = self.now().after(TOLD);
+        let mut state = self.lock();
+        match (told, state.told_until) {
+            (true, _) => state.told_until = None,
+            (false, None) => state.told_until = Some(until),
+            (false, Some(_)) => {}
+        }
+    }
+
     /// The steward says when models can be used; replaces what it said before.
     pub fn learn_forecasts(&self, forecasts: Vec<Forecast>) {
         let now = self.now();
@@ -275,14 +291,14 @@
         self.lock().instances = Some(instances.max(1));
     }
 
-    /// The engines of a group with the newest word on them, for the steward.
+    /// The engines of a group, for the steward.
     #[must_use]
-    pub fn engines(&self, group: &str) -> Vec<(Server, Held)> {
+    pub fn engines(&self, group: &str) -> Vec<Server> {
         let state = self.lock();
         let known = state.servers.values();
         known
             .filter(|known| known.server.group == group)
-            .map(|known| (known.server.clone(), known.held.clone()))
+            .map(|known| known.server.clone())
             .collect()
     }
 
@@ -322,7 +338,7 @@
             return Choice::Nobody;
         }
         if let (Some(_), Some(model)) = (&group.engine, &lane.model) {
-            servers.retain(|known| known.held.holds(model, lane.adapter.as_deref()));
+            servers.retain(|known| known.held(now, state.told_until).holds(model, lane.adapter.as_deref()));
             if servers.is_empty() {
                 let key = (lane.group.clone(), model.clone());
                 let expected = state.forecasts.get(&key).map(|at| at.since(now));
@@ -360,7 +376,7 @@
         if let Some(known) = state.servers.get_mut(&server.id) {
             known.seen.in_flight += 1;
             *known.running.entry(key.clone()).or_default() += 1;
-            born = known.held.born;
+            born = known.server.born;
         }
         drop(state);
         self.wanted.notify_one();
@@ -426,13 +442,16 @@
             return;
         };
         if let Some(known) = self.lock().servers.get_mut(id) {
-            match &lane.adapter {
-                None => {
-                    known.held.models.remove(model);
-                }
-                Some(adapter) => {
-                    if let Some(adapters) = known.held.models.get_mut(model) {
-                        adapters.remove(adapter);
+            let told = known.told.iter_mut();
+            for held in told.chain([&mut known.server.held]) {
+                match &lane.adapter {
+                    None => {
+                        held.models.remove(model);
+                    }
+                    Some(adapter) => {
+                        if let Some(adapters) = held.models.get_mut(model) {
+                            adapters.remove(adapter);
+                        }
                     }
                 }
             }
@@ -463,24 +482,30 @@
     }
 }
 
+impl Known {
+    /// What it holds: the steward knows more than the directory, as long as it can be heard.
+    fn held(&self, now: Instant, told_until: Option<Instant>) -> &Held {
+        let fresh = told_until.is_none_or(|until| now < until);
+        self.told.as_ref().filter(|_| fresh).unwrap_or(&self.server.held)
+    }
+}
+
 impl State {
     fn enter(&mut self, server: Server) {
         let fresh = Known {
-            held: server.held.clone(),
             server: server.clone(),
+            told: None,
             seen: Seen::default(),
             running: BTreeMap::new(),
             missing: None,
         };
         let known = self.servers.entry(server.id.clone()).or_insert(fresh);
         known.missing = None;
-        if known.server.held.born != server.held.born || known.server.address != server.address {
+        if known.server.born != server.born || known.server.address != server.address {
             // Another process: nothing that was seen of the one before holds for it.
             known.seen = Seen::default();
             known.running.clear();
-        }
-        if !server.held.is_older_than(&known.held) {
-            known.held = server.held.clone();
+            known.told = None;
         }
         known.server = server;
     }
@@ -569,7 +594,7 @@
         let Some(known) = state.servers.get_mut(&self.server) else {
             return;
         };
-        if known.held.born != self.born {
+        if known.server.born != self.born {
             return;
         }
         known.seen.in_flight = known.seen.in_flight.saturating_sub(1);
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -174,7 +174,7 @@
     /// # Errors
     ///
     /// What is wrong with it.
-    fn read_report(&self, body: &[u8]) -> anyhow::Result<server::Held>;
+    fn read_report(&self, body: &[u8]) -> anyhow::Result<server::Report>;
 
     /// Waits some seconds for a configuration later than the cursor.
     fn configuration(
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -14,6 +14,7 @@
 use fireflywheel::fleet::frame::{Forecast, Frame};
 use fireflywheel::fleet::lease::{Lease, Record};
 use fireflywheel::fleet::plan::{self, Step, Tier, View};
+use fireflywheel::fleet::server::Server;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, mpsc};
 use tokio::time;
@@ -143,10 +144,7 @@
         let capacity = QUEUE + state.tracks.len();
         let (sender, receiver) = mpsc::channel(capacity);
         let mut frames = vec![beat(&state, now)];
-        frames.extend(state.tracks.iter().map(|(server, track)| Frame::Held {
-            server: server.clone(),
-            held: track.held.clone(),
-        }));
+        frames.extend(state.tracks.iter().map(|(server, track)| track.frame(server)));
         frames.push(Frame::Forecast(state.forecasts.clone()));
         for frame in frames {
             // The queue was made large enough.
@@ -187,6 +185,7 @@
         if acting != state.acting {
             state.turn(now, acting);
             self.node.metrics.set_steward(acting.is_some());
+            self.node.set_told(acting.is_some());
             log::info!(acts = acting.is_some(), fencing = acting.unwrap_or_default(); "stewardship changed");
         }
         let Some(fencing) = acting else {
@@ -196,7 +195,7 @@
         let mut due = Vec::new();
         let mut forecasts = Vec::new();
         for (name, engine) in engines(&config) {
-            state.follow(now, name, self.node.engines(name));
+            state.follow(name, self.node.engines(name));
             due.extend(state.plan(now, name, engine, fencing, &mut forecasts));
         }
         state.tell_forecasts(now, forecasts);
@@ -241,14 +240,14 @@
     }
 
     /// Takes in what the directory says of a group's engines.
-    fn follow(&mut self, now: Instant, group: &SmolStr, engines: Vec<(fireflywheel::fleet::server::Server, fireflywheel::fleet::server::Held)>) {
+    fn follow(&mut self, group: &SmolStr, engines: Vec<Server>) {
         self.tracks.retain(|id, track| {
-            track.group != *group || engines.iter().any(|(server, _)| server.id == *id)
+            track.group != *group || engines.iter().any(|server| server.id == *id)
         });
-        for (server, held) in engines {
+        for server in engines {
             let fresh = || Track::new(group.clone(), server.clone());
             let track = self.tracks.entry(server.id.clone()).or_insert_with(fresh);
-            track.follow(now, server, held);
+            track.follow(server);
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fireflywheel::fleet::frame::Frame;
 use fireflywheel::fleet::plan::{Step, Tier};
 use fireflywheel::fleet::server::Server;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -112,14 +111,10 @@
             Some(StatusCode::CONFLICT) => track.conflicted(now),
             _ => track.unanswered(now),
         }
-        let frame = Frame::Held {
-            server: due.server.clone(),
-            held: track.held.clone(),
-        };
-        let held = track.held.clone();
+        let (frame, born, held) = (track.frame(&due.server), track.server.born, track.held.clone());
         state.broadcast(&frame);
         drop(state);
-        self.node.learn_held(&due.server, held);
+        self.node.learn_held(&due.server, born, held);
         self.wake.notify_one();
     }
 
@@ -151,21 +146,17 @@
         if !track.reported(asked, now, report) {
             return;
         }
-        let held = track.held.clone();
-        let frame = Frame::Held {
-            server: id.clone(),
-            held: held.clone(),
-        };
+        let (frame, born, held) = (track.frame(&id), track.server.born, track.held.clone());
         state.broadcast(&frame);
         drop(state);
-        self.node.learn_held(&id, held);
+        self.node.learn_held(&id, born, held);
         self.wake.notify_one();
     }
 
     fn target(&self, id: &str) -> Option<(Server, u64)> {
         let state = self.lock();
         let track = state.tracks.get(id)?;
-        Some((track.server.clone(), track.held.seq))
+        Some((track.server.clone(), track.orders))
     }
 
     /// How long an order should take.
--- a/crates/fireflywheel_daemon/src/fleet/steward/track.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/track.rs
@@ -5,7 +5,8 @@
 
 use fireflywheel::clock::Instant;
 use fireflywheel::fleet::plan::{Site, Step, Tier};
-use fireflywheel::fleet::server::{Held, Server};
+use fireflywheel::fleet::frame::Frame;
+use fireflywheel::fleet::server::{Held, Report, Server};
 use smol_str::SmolStr;
 
 /// Reports tell of this long ago.
@@ -26,6 +27,8 @@
 pub(super) struct Track {
     pub(super) group: SmolStr,
     pub(super) held: Held,
+    /// Orders that it has accepted.
+    pub(super) orders: u64,
     pub(super) server: Server,
     /// An order is on its way.
     ordering: bool,
@@ -55,6 +58,7 @@
         Self {
             group,
             held: server.held.clone(),
+            orders: 0,
             server,
             ordering: false,
             doubt: true,
@@ -69,18 +73,12 @@
     }
 
     /// Takes in the directory's word.
-    pub(super) fn follow(&mut self, now: Instant, server: Server, held: Held) {
-        if server.held.born != self.server.held.born || server.address != self.server.address {
+    pub(super) fn follow(&mut self, server: Server) {
+        if server.born != self.server.born || server.address != self.server.address {
             *self = Self::new(self.group.clone(), server);
             return;
         }
         self.server = server;
-        if self.held.is_older_than(&held) && !self.ordering {
-            // Orders that this steward doesn't know of were carried out.
-            self.held = held;
-            self.doubt = true;
-            self.report_at.get_or_insert(now);
-        }
     }
 
     /// What a plan needs of it.
@@ -100,6 +98,15 @@
         }
     }
 
+    /// What the instances are told of it.
+    pub(super) fn frame(&self, id: &SmolStr) -> Frame {
+        Frame::Held {
+            server: id.clone(),
+            born: self.server.born,
+            held: self.held.clone(),
+        }
+    }
+
     pub(super) fn is_busy(&self) -> bool {
         self.ordering || self.doubt || self.held.busy || self.report_at.is_some()
     }
@@ -113,7 +120,7 @@
     /// An order is being carried out, or was at once. `takes` is how long it should take.
     pub(super) fn accepted(&mut self, now: Instant, step: &Step, takes: Duration) {
         self.ordering = false;
-        self.held.seq += 1;
+        self.orders += 1;
         self.changed = now;
         match step {
             Step::Load { model, tier, .. } => {
@@ -168,18 +175,14 @@
     }
 
     /// A report that was asked for at `asked`; whether what is known has changed.
-    pub(super) fn reported(&mut self, asked: Instant, now: Instant, report: Held) -> bool {
+    pub(super) fn reported(&mut self, asked: Instant, now: Instant, report: Report) -> bool {
         self.asking = false;
-        let stale = report.is_older_than(&self.held) || asked < self.changed.after(REPORT_LAG);
+        let stale = report.orders < self.orders || asked < self.changed.after(REPORT_LAG);
         if self.ordering || stale {
             return false;
         }
-        if report.born != self.held.born {
-            // Another process answers: the directory will say more.
-            self.doubt = true;
-            return false;
-        }
-        let before = std::mem::replace(&mut self.held, report);
+        self.orders = report.orders;
+        let before = std::mem::replace(&mut self.held, report.held);
         self.doubt = false;
         for (model, adapters) in &self.held.models {
             self.since.entry((model.clone(), None)).or_insert(now);
