--- a/crates/fireflywheel/src/fleet/budget.rs
+++ b/crates/fireflywheel/src/fleet/budget.rs
@@ -86,6 +86,8 @@
                 ..Part::default()
             });
         }
-        self.parts.back_mut().expect("a part was just pushed if there was none")
+        self.parts
+            .back_mut()
+            .expect("a part was just pushed if there was none")
     }
 }
--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -145,7 +145,10 @@
     #[must_use]
     pub fn running(&self, server: &str) -> BTreeMap<(SmolStr, Option<SmolStr>), u32> {
         let mut counts = BTreeMap::new();
-        let all = self.instances.values().flat_map(|(_, demand)| &demand.running);
+        let all = self
+            .instances
+            .values()
+            .flat_map(|(_, demand)| &demand.running);
         for running in all.filter(|running| running.server == server) {
             let key = (running.model.clone(), running.adapter.clone());
             *counts.entry(key).or_default() += running.count;
--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -120,7 +120,9 @@
         if let Some((offset, record)) = mine {
             // A write of ours whose answer was lost. It gives no time to act: only a renewal does.
             let fencing = record.fencing.unwrap_or(*offset);
-            let sent = self.held.map_or(clock::Instant::default(), |held| held.sent);
+            let sent = self
+                .held
+                .map_or(clock::Instant::default(), |held| held.sent);
             self.held = Some(Held {
                 fencing,
                 end: reading.end,
@@ -162,9 +164,13 @@
         }
         let watched = self.watched.as_ref()?;
         let never_written = watched.holder.is_none() && watched.end == 0;
-        let released = watched.holder.as_ref().is_some_and(|holder| holder.released);
+        let released = watched
+            .holder
+            .as_ref()
+            .is_some_and(|holder| holder.released);
         let lapsed = now >= watched.since.after(self.options.term);
-        (never_written || lapsed || (released && self.free_release)).then(|| (watched.end, self.me.clone()))
+        (never_written || lapsed || (released && self.free_release))
+            .then(|| (watched.end, self.me.clone()))
     }
 
     /// A proposal was accepted at `offset`; it had been sent at `sent`.
--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -15,12 +15,14 @@
 //! | [`routing`] | which backend server a request goes to |
 //! | [`patience`] | how long a request is worth keeping, and when it should come back |
 //! | [`budget`] | how many repeats all instances may send together |
+//! | [`events`] | events of a stream, cut at their ends |
 //! | [`settings`] | what one process is told at its start |
 //! | [`frame`] | what instance and steward tell each other |
 
 pub mod budget;
 pub mod config;
 pub mod demand;
+pub mod events;
 pub mod frame;
 pub mod lease;
 pub mod patience;
--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -212,7 +212,10 @@
         let view = self.view;
         let mut seen = BTreeSet::new();
         for want in view.wants {
-            if !seen.insert(&want.model) || self.copies(&want.model) > 0 || is_coming(view, &want.model) {
+            if !seen.insert(&want.model)
+                || self.copies(&want.model) > 0
+                || is_coming(view, &want.model)
+            {
                 continue;
             }
             let waited = view.now.since(want.since).as_secs_f64();
@@ -231,7 +234,10 @@
             };
             let there = |site: &Site| {
                 site.held.holds(&want.model, Some(adapter))
-                    || site.held.coming.contains(&(want.model.clone(), adapter.clone()))
+                    || site
+                        .held
+                        .coming
+                        .contains(&(want.model.clone(), adapter.clone()))
             };
             if view.sites.iter().any(|site| site.usable && there(site)) {
                 continue;
@@ -250,13 +256,20 @@
             })
             .min_by_key(|place| {
                 let site = &view.sites[*place];
-                (site.held.adapters() >= view.engine.adapter_places, site.held.adapters())
+                (
+                    site.held.adapters() >= view.engine.adapter_places,
+                    site.held.adapters(),
+                )
             });
         let Some(place) = host else {
             return;
         };
         let site = &view.sites[place];
-        let need = view.engine.models.get(model).map_or(0.0, |model| model.adapter_mb);
+        let need = view
+            .engine
+            .models
+            .get(model)
+            .map_or(0.0, |model| model.adapter_mb);
         let fits = site.held.adapters() < view.engine.adapter_places && self.free(place) >= need;
         if fits {
             self.push(Step::LoadAdapter {
@@ -440,11 +453,16 @@
             .filter(|((running, _), _)| running == model)
             .map(|(_, count)| count)
             .sum();
-        let since = site.since.get(&(model.clone(), None)).copied().unwrap_or_default();
+        let since = site
+            .since
+            .get(&(model.clone(), None))
+            .copied()
+            .unwrap_or_default();
         let copies = u32::try_from(self.copies(model)).unwrap_or(u32::MAX);
         let wanted = self.view.wants.iter().any(|want| want.model == *model);
         let needed = copies <= 1 && wanted;
-        let crowded = copies > 0 && self.requests(model) > copies.saturating_sub(1) * REQUESTS_A_COPY;
+        let crowded =
+            copies > 0 && self.requests(model) > copies.saturating_sub(1) * REQUESTS_A_COPY;
         let spare = copies > 1 && !crowded;
         let stayed = self.view.now.since(since) >= SHORTEST_STAY;
         running == 0 && stayed && !needed && (spare || self.requests(model) == 0)
@@ -454,11 +472,16 @@
     fn loss(&self, place: usize, model: &SmolStr) -> f64 {
         let site = &self.view.sites[place];
         let copies = self.copies(model).max(1) as f64;
-        let again = self.view.engine.models.get(model).map_or(0.0, |known| match tier(site, model) {
-            Tier::Host => known.from_host.as_secs_f64(),
-            Tier::Disk => known.from_disk.as_secs_f64(),
-            Tier::Store => known.fetch.as_secs_f64(),
-        });
+        let again =
+            self.view
+                .engine
+                .models
+                .get(model)
+                .map_or(0.0, |known| match tier(site, model) {
+                    Tier::Host => known.from_host.as_secs_f64(),
+                    Tier::Disk => known.from_disk.as_secs_f64(),
+                    Tier::Store => known.fetch.as_secs_f64(),
+                });
         self.rate(model) / copies * (1.0 + again)
     }
 
@@ -473,12 +496,19 @@
     }
 
     fn rate(&self, model: &SmolStr) -> f64 {
-        self.view.rates.get(model).copied().unwrap_or_default().max(LEAST_RATE)
+        self.view
+            .rates
+            .get(model)
+            .copied()
+            .unwrap_or_default()
+            .max(LEAST_RATE)
     }
 
     fn copies(&self, model: &SmolStr) -> usize {
         let sites = self.view.sites.iter().filter(|site| site.usable);
-        sites.filter(|site| site.held.models.contains_key(model)).count()
+        sites
+            .filter(|site| site.held.models.contains_key(model))
+            .count()
     }
 
     /// Requests in progress and waiting, over all copies.
@@ -513,7 +543,10 @@
             known.map_or(0.0, |known| known.adapter_mb)
         };
         let models: f64 = site.held.models.keys().map(size).sum();
-        let loading = site.loading.iter().filter(|model| !site.held.models.contains_key(*model));
+        let loading = site
+            .loading
+            .iter()
+            .filter(|model| !site.held.models.contains_key(*model));
         let loading: f64 = loading.map(size).sum();
         let adapters: f64 = site
             .held
@@ -521,7 +554,12 @@
             .iter()
             .map(|(model, adapters)| adapter_size(model) * adapters.len() as f64)
             .sum();
-        let coming: f64 = site.held.coming.iter().map(|(model, _)| adapter_size(model)).sum();
+        let coming: f64 = site
+            .held
+            .coming
+            .iter()
+            .map(|(model, _)| adapter_size(model))
+            .sum();
         self.view.engine.memory_mb - models - loading - adapters - coming
     }
 }
--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -104,7 +104,9 @@
         let reported = self
             .report
             .filter(|(at, _)| now.since(*at) < REPORT_USE)
-            .map_or(0.0, |(_, report)| f64::from(report.running + report.waiting));
+            .map_or(0.0, |(_, report)| {
+                f64::from(report.running + report.waiting)
+            });
         own.max(reported)
     }
 }
--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -40,7 +40,12 @@
     ("info", log::LevelFilter::Info),
     ("debug", log::LevelFilter::Debug),
 ];
-const YES_NO: [field::Word<bool>; 4] = [("true", true), ("yes", true), ("false", false), ("no", false)];
+const YES_NO: [field::Word<bool>; 4] = [
+    ("true", true),
+    ("yes", true),
+    ("false", false),
+    ("no", false),
+];
 const ADDRESS_RULE: &str = "an IP address with a port";
 const LEASE_MS: RangeInclusive<u64> = 500..=60_000;
 const OBEY_MS: RangeInclusive<u64> = 100..=60_000;
@@ -162,7 +167,9 @@
         obey: obey.unwrap_or(Duration::from_secs(2)),
         grace: grace.unwrap_or(Duration::from_secs(8)),
         // Each request needs a connection on both sides.
-        connections: usize::try_from(descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2).unwrap_or(usize::MAX).max(16),
+        connections: usize::try_from(descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2)
+            .unwrap_or(usize::MAX)
+            .max(16),
         level,
     }
 }
@@ -172,7 +179,9 @@
     let repeats = budget::Options {
         ratio: reader.optional_number("ratio", RATIO).unwrap_or(0.1),
         extra: reader.optional_number("extra", EXTRA).unwrap_or(0.0),
-        window: reader.optional_millis("window_ms", WINDOW_MS).unwrap_or(Duration::from_secs(10)),
+        window: reader
+            .optional_millis("window_ms", WINDOW_MS)
+            .unwrap_or(Duration::from_secs(10)),
     };
     reader.finish();
     repeats
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -81,7 +81,12 @@
 }
 
 /// Sends a request to a server, going on after `last_event` if the caller has had that already.
-pub async fn send<P>(node: &Arc<Node<P>>, job: &Job, chosen: &Chosen, last_event: Option<u64>) -> Outcome<P>
+pub async fn send<P>(
+    node: &Arc<Node<P>>,
+    job: &Job,
+    chosen: &Chosen,
+    last_event: Option<u64>,
+) -> Outcome<P>
 where
     P: Platform,
 {
@@ -93,27 +98,33 @@
     let server = &chosen.server;
     let in_flight = node.begin(server, &job.lane);
     let request = outgoing(&node.platform, job, chosen, left, last_event);
-    let sending = node.pool.send(now, server.address, chosen.connections, request);
+    let sending = node
+        .pool
+        .send(now, chosen.address, chosen.connections, request);
     let Ok(sent) = time::timeout(left, sending).await else {
         return Outcome::Late;
     };
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(fault) => return failed(node, &server.id, fault),
+        Err(fault) => return failed(node, server, fault),
     };
     let (head, body) = response.into_parts();
     let reply = node.platform.read_reply(&head);
     if let Some(load) = reply.load {
-        node.reported(&server.id, load);
+        node.reported(server, load);
     }
     if reply.not_run {
-        return refused(node, job, &server.id, head.status);
+        return refused(node, job, server, head.status);
     }
     let named = reply.id.as_ref().is_none_or(|id| *id == job.call.id);
     if !named || !reply.sealed {
         // It answers another request, or no backend server made it. Whether ours has run is not known.
-        node.judge(&server.id, Verdict::Failed);
-        return Outcome::Lost(if named { "response without proof" } else { "response of another request" });
+        node.judge(server, Verdict::Failed);
+        return Outcome::Lost(if named {
+            "response without proof"
+        } else {
+            "response of another request"
+        });
     }
     Outcome::Begun(Box::new(Begun {
         head,
@@ -121,7 +132,7 @@
         body,
         connection,
         in_flight,
-        server: server.id.clone(),
+        server: server.clone(),
     }))
 }
 
@@ -130,7 +141,11 @@
 /// # Errors
 ///
 /// Nothing more than that it broke off, or took until the deadline.
-pub async fn whole<P>(node: &Arc<Node<P>>, job: &Job, begun: Begun<P>) -> Result<(Parts, Bytes), Outcome<P>>
+pub async fn whole<P>(
+    node: &Arc<Node<P>>,
+    job: &Job,
+    begun: Begun<P>,
+) -> Result<(Parts, Bytes), Outcome<P>>
 where
     P: Platform,
 {
@@ -144,12 +159,22 @@
         return Err(Outcome::Lost("response broke off"));
     };
     let good = !begun.head.status.is_server_error();
-    node.judge(&begun.server, if good { Verdict::Good } else { Verdict::Failed });
-    node.pool.keep(node.now(), begun.connection, begun.reply.keep);
+    node.judge(
+        &begun.server,
+        if good { Verdict::Good } else { Verdict::Failed },
+    );
+    node.pool
+        .keep(node.now(), begun.connection, begun.reply.keep);
     Ok((begun.head, collected.to_bytes()))
 }
 
-fn outgoing<P>(platform: &P, job: &Job, chosen: &Chosen, left: Duration, last_event: Option<u64>) -> Request<Full<Bytes>>
+fn outgoing<P>(
+    platform: &P,
+    job: &Job,
+    chosen: &Chosen,
+    left: Duration,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>>
 where
     P: Platform,
 {
@@ -161,7 +186,7 @@
         request.headers_mut().insert(HOST, host);
     }
     let attempt = Attempt {
-        server: &chosen.server.id,
+        server: &chosen.server,
         left,
         rank: job.route.rank,
         last_event,
--- a/crates/fireflywheel_daemon/src/fleet/daemon.rs
+++ b/crates/fireflywheel_daemon/src/fleet/daemon.rs
@@ -15,10 +15,10 @@
 use super::node::Node;
 use super::platform::Platform;
 use super::relay::Relay;
-use fireflywheel::fleet::settings::Settings;
 use super::steward::Steward;
 use super::{links, watch as following};
 use crate::door;
+use fireflywheel::fleet::settings::Settings;
 
 /// How long callers may still be sent here after the instance says that it isn't ready: whoever asks does so
 /// once a second, and believes the second answer.
@@ -90,7 +90,9 @@
     /// is better than one that has lost a part of itself.
     pub async fn failed(&mut self) {
         let ended = self.tasks.join_next().await;
-        let why = ended.and_then(Result::err).map_or_else(|| "ended".to_owned(), |error| error.to_string());
+        let why = ended
+            .and_then(Result::err)
+            .map_or_else(|| "ended".to_owned(), |error| error.to_string());
         log::error!(why = why.as_str(); "a task that never should end has ended");
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/door.rs
+++ b/crates/fireflywheel_daemon/src/fleet/door.rs
@@ -13,7 +13,8 @@
 /// Where scrapers find the metrics.
 const METRICS_PATH: &str = "/metrics";
 /// What scrapers expect of the text form of metrics.
-const METRICS_TYPE: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
+const METRICS_TYPE: HeaderValue =
+    HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
 
 /// Answers the platform and scrapers.
 #[derive(Debug)]
--- a/crates/fireflywheel_daemon/src/fleet/journal.rs
+++ b/crates/fireflywheel_daemon/src/fleet/journal.rs
@@ -79,7 +79,10 @@
         let _ = out.write_all(&line);
         let count = lost.swap(0, Ordering::Relaxed);
         if count > 0 {
-            let _ = writeln!(out, "{{\"level\":\"WARN\",\"message\":\"log lines lost\",\"count\":{count}}}");
+            let _ = writeln!(
+                out,
+                "{{\"level\":\"WARN\",\"message\":\"log lines lost\",\"count\":{count}}}"
+            );
         }
         let _ = out.flush();
     }
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -45,7 +45,8 @@
         let _ = stream.set_nodelay(true);
         let steward = Arc::clone(&steward);
         tokio::spawn(async move {
-            let opened = time::timeout(OPEN, accept_async_with_config(stream, Some(limits()))).await;
+            let opened =
+                time::timeout(OPEN, accept_async_with_config(stream, Some(limits()))).await;
             if let Ok(Ok(socket)) = opened {
                 serve(&steward, socket).await;
             }
@@ -67,7 +68,9 @@
         }
         if let Some(holder) = steward.other() {
             let result = connect(&steward, &holder.address).await;
-            let why = result.err().map_or_else(|| "ended".to_owned(), |error| error.to_string());
+            let why = result
+                .err()
+                .map_or_else(|| "ended".to_owned(), |error| error.to_string());
             steward.set_linked(false);
             steward.node.set_told(false);
             log::info!(steward = holder.instance.as_str(), why = why.as_str(); "no link to the steward");
@@ -91,7 +94,11 @@
 where
     P: Platform,
 {
-    let Ok(Frame::Hello { instance, incarnation }) = receive(&mut socket).await else {
+    let Ok(Frame::Hello {
+        instance,
+        incarnation,
+    }) = receive(&mut socket).await
+    else {
         return;
     };
     let number = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
@@ -125,9 +132,15 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let url = format!("ws://{address}/");
-        anyhow::Ok(client_async_with_config(url, stream, Some(limits())).await?.0)
+        anyhow::Ok(
+            client_async_with_config(url, stream, Some(limits()))
+                .await?
+                .0,
+        )
     };
-    let mut socket = time::timeout(OPEN, opening).await.context("not opened in time")??;
+    let mut socket = time::timeout(OPEN, opening)
+        .await
+        .context("not opened in time")??;
     let hello = Frame::Hello {
         instance: steward.node.settings.instance.clone(),
         incarnation: steward.node.incarnation,
@@ -166,13 +179,17 @@
     let mut bytes = Vec::new();
     ciborium::into_writer(frame, &mut bytes)?;
     let sending = socket.send(Message::Binary(bytes.into()));
-    time::timeout(SILENCE, sending).await.context("not written in time")??;
+    time::timeout(SILENCE, sending)
+        .await
+        .context("not written in time")??;
     Ok(())
 }
 
 async fn receive(socket: &mut Socket) -> anyhow::Result<Frame> {
     loop {
-        let message = time::timeout(SILENCE, socket.next()).await.context("silent")?;
+        let message = time::timeout(SILENCE, socket.next())
+            .await
+            .context("silent")?;
         match message.context("closed")?? {
             Message::Binary(bytes) => return Ok(ciborium::from_reader(bytes.as_ref())?),
             Message::Close(_) => anyhow::bail!("closed"),
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -1,6 +1,7 @@
 //! What an instance knows, behind one lock that is never held across a wait.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -18,8 +19,8 @@
 use super::metrics::Metrics;
 use super::platform::{Call, News};
 use super::pool::Pool;
-use fireflywheel::fleet::settings::Settings;
 use crate::clock::Clock;
+use fireflywheel::fleet::settings::Settings;
 
 /// Instances that share limits while it isn't known how many there are: too many only makes parts small.
 const UNKNOWN_INSTANCES: usize = 24;
@@ -100,8 +101,10 @@
 /// A backend server that was chosen.
 #[derive(Clone, Debug)]
 pub struct Chosen {
-    /// The server.
-    pub server: Server,
+    /// Its id.
+    pub server: SmolStr,
+    /// Where it listens.
+    pub address: SocketAddr,
     /// Connections that this instance may have to it.
     pub connections: usize,
 }
@@ -309,11 +312,19 @@
         let mut state = self.lock();
         let arrived = std::mem::take(&mut state.arrived);
         Demand {
-            lanes: state.lanes.iter().filter_map(|(key, lane)| lane_demand(now, key, lane)).collect(),
+            lanes: state
+                .lanes
+                .iter()
+                .filter_map(|(key, lane)| lane_demand(now, key, lane))
+                .collect(),
             running: state.servers.values().flat_map(running).collect(),
             arrived: arrived
                 .into_iter()
-                .map(|((group, model), count)| Arrived { group, model, count })
+                .map(|((group, model), count)| Arrived {
+                    group,
+                    model,
+                    count,
+                })
                 .collect(),
         }
     }
@@ -321,7 +332,10 @@
     /// A request for a model came.
     pub fn arrived(&self, group: &SmolStr, model: &SmolStr) {
         let mut state = self.lock();
-        *state.arrived.entry((group.clone(), model.clone())).or_default() += 1;
+        *state
+            .arrived
+            .entry((group.clone(), model.clone()))
+            .or_default() += 1;
     }
 
     /// Where a request can go now, leaving out servers that it was sent to already if there are others.
@@ -329,7 +343,10 @@
     pub fn choose(&self, lane: &LaneKey, call: &Call, tried: &[SmolStr]) -> Choice {
         let now = self.now();
         let state = self.lock();
-        let group = state.config.as_ref().and_then(|config| config.groups.get(&lane.group));
+        let group = state
+            .config
+            .as_ref()
+            .and_then(|config| config.groups.get(&lane.group));
         let Some(group) = group else {
             return Choice::Nobody;
         };
@@ -338,14 +355,21 @@
             return Choice::Nobody;
         }
         if let (Some(_), Some(model)) = (&group.engine, &lane.model) {
-            servers.retain(|known| known.held(now, state.told_until).holds(model, lane.adapter.as_deref()));
+            servers.retain(|known| {
+                known
+                    .held(now, state.told_until)
+                    .holds(model, lane.adapter.as_deref())
+            });
             if servers.is_empty() {
                 let key = (lane.group.clone(), model.clone());
                 let expected = state.forecasts.get(&key).map(|at| at.since(now));
                 return Choice::Absent(expected);
             }
         }
-        if servers.iter().any(|known| !tried.contains(&known.server.id)) {
+        if servers
+            .iter()
+            .any(|known| !tried.contains(&known.server.id))
+        {
             servers.retain(|known| !tried.contains(&known.server.id));
         }
         let warm = warm_server(call, &servers);
@@ -362,18 +386,19 @@
             return Choice::Full;
         };
         Choice::Server(Chosen {
-            server: servers[place].server.clone(),
+            server: servers[place].server.id.clone(),
+            address: servers[place].server.address,
             connections: (group.connections / state.instances()).max(1),
         })
     }
 
     /// Counts a request at a server from now on.
     #[must_use]
-    pub fn begin(self: &Arc<Self>, server: &Server, lane: &LaneKey) -> InFlight<P> {
+    pub fn begin(self: &Arc<Self>, server: &SmolStr, lane: &LaneKey) -> InFlight<P> {
         let key = (lane.model.clone().unwrap_or_default(), lane.adapter.clone());
         let mut state = self.lock();
         let mut born = 0;
-        if let Some(known) = state.servers.get_mut(&server.id) {
+        if let Some(known) = state.servers.get_mut(server) {
             known.seen.in_flight += 1;
             *known.running.entry(key.clone()).or_default() += 1;
             born = known.server.born;
@@ -382,7 +407,7 @@
         self.wanted.notify_one();
         InFlight {
             node: Arc::clone(self),
-            server: server.id.clone(),
+            server: server.clone(),
             born,
             key,
         }
@@ -395,7 +420,11 @@
         state.next_waiting += 1;
         let number = state.next_waiting;
         let waiting = Waiting { since, until };
-        state.lanes.entry(lane.clone()).or_default().insert(number, waiting);
+        state
+            .lanes
+            .entry(lane.clone())
+            .or_default()
+            .insert(number, waiting);
         drop(state);
         self.wanted.notify_one();
         Waiter {
@@ -425,7 +454,10 @@
     pub fn is_lost(&self, id: &str) -> bool {
         let now = self.now();
         let state = self.lock();
-        state.servers.get(id).is_none_or(|known| known.seen.is_down(now))
+        state
+            .servers
+            .get(id)
+            .is_none_or(|known| known.seen.is_down(now))
     }
 
     /// A server reported its load.
@@ -474,7 +506,8 @@
     }
 
     fn wake(&self) {
-        self.changed.send_modify(|count| *count = count.wrapping_add(1));
+        self.changed
+            .send_modify(|count| *count = count.wrapping_add(1));
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -486,7 +519,10 @@
     /// What it holds: the steward knows more than the directory, as long as it can be heard.
     fn held(&self, now: Instant, told_until: Option<Instant>) -> &Held {
         let fresh = told_until.is_none_or(|until| now < until);
-        self.told.as_ref().filter(|_| fresh).unwrap_or(&self.server.held)
+        self.told
+            .as_ref()
+            .filter(|_| fresh)
+            .unwrap_or(&self.server.held)
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/pool.rs
+++ b/crates/fireflywheel_daemon/src/fleet/pool.rs
@@ -142,7 +142,9 @@
     pub fn sweep(&self, now: clock::Instant) {
         let mut places = self.places.lock().expect("no panic while it was held");
         places.retain(|_, place| {
-            place.idle.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+            place
+                .idle
+                .retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
             !place.idle.is_empty() || place.open.load(Ordering::Relaxed) > 0
         });
     }
@@ -150,9 +152,14 @@
     fn kept(&self, now: clock::Instant, address: SocketAddr) -> Option<Connection> {
         let mut places = self.places.lock().expect("no panic while it was held");
         let place = places.get_mut(&address)?;
-        place.idle.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+        place
+            .idle
+            .retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
         // The one used last is the least likely to be closed by its server at this moment.
-        let ready = place.idle.iter().rposition(|idle| idle.connection.sender.is_ready())?;
+        let ready = place
+            .idle
+            .iter()
+            .rposition(|idle| idle.connection.sender.is_ready())?;
         Some(place.idle.remove(ready).connection)
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -86,7 +86,9 @@
         check_framing(&head)?;
         *call = self.node.platform.read_call(&head)?;
         let Some(config) = self.node.config() else {
-            return Err(unavailable("starting", "no configuration yet").with_retry_after(FIRST_CONFIG));
+            return Err(
+                unavailable("starting", "no configuration yet").with_retry_after(FIRST_CONFIG)
+            );
         };
         let Some(route) = config.route(&call.host, head.uri.path()) else {
             return Err(errors::Problem::new(
@@ -103,7 +105,9 @@
         let mut headers = backend::passed_on(&head.headers);
         headers.remove(HOST);
         self.node.platform.clean(&mut headers);
-        let limit = call.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+        let limit = call
+            .deadline
+            .map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let job = Job {
             call: call.clone(),
             target: origin_form(&head.uri),
@@ -136,11 +140,11 @@
                 return Err(failure);
             }
             log::debug!(
-                request = job.call.id.as_str(), server = chosen.server.id.as_str(), sending = sending as u64,
+                request = job.call.id.as_str(), server = chosen.server.as_str(), sending = sending as u64,
                 waited_ms = millis(self.node.now().since(job.arrived));
                 "request sent"
             );
-            tried.push(chosen.server.id.clone());
+            tried.push(chosen.server.clone());
             let outcome = attempt::send(&self.node, &job, &chosen, job.call.last_event).await;
             let outcome = match outcome {
                 Outcome::Begun(begun) => match self.finish(&job, *begun, may_have_run).await {
@@ -166,8 +170,12 @@
                     }
                 }
                 Outcome::Late | Outcome::Begun(_) => {
-                    return Err(errors::Problem::new(StatusCode::GATEWAY_TIMEOUT, "timeout", "no whole response in time")
-                        .with_verdict(verdict::Verdict::MayHaveRun));
+                    return Err(errors::Problem::new(
+                        StatusCode::GATEWAY_TIMEOUT,
+                        "timeout",
+                        "no whole response in time",
+                    )
+                    .with_verdict(verdict::Verdict::MayHaveRun));
                 }
             }
         }
@@ -175,7 +183,12 @@
     }
 
     /// Hands a response on, or says why another attempt is needed.
-    async fn finish(&self, job: &Arc<Job>, begun: Begun<P>, may_have_run: u32) -> Result<Response<door::Body>, Outcome<P>> {
+    async fn finish(
+        &self,
+        job: &Arc<Job>,
+        begun: Begun<P>,
+        may_have_run: u32,
+    ) -> Result<Response<door::Body>, Outcome<P>> {
         let status = begun.head.status;
         if job.route.kind.is_stream() && status.is_success() {
             self.answered(job, status, &begun.server);
@@ -196,7 +209,9 @@
 
     fn answered(&self, job: &Job, status: StatusCode, server: &str) {
         let took = self.node.now().since(job.arrived);
-        self.node.metrics.answered(&job.route.name, status.as_u16(), took);
+        self.node
+            .metrics
+            .answered(&job.route.name, status.as_u16(), took);
         log::info!(
             request = job.call.id.as_str(), route = job.route.name.as_str(), server = server,
             model = job.lane.model.as_deref().unwrap_or_default(), status = u64::from(status.as_u16()),
@@ -208,7 +223,7 @@
     fn note(&self, job: &Job, chosen: &Chosen, verdict: &str, why: &str) {
         self.node.metrics.attempt_failed(&job.route.name, why);
         log::info!(
-            request = job.call.id.as_str(), server = chosen.server.id.as_str(), verdict = verdict, why = why,
+            request = job.call.id.as_str(), server = chosen.server.as_str(), verdict = verdict, why = why,
             model = job.lane.model.as_deref().unwrap_or_default(),
             waited_ms = millis(self.node.now().since(job.arrived));
             "attempt failed"
@@ -216,9 +231,16 @@
     }
 
     /// An answer of this instance's own.
-    fn refuse(&self, arrived: Instant, call: &Call, problem: &errors::Problem) -> Response<door::Body> {
+    fn refuse(
+        &self,
+        arrived: Instant,
+        call: &Call,
+        problem: &errors::Problem,
+    ) -> Response<door::Body> {
         let took = self.node.now().since(arrived);
-        self.node.metrics.refused(problem.code, problem.status.as_u16());
+        self.node
+            .metrics
+            .refused(problem.code, problem.status.as_u16());
         log::info!(
             request = call.id.as_str(), status = u64::from(problem.status.as_u16()), code = problem.code,
             why = problem.message.as_str(), verdict = problem.verdict.as_str(), took_ms = millis(took),
@@ -227,7 +249,9 @@
             "refused"
         );
         let mut response = problem.answer();
-        self.node.platform.sign(response.headers_mut(), &call.id, problem.retry_after);
+        self.node
+            .platform
+            .sign(response.headers_mut(), &call.id, problem.retry_after);
         response
     }
 }
@@ -237,7 +261,11 @@
 /// # Errors
 ///
 /// The refusal, at once when it is known that there will be none in time.
-pub async fn find<P>(node: &Arc<Node<P>>, job: &Job, tried: &[SmolStr]) -> Result<Chosen, errors::Problem>
+pub async fn find<P>(
+    node: &Arc<Node<P>>,
+    job: &Job,
+    tried: &[SmolStr],
+) -> Result<Chosen, errors::Problem>
 where
     P: Platform,
 {
@@ -253,11 +281,14 @@
             Choice::Server(chosen) => return Ok(chosen),
             Choice::Nobody => {
                 let wait = patience::retry_after(NO_SERVER, left);
-                return Err(unavailable("no_server", "no server of the group is there").with_retry_after(wait));
+                return Err(unavailable("no_server", "no server of the group is there")
+                    .with_retry_after(wait));
             }
             Choice::Absent(Some(expected)) if now.after(expected) > give_up => {
                 let wait = patience::retry_after(expected, left);
-                return Err(unavailable("cold", "the model can't be loaded in time").with_retry_after(wait));
+                return Err(
+                    unavailable("cold", "the model can't be loaded in time").with_retry_after(wait)
+                );
             }
             Choice::Absent(_) => give_up.since(now),
             Choice::Full => LOOK_AGAIN,
@@ -269,7 +300,9 @@
         if waiter.is_none() {
             waiter = Some(node.wait(&job.lane, job.arrived, give_up));
         }
-        let pause = look_again.min(give_up.since(now)).max(Duration::from_millis(1));
+        let pause = look_again
+            .min(give_up.since(now))
+            .max(Duration::from_millis(1));
         tokio::select! {
             _ = changed.changed() => {}
             () = time::sleep(pause) => {}
@@ -288,7 +321,8 @@
     let chunked = head.headers.contains_key(TRANSFER_ENCODING);
     let hosts = head.headers.get_all(HOST).iter().count();
     if lengths > 1 || (chunked && lengths > 0) || hosts > 1 {
-        let problem = errors::Problem::bad_request("bad_framing", "the request can be read in two ways");
+        let problem =
+            errors::Problem::bad_request("bad_framing", "the request can be read in two ways");
         return Err(problem.with_close());
     }
     Ok(())
@@ -297,7 +331,10 @@
 fn lane(config: &Config, route: &Route, call: &Call) -> LaneKey {
     let draw = xxh3::xxh3_64(call.id.as_bytes()) as f64 / u64::MAX as f64;
     let group = route.group(draw).cloned().unwrap_or_default();
-    let engine = config.groups.get(&group).is_some_and(|group| group.engine.is_some());
+    let engine = config
+        .groups
+        .get(&group)
+        .is_some_and(|group| group.engine.is_some());
     LaneKey {
         group,
         model: call.model.clone().filter(|_| engine),
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -82,8 +82,13 @@
     pub fn new(node: Arc<Node<P>>) -> Self {
         let settings = &node.settings;
         let address = SmolStr::new(settings.peers.to_string());
-        let lease = Lease::new(settings.lease, settings.instance.clone(), node.incarnation, address)
-            .with_free_release(settings.fenced);
+        let lease = Lease::new(
+            settings.lease,
+            settings.instance.clone(),
+            node.incarnation,
+            address,
+        )
+        .with_free_release(settings.fenced);
         let state = State {
             lease,
             linked: false,
@@ -144,7 +149,12 @@
         let capacity = QUEUE + state.tracks.len();
         let (sender, receiver) = mpsc::channel(capacity);
         let mut frames = vec![beat(&state, now)];
-        frames.extend(state.tracks.iter().map(|(server, track)| track.frame(server)));
+        frames.extend(
+            state
+                .tracks
+                .iter()
+                .map(|(server, track)| track.frame(server)),
+        );
         frames.push(Frame::Forecast(state.forecasts.clone()));
         for frame in frames {
             // The queue was made large enough.
@@ -252,7 +262,14 @@
     }
 
     /// The orders that are due in a group, counted as sent.
-    fn plan(&mut self, now: Instant, group: &SmolStr, engine: &Engine, fencing: u64, forecasts: &mut Vec<Forecast>) -> Vec<Due> {
+    fn plan(
+        &mut self,
+        now: Instant,
+        group: &SmolStr,
+        engine: &Engine,
+        fencing: u64,
+        forecasts: &mut Vec<Forecast>,
+    ) -> Vec<Due> {
         let ids: Vec<SmolStr> = self
             .tracks
             .iter()
@@ -265,7 +282,9 @@
             .collect();
         let wants = self.board.wants(group);
         let models = engine.models.keys();
-        let rates = models.map(|model| (model.clone(), self.board.rate(now, group, model))).collect();
+        let rates = models
+            .map(|model| (model.clone(), self.board.rate(now, group, model)))
+            .collect();
         let view = View {
             now,
             engine,
@@ -283,19 +302,36 @@
         let mut due = Vec::new();
         for step in plan::steps(&view) {
             let server = ids[step.site()].clone();
-            if matches!(step, Step::Load { tier: Tier::Store, .. }) {
+            if matches!(
+                step,
+                Step::Load {
+                    tier: Tier::Store,
+                    ..
+                }
+            ) {
                 self.fetches.push_back(now);
             }
-            let track = self.tracks.get_mut(&server).expect("it is a site of this plan");
+            let track = self
+                .tracks
+                .get_mut(&server)
+                .expect("it is a site of this plan");
             track.sent(now);
-            due.push(Due { server, fencing, step });
+            due.push(Due {
+                server,
+                fencing,
+                step,
+            });
         }
         due
     }
 
     /// Loads from the weight store that may run at once, by its rate.
     fn fetch_room(&mut self, now: Instant, engine: &Engine, sites: &[plan::Site]) -> usize {
-        while self.fetches.front().is_some_and(|at| now.since(*at) > STORE_WINDOW) {
+        while self
+            .fetches
+            .front()
+            .is_some_and(|at| now.since(*at) > STORE_WINDOW)
+        {
             self.fetches.pop_front();
         }
         let allowed = engine.loads_per_second * STORE_WINDOW.as_secs_f64() * STORE_SHARE;
@@ -305,7 +341,11 @@
     }
 
     fn tell_forecasts(&mut self, now: Instant, forecasts: Vec<Forecast>) {
-        let models = |list: &[Forecast]| list.iter().map(|forecast| forecast.model.clone()).collect::<Vec<_>>();
+        let models = |list: &[Forecast]| {
+            list.iter()
+                .map(|forecast| forecast.model.clone())
+                .collect::<Vec<_>>()
+        };
         let changed = models(&forecasts) != models(&self.forecasts);
         if !changed && now.since(self.forecast) < FORECAST {
             return;
@@ -330,7 +370,8 @@
 
     /// A link whose queue is full is dropped: its instance would go on with old news.
     fn broadcast(&mut self, frame: &Frame) {
-        self.links.retain(|_, link| link.try_send(frame.clone()).is_ok());
+        self.links
+            .retain(|_, link| link.try_send(frame.clone()).is_ok());
     }
 
     fn reports_due(&mut self, now: Instant) -> Vec<SmolStr> {
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -107,7 +107,9 @@
     async fn write_lease(&self, end: u64, record: &super::Record) -> bool {
         let sent = self.node.now();
         let result = self.node.platform.write_lease(end, record).await;
-        self.node.metrics.store_called("write lease", result.is_ok());
+        self.node
+            .metrics
+            .store_called("write lease", result.is_ok());
         let taken = record.fencing.is_none();
         match result {
             Ok(Written::At(offset)) => {
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -25,18 +25,40 @@
 /// What an order asks for, for the engine and for the log.
 fn change(step: &Step) -> Change<'_> {
     match step {
-        Step::Load { model, .. } => Change { load: true, model, adapter: None },
-        Step::Unload { model, .. } => Change { load: false, model, adapter: None },
-        Step::LoadAdapter { model, adapter, .. } => Change { load: true, model, adapter: Some(adapter) },
-        Step::UnloadAdapter { model, adapter, .. } => Change { load: false, model, adapter: Some(adapter) },
+        Step::Load { model, .. } => Change {
+            load: true,
+            model,
+            adapter: None,
+        },
+        Step::Unload { model, .. } => Change {
+            load: false,
+            model,
+            adapter: None,
+        },
+        Step::LoadAdapter { model, adapter, .. } => Change {
+            load: true,
+            model,
+            adapter: Some(adapter),
+        },
+        Step::UnloadAdapter { model, adapter, .. } => Change {
+            load: false,
+            model,
+            adapter: Some(adapter),
+        },
     }
 }
 
 fn kind(step: &Step) -> &'static str {
     match step {
-        Step::Load { tier: Tier::Host, .. } => "load from host memory",
-        Step::Load { tier: Tier::Disk, .. } => "load from disk",
-        Step::Load { tier: Tier::Store, .. } => "load from the store",
+        Step::Load {
+            tier: Tier::Host, ..
+        } => "load from host memory",
+        Step::Load {
+            tier: Tier::Disk, ..
+        } => "load from disk",
+        Step::Load {
+            tier: Tier::Store, ..
+        } => "load from the store",
         Step::Unload { .. } => "unload",
         Step::LoadAdapter { .. } => "load adapter",
         Step::UnloadAdapter { .. } => "unload adapter",
@@ -111,7 +133,11 @@
             Some(StatusCode::CONFLICT) => track.conflicted(now),
             _ => track.unanswered(now),
         }
-        let (frame, born, held) = (track.frame(&due.server), track.server.born, track.held.clone());
+        let (frame, born, held) = (
+            track.frame(&due.server),
+            track.server.born,
+            track.held.clone(),
+        );
         state.broadcast(&frame);
         drop(state);
         self.node.learn_held(&due.server, born, held);
@@ -125,7 +151,11 @@
         let asked = self.node.now();
         let answer = self.exchange(&server, self.node.platform.report()).await;
         let report = match answer {
-            Ok((StatusCode::OK, body)) => self.node.platform.read_report(&body).map_err(|error| error.to_string()),
+            Ok((StatusCode::OK, body)) => self
+                .node
+                .platform
+                .read_report(&body)
+                .map_err(|error| error.to_string()),
             Ok((status, _)) => Err(status.to_string()),
             Err(why) => Err(why.to_owned()),
         };
@@ -164,7 +194,11 @@
         let Step::Load { model, tier, .. } = step else {
             return Duration::ZERO;
         };
-        let group = self.lock().tracks.get(server).map(|track| track.group.clone());
+        let group = self
+            .lock()
+            .tracks
+            .get(server)
+            .map(|track| track.group.clone());
         let config = self.node.config();
         let known = config.as_ref().zip(group).and_then(|(config, group)| {
             let engine = config.groups.get(&group)?.engine.as_ref()?;
@@ -177,9 +211,16 @@
         })
     }
 
-    async fn exchange(&self, server: &Server, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), &'static str> {
+    async fn exchange(
+        &self,
+        server: &Server,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), &'static str> {
         let whole = async {
-            let sending = self.node.pool.send(self.node.now(), server.address, CONNECTIONS, request);
+            let sending =
+                self.node
+                    .pool
+                    .send(self.node.now(), server.address, CONNECTIONS, request);
             let (response, connection) = sending.await.map_err(why)?;
             let (head, body) = response.into_parts();
             let keep = self.node.platform.read_reply(&head).keep;
@@ -188,7 +229,9 @@
             self.node.pool.keep(self.node.now(), connection, keep);
             Ok((head.status, body))
         };
-        time::timeout(ANSWER_LIMIT, whole).await.unwrap_or(Err("no answer in time"))
+        time::timeout(ANSWER_LIMIT, whole)
+            .await
+            .unwrap_or(Err("no answer in time"))
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/track.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/track.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use fireflywheel::clock::Instant;
-use fireflywheel::fleet::plan::{Site, Step, Tier};
 use fireflywheel::fleet::frame::Frame;
+use fireflywheel::fleet::plan::{Site, Step, Tier};
 use fireflywheel::fleet::server::{Held, Report, Server};
 use smol_str::SmolStr;
 
@@ -82,11 +82,17 @@
     }
 
     /// What a plan needs of it.
-    pub(super) fn site(&self, now: Instant, running: BTreeMap<(SmolStr, Option<SmolStr>), u32>) -> Site {
+    pub(super) fn site(
+        &self,
+        now: Instant,
+        running: BTreeMap<(SmolStr, Option<SmolStr>), u32>,
+    ) -> Site {
         let staying = self.server.leaves.is_none_or(|at| at.since(now) > LEAVING);
         let unknown_fetch = self.held.busy
             && self.loading.is_none()
-            && self.busy_since.is_some_and(|since| now.since(since) > LONG_LOAD);
+            && self
+                .busy_since
+                .is_some_and(|since| now.since(since) > LONG_LOAD);
         Site {
             held: self.held.clone(),
             usable: self.server.ready && staying,
@@ -187,11 +193,14 @@
         for (model, adapters) in &self.held.models {
             self.since.entry((model.clone(), None)).or_insert(now);
             for adapter in adapters {
-                self.since.entry((model.clone(), Some(adapter.clone()))).or_insert(now);
+                self.since
+                    .entry((model.clone(), Some(adapter.clone())))
+                    .or_insert(now);
             }
         }
         let held = &self.held;
-        self.since.retain(|(model, adapter), _| held.holds(model, adapter.as_deref()));
+        self.since
+            .retain(|(model, adapter), _| held.holds(model, adapter.as_deref()));
         if !self.held.busy {
             self.loading = None;
             self.busy_since = None;
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use fireflywheel::fleet::config::Kind;
+use fireflywheel::fleet::events::Cutter;
 use http_body_util::BodyExt as _;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -114,7 +115,9 @@
             self.node.judge(&self.source.server, verdict);
             if end == End::Complete {
                 let now = self.node.now();
-                self.node.pool.keep(now, self.source.connection, self.source.keep);
+                self.node
+                    .pool
+                    .keep(now, self.source.connection, self.source.keep);
                 return;
             }
             let Some(source) = self.go_on().await else {
@@ -134,7 +137,7 @@
         };
         log::info!(
             request = self.job.call.id.as_str(), server = self.source.server.as_str(), why = why,
-            events = self.cutter.as_ref().and_then(|cutter| cutter.last).unwrap_or_default();
+            events = self.cutter.as_ref().and_then(Cutter::last).unwrap_or_default();
             "stream ended early"
         );
         self.node.metrics.attempt_failed(&self.job.route.name, why);
@@ -149,7 +152,10 @@
             if left.is_zero() {
                 return End::Late;
             }
-            let silence = self.cutter.as_ref().map_or(left, |_| longest_silence(&self.job));
+            let silence = self
+                .cutter
+                .as_ref()
+                .map_or(left, |_| longest_silence(&self.job));
             let frame = tokio::select! {
                 frame = self.source.body.frame() => frame,
                 () = self.sender.gone() => return End::Left,
@@ -178,17 +184,19 @@
             return self.sender.send(bytes).await.map_err(|_| End::Left);
         };
         cutter.push(&bytes);
-        if cutter.rest.len() > EVENT_LIMIT {
+        if cutter.pending() > EVENT_LIMIT {
             return Err(End::Broken("an event too large"));
         }
-        while let Some(event) = cutter.next() {
+        while let Some(event) = cutter.pop() {
             self.sender.send(event).await.map_err(|_| End::Left)?;
         }
         Ok(())
     }
 
     fn is_between_events(&self) -> bool {
-        self.cutter.as_ref().is_none_or(|cutter| cutter.rest.is_empty())
+        self.cutter
+            .as_ref()
+            .is_none_or(Cutter::is_between)
     }
 
     /// Another run that begins after the last event that was handed on.
@@ -199,8 +207,8 @@
         if used >= self.job.route.attempts {
             return None;
         }
-        cutter.rest.clear();
-        let last = cutter.last.or(self.job.call.last_event);
+        cutter.drop_partial();
+        let last = cutter.last().or(self.job.call.last_event);
         self.source.close();
         let chosen = tokio::select! {
             found = relay::find(&self.node, &self.job, &self.tried) => found.ok()?,
@@ -210,7 +218,7 @@
             return None;
         }
         log::info!(
-            request = self.job.call.id.as_str(), server = chosen.server.id.as_str(),
+            request = self.job.call.id.as_str(), server = chosen.server.as_str(),
             before = self.source.server.as_str(), after_event = last.unwrap_or_default();
             "stream goes on elsewhere"
         );
@@ -239,55 +247,3 @@
     let pause = job.route.pause.map_or(SILENCE, |pause| pause * PAUSES);
     pause.max(SILENCE)
 }
-
-/// Cuts a stream into whole events, and drops those that were handed on before.
-#[derive(Debug, Default)]
-pub struct Cutter {
-    rest: BytesMut,
-    /// The id of the last event handed on.
-    last: Option<u64>,
-}
-
-impl Cutter {
-    /// Adds what came.
-    pub fn push(&mut self, bytes: &[u8]) {
-        self.rest.extend_from_slice(bytes);
-    }
-
-    /// The next whole event that is new.
-    pub fn next(&mut self) -> Option<Bytes> {
-        loop {
-            let length = event_length(&self.rest)?;
-            let event = self.rest.split_to(length).freeze();
-            let Some(id) = event_id(&event) else {
-                return Some(event);
-            };
-            if self.last.is_none_or(|last| id > last) {
-                self.last = Some(id);
-                return Some(event);
-            }
-        }
-    }
-}
-
-/// The length of the first event with the empty line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (place, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..place];
-        if place > 0 && (line.is_empty() || line == b"\r") {
-            return Some(place + 1);
-        }
-        line_start = place + 1;
-    }
-    None
-}
-
-fn event_id(event: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(event).ok()?;
-    let value = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-    value.trim().parse().ok()
-}
--- a/crates/fireflywheel_daemon/src/fleet/watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/watch.rs
@@ -105,7 +105,11 @@
         match result {
             Ok(news) => {
                 contact.good(now);
-                let patience = if contact.is_fresh(now) { LAPSED } else { Duration::ZERO };
+                let patience = if contact.is_fresh(now) {
+                    LAPSED
+                } else {
+                    Duration::ZERO
+                };
                 node.learn(news, patience);
                 time::sleep(interval.saturating_sub(now.since(asked))).await;
             }
--- a/crates/fireflywheel_daemon/src/logs.rs
+++ b/crates/fireflywheel_daemon/src/logs.rs
@@ -47,7 +47,11 @@
     Ok(())
 }
 
-pub(crate) fn json(writer: &mut dyn Write, now: &mut DeferredNow, record: &log::Record<'_>) -> io::Result<()> {
+pub(crate) fn json(
+    writer: &mut dyn Write,
+    now: &mut DeferredNow,
+    record: &log::Record<'_>,
+) -> io::Result<()> {
     let mut line = fields(record);
     line.insert("time".to_owned(), now.format(TIME).to_string().into());
     line.insert("level".to_owned(), record.level().as_str().into());
