Keep a steward acting while the store is away, and notice a silent link

Ruled out: the store's return (read again within 0.2 s). Now: silence is counted from the last frame; where engines refuse orders of an earlier holder, a holder goes on as long as it tries to renew and gets no answer; and the term is counted from the steward's own word of its record's end.

--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -34,6 +34,8 @@
         acts: bool,
         /// Instances that it has a link to, itself included.
         instances: u32,
+        /// The end of the lease's record after the last renewal.
+        lease_end: u64,
     },
 }
 
--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -3,6 +3,11 @@
 //! The lease is one record that is only ever replaced under the condition that nothing was written since. The
 //! holder writes it again before its term ends. Anyone else may write its own name once it has watched a
 //! whole term go by without a change; clocks of two instances are never compared.
+//!
+//! Where engines refuse the orders of an earlier holder, the lease only keeps two holders from undoing each
+//! other's work; no harm can come of a holder that is replaced without knowing it. There it goes on past its
+//! term while the store can't be reached: nobody can take over through a store that is away, and all models
+//! that aren't in memory would otherwise stay where they are for as long.
 
 use std::time::Duration;
 
@@ -63,8 +68,8 @@
 pub struct Lease {
     options: Options,
     me: Record,
-    /// A lease that was given up is free at once.
-    free_release: bool,
+    /// Engines refuse orders of an earlier holder.
+    fenced: bool,
     watched: Option<Watched>,
     held: Option<Held>,
 }
@@ -80,7 +85,10 @@
 struct Held {
     fencing: u64,
     end: u64,
+    /// When the last renewal that was accepted was sent.
     sent: clock::Instant,
+    /// When the last renewal that had no answer was sent.
+    unanswered: clock::Instant,
 }
 
 impl Lease {
@@ -97,17 +105,17 @@
         Self {
             options,
             me,
-            free_release: false,
+            fenced: false,
             watched: None,
             held: None,
         }
     }
 
-    /// The same; with `free`, a lease that was given up is free at once. That is safe only where engines
-    /// refuse the orders of an earlier holder, of which some may still be on their way.
+    /// The same; with `fenced`, engines refuse orders of an earlier holder. Then a lease that was given up is
+    /// free at once, though orders may still be on their way, and a holder whose renewals have no answer goes on.
     #[must_use]
-    pub fn with_free_release(mut self, free: bool) -> Self {
-        self.free_release = free;
+    pub fn with_fenced(mut self, fenced: bool) -> Self {
+        self.fenced = fenced;
         self
     }
 
@@ -120,28 +128,51 @@
         if let Some((offset, record)) = mine {
             // A write of ours whose answer was lost. It gives no time to act: only a renewal does.
             let fencing = record.fencing.unwrap_or(*offset);
-            let sent = self
-                .held
-                .map_or(clock::Instant::default(), |held| held.sent);
+            let before = self.held.filter(|held| held.fencing == fencing);
+            let none = clock::Instant::default();
             self.held = Some(Held {
                 fencing,
                 end: reading.end,
-                sent,
+                sent: before.map_or(none, |held| held.sent),
+                unanswered: before.map_or(none, |held| held.unanswered),
             });
             return;
         }
         self.held = None;
-        let unchanged = self
+        let since = self
             .watched
             .as_ref()
-            .is_some_and(|watched| watched.end == reading.end);
-        if !unchanged {
-            self.watched = Some(Watched {
-                end: reading.end,
-                since: asked,
-                holder: reading.record.map(|(_, record)| record),
-            });
+            .filter(|watched| watched.end == reading.end)
+            .map_or(asked, |watched| watched.since);
+        self.watched = Some(Watched {
+            end: reading.end,
+            since,
+            holder: reading.record.map(|(_, record)| record),
+        });
+    }
+
+    /// The holder told this instance that its record ends at `end`. A later reading with the same end shows
+    /// that it hasn't renewed since, so the term is counted from here and not only from that reading.
+    pub fn heard(&mut self, now: clock::Instant, end: u64) {
+        if self.held.is_some() {
+            return;
         }
+        let holder = self
+            .watched
+            .take()
+            .map(|watched| (watched.end, watched.since, watched.holder));
+        let (since, holder) = match holder {
+            Some((known, since, holder)) if known == end => (since, holder),
+            Some((_, _, holder)) => (now, holder),
+            None => (now, None),
+        };
+        self.watched = Some(Watched { end, since, holder });
+    }
+
+    /// The end of the record that this instance holds.
+    #[must_use]
+    pub fn end(&self) -> Option<u64> {
+        Some(self.held?.end)
     }
 
     /// The holder that was seen last, if it isn't this instance and hasn't given up.
@@ -169,7 +200,7 @@
             .as_ref()
             .is_some_and(|holder| holder.released);
         let lapsed = now >= watched.since.after(self.options.term);
-        (never_written || lapsed || (released && self.free_release))
+        (never_written || lapsed || (released && self.fenced))
             .then(|| (watched.end, self.me.clone()))
     }
 
@@ -180,9 +211,17 @@
             fencing,
             end: offset + 1,
             sent,
+            unanswered: clock::Instant::default(),
         });
     }
 
+    /// A proposal that was sent at `sent` had no answer, or none that says whether somebody else wrote.
+    pub fn unanswered(&mut self, sent: clock::Instant) {
+        if let Some(held) = &mut self.held {
+            held.unanswered = sent;
+        }
+    }
+
     /// Somebody else wrote first, or a server has taken orders of a later holder.
     pub fn lost(&mut self) {
         self.held = None;
@@ -193,8 +232,12 @@
     #[must_use]
     pub fn fencing(&self, now: clock::Instant) -> Option<u64> {
         let held = self.held?;
+        let renewed = held.sent > clock::Instant::default();
         let until = held.sent.after(self.options.term - self.options.margin);
-        (held.sent > clock::Instant::default() && now < until).then_some(held.fencing)
+        // A process that stood still has tried nothing meanwhile, and must try before it goes on.
+        let tried = held.unanswered > held.sent && now < held.unanswered.after(self.options.term);
+        let goes_on = now < until || (self.fenced && tried);
+        (renewed && goes_on).then_some(held.fencing)
     }
 
     /// The record that gives the lease up, and the end that it must be written at.
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -18,7 +18,7 @@
 use super::steward::{BEAT, Steward};
 
 /// A link without a frame for this long is dead: three beats.
-const SILENCE: Duration = Duration::from_millis(1200);
+const SILENCE: Duration = Duration::from_millis(900);
 /// How long a link may take to open.
 const OPEN: Duration = Duration::from_millis(600);
 /// Time between two tries to open a link.
@@ -94,17 +94,20 @@
 where
     P: Platform,
 {
-    let Ok(Frame::Hello {
+    let hello = time::timeout(OPEN, receive(&mut socket)).await;
+    let Ok(Ok(Frame::Hello {
         instance,
         incarnation,
-    }) = receive(&mut socket).await
+    })) = hello
     else {
         return;
     };
     let number = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
     let key = SmolStr::new(format!("{instance}/{incarnation}"));
     let mut frames = steward.link(number);
+    let mut heard = steward.node.now();
     let why = loop {
+        let silence = heard.after(SILENCE).since(steward.node.now());
         tokio::select! {
             frame = frames.recv() => {
                 let Some(frame) = frame else { break "too slow" };
@@ -112,11 +115,15 @@
                     break "not writable";
                 }
             }
-            frame = receive(&mut socket) => match frame {
-                Ok(Frame::Demand(demand)) => steward.demand(&key, demand),
-                Ok(_) => {}
-                Err(_) => break "silent or broken",
-            },
+            frame = receive(&mut socket) => {
+                heard = steward.node.now();
+                match frame {
+                    Ok(Frame::Demand(demand)) => steward.demand(&key, demand),
+                    Ok(_) => {}
+                    Err(_) => break "broken",
+                }
+            }
+            () = time::sleep(silence) => break "silent",
         }
     };
     steward.unlink(number, &key);
@@ -147,9 +154,15 @@
     };
     send(&mut socket, &hello).await?;
     send(&mut socket, &Frame::Demand(steward.node.demand())).await?;
+    let mut heard = steward.node.now();
     loop {
+        let silence = heard.after(SILENCE).since(steward.node.now());
         tokio::select! {
-            frame = receive(&mut socket) => take(steward, frame?)?,
+            frame = receive(&mut socket) => {
+                take(steward, frame?)?;
+                heard = steward.node.now();
+            }
+            () = time::sleep(silence) => anyhow::bail!("silent"),
             () = wait_for_change(steward) => {
                 send(&mut socket, &Frame::Demand(steward.node.demand())).await?;
             }
@@ -163,7 +176,12 @@
 {
     match frame {
         Frame::Beat { acts: false, .. } => anyhow::bail!("it doesn't act as steward"),
-        Frame::Beat { instances, .. } => {
+        Frame::Beat {
+            instances,
+            lease_end,
+            ..
+        } => {
+            steward.heard(lease_end);
             steward.node.learn_instances(instances as usize);
             steward.set_linked(true);
             steward.node.set_told(true);
@@ -187,10 +205,7 @@
 
 async fn receive(socket: &mut Socket) -> anyhow::Result<Frame> {
     loop {
-        let message = time::timeout(SILENCE, socket.next())
-            .await
-            .context("silent")?;
-        match message.context("closed")?? {
+        match socket.next().await.context("closed")?? {
             Message::Binary(bytes) => return Ok(ciborium::from_reader(bytes.as_ref())?),
             Message::Close(_) => anyhow::bail!("closed"),
             Message::Text(_) | Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => {}
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -30,7 +30,7 @@
 /// Demands that come together are planned for together.
 const GATHER: Duration = Duration::from_millis(2);
 /// Time between two beats to the instances that are linked.
-pub(super) const BEAT: Duration = Duration::from_millis(400);
+pub(super) const BEAT: Duration = Duration::from_millis(300);
 /// Forecasts are sent again after this, since the wait that they tell of goes on.
 const FORECAST: Duration = Duration::from_millis(500);
 /// The share of the weight store's rate that is used: a load may begin later than it was ordered.
@@ -55,6 +55,8 @@
     lease: Lease,
     /// This instance has a link to a steward that acts.
     linked: bool,
+    /// The lease was read since it was last written, and since the last link ended.
+    lease_known: bool,
     board: Board,
     tracks: BTreeMap<SmolStr, Track>,
     links: BTreeMap<u64, mpsc::Sender<Frame>>,
@@ -88,10 +90,11 @@
             node.incarnation,
             address,
         )
-        .with_free_release(settings.fenced);
+        .with_fenced(settings.fenced);
         let state = State {
             lease,
             linked: false,
+            lease_known: false,
             board: Board::default(),
             tracks: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -125,15 +128,18 @@
     /// A link to a steward that acts was made, or has ended.
     pub fn set_linked(&self, linked: bool) {
         let mut state = self.lock();
-        if state.linked && !linked {
-            // What was read of the lease before is old; only what is watched from now on counts.
-            state.lease.lost();
-        }
+        state.lease_known &= linked;
         state.linked = linked;
         drop(state);
         self.lease_wake.notify_one();
     }
 
+    /// The steward says where the lease's record ends.
+    pub fn heard(&self, lease_end: u64) {
+        let now = self.node.now();
+        self.lock().lease.heard(now, lease_end);
+    }
+
     /// An instance says what it wants.
     pub fn demand(&self, instance: &SmolStr, demand: Demand) {
         let now = self.node.now();
@@ -390,6 +396,7 @@
     Frame::Beat {
         acts: state.lease.fencing(now).is_some(),
         instances: u32::try_from(state.links.len() + 1).unwrap_or(u32::MAX),
+        lease_end: state.lease.end().unwrap_or_default(),
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -28,20 +28,17 @@
 {
     /// Watches the lease, takes it when it is free, and renews it, for ever.
     pub async fn keep_lease(self: Arc<Self>) {
-        let mut known = false;
         loop {
-            let task = self.lease_task(known);
+            let task = self.lease_task();
             match task {
                 Task::Nothing => {}
-                Task::Read => known = self.read_lease().await,
+                Task::Read => self.read_lease().await,
                 Task::Write(end, record) => {
                     if record.fencing.is_none() {
                         time::sleep(Duration::from_millis(rand::random_range(0..SPREAD_MS))).await;
                     }
-                    known = self.write_lease(end, &record).await;
-                    if known {
-                        continue;
-                    }
+                    self.write_lease(end, &record).await;
+                    continue;
                 }
             }
             let pause = self.lease_pause();
@@ -64,9 +61,10 @@
         log::info!(end = end, given_up = matches!(result, Ok(Written::At(_))); "lease released");
     }
 
-    fn lease_task(&self, known: bool) -> Task {
+    fn lease_task(&self) -> Task {
         let now = self.node.now();
         let state = self.lock();
+        let known = state.lease_known;
         let holds = state.lease.release().is_some();
         if self.node.is_draining() || (state.linked && !holds) {
             return Task::Nothing;
@@ -86,25 +84,24 @@
         due.clamp(Duration::from_millis(5), most)
     }
 
-    /// Whether the lease is known now.
-    async fn read_lease(&self) -> bool {
+    async fn read_lease(&self) {
         let asked = self.node.now();
         let result = self.node.platform.read_lease().await;
         self.node.metrics.store_called("read lease", result.is_ok());
         match result {
             Ok(reading) => {
-                self.lock().lease.observe(asked, reading);
-                true
+                let mut state = self.lock();
+                state.lease.observe(asked, reading);
+                state.lease_known = true;
             }
             Err(fault) => {
                 log::debug!(why = fault.to_string().as_str(); "lease not read");
-                false
+                self.lock().lease.unanswered(asked);
             }
         }
     }
 
-    /// Whether the lease is known afterwards.
-    async fn write_lease(&self, end: u64, record: &super::Record) -> bool {
+    async fn write_lease(&self, end: u64, record: &super::Record) {
         let sent = self.node.now();
         let result = self.node.platform.write_lease(end, record).await;
         self.node
@@ -118,16 +115,19 @@
                     log::info!(fencing = offset; "lease taken");
                 }
                 self.wake.notify_one();
-                true
             }
             Ok(Written::Late) => {
                 log::info!(end = end, taken = taken; "lease written by another");
-                self.lock().lease.lost();
-                false
+                let mut state = self.lock();
+                state.lease.lost();
+                state.lease_known = false;
             }
             Err(fault) => {
+                let mut state = self.lock();
+                state.lease.unanswered(sent);
+                state.lease_known = false;
+                drop(state);
                 log::info!(end = end, why = fault.to_string().as_str(); "lease not written for certain");
-                false
             }
         }
     }
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -194,9 +194,7 @@
     }
 
     fn is_between_events(&self) -> bool {
-        self.cutter
-            .as_ref()
-            .is_none_or(Cutter::is_between)
+        self.cutter.as_ref().is_none_or(Cutter::is_between)
     }
 
     /// Another run that begins after the last event that was handed on.
