--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -252,7 +252,7 @@
             .filter(|place| !self.taken.contains(place))
             .filter(|place| {
                 let site = &view.sites[*place];
-                site.usable && !site.ordering && site.held.holds(model, None)
+                site.usable && !site.ordering && !site.held.busy && site.held.holds(model, None)
             })
             .min_by_key(|place| {
                 let site = &view.sites[*place];
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fireflywheel::clock::Instant;
 use fireflywheel::fleet::config::Kind;
 use fireflywheel::fleet::events::Cutter;
 use http_body_util::BodyExt as _;
@@ -20,6 +21,8 @@
 
 /// What a caller may leave unread before its stream has to wait, in bytes.
 const BUFFER: usize = 256 << 10;
+/// A stream may go on for this long past its route's time, so that one that is about to end does.
+const OVERTIME: Duration = Duration::from_millis(100);
 /// An event larger than this isn't one, in bytes.
 const EVENT_LIMIT: usize = 1 << 20;
 /// A stream that may go on elsewhere does so after this many of its route's longest pauses without an event.
@@ -148,7 +151,7 @@
     async fn copy(&mut self) -> End {
         loop {
             let now = self.node.now();
-            let left = self.job.deadline.since(now);
+            let left = self.end().since(now);
             if left.is_zero() {
                 return End::Late;
             }
@@ -179,6 +182,12 @@
         }
     }
 
+    /// When a stream is cut that hasn't ended. A caller whose own time is over leaves by itself, and until then
+    /// each event is worth handing on.
+    fn end(&self) -> Instant {
+        self.job.arrived.after(self.job.route.timeout + OVERTIME)
+    }
+
     async fn hand_on(&mut self, bytes: Bytes) -> Result<(), End> {
         let Some(cutter) = &mut self.cutter else {
             return self.sender.send(bytes).await.map_err(|_| End::Left);
