--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -86,9 +86,15 @@
     fencing: u64,
     end: u64,
     /// When the last renewal that was accepted was sent.
-    sent: clock::Instant,
+    sent: Option<clock::Instant>,
     /// When the last renewal that had no answer was sent.
-    unanswered: clock::Instant,
+    unanswered: Option<clock::Instant>,
+}
+
+impl Held {
+    fn is_due(&self, now: clock::Instant, renewal: Duration) -> bool {
+        self.sent.is_none_or(|sent| now >= sent.after(renewal))
+    }
 }
 
 impl Lease {
@@ -129,12 +135,11 @@
             // A write of ours whose answer was lost. It gives no time to act: only a renewal does.
             let fencing = record.fencing.unwrap_or(*offset);
             let before = self.held.filter(|held| held.fencing == fencing);
-            let none = clock::Instant::default();
             self.held = Some(Held {
                 fencing,
                 end: reading.end,
-                sent: before.map_or(none, |held| held.sent),
-                unanswered: before.map_or(none, |held| held.unanswered),
+                sent: before.and_then(|held| held.sent),
+                unanswered: before.and_then(|held| held.unanswered),
             });
             return;
         }
@@ -190,8 +195,9 @@
                 fencing: Some(held.fencing),
                 ..self.me.clone()
             };
-            let due = now >= held.sent.after(self.options.renewal);
-            return due.then_some((held.end, record));
+            return held
+                .is_due(now, self.options.renewal)
+                .then_some((held.end, record));
         }
         let watched = self.watched.as_ref()?;
         let never_written = watched.holder.is_none() && watched.end == 0;
@@ -210,15 +216,15 @@
         self.held = Some(Held {
             fencing,
             end: offset + 1,
-            sent,
-            unanswered: clock::Instant::default(),
+            sent: Some(sent),
+            unanswered: None,
         });
     }
 
     /// A proposal that was sent at `sent` had no answer, or none that says whether somebody else wrote.
     pub fn unanswered(&mut self, sent: clock::Instant) {
         if let Some(held) = &mut self.held {
-            held.unanswered = sent;
+            held.unanswered = Some(sent);
         }
     }
 
@@ -232,12 +238,13 @@
     #[must_use]
     pub fn fencing(&self, now: clock::Instant) -> Option<u64> {
         let held = self.held?;
-        let renewed = held.sent > clock::Instant::default();
-        let until = held.sent.after(self.options.term - self.options.margin);
+        let sent = held.sent?;
+        let until = sent.after(self.options.term - self.options.margin);
         // A process that stood still has tried nothing meanwhile, and must try before it goes on.
-        let tried = held.unanswered > held.sent && now < held.unanswered.after(self.options.term);
-        let goes_on = now < until || (self.fenced && tried);
-        (renewed && goes_on).then_some(held.fencing)
+        let tried = held
+            .unanswered
+            .is_some_and(|tried| now < tried.after(self.options.term));
+        (now < until || (self.fenced && tried)).then_some(held.fencing)
     }
 
     /// The record that gives the lease up, and the end that it must be written at.
@@ -256,7 +263,7 @@
     #[must_use]
     pub fn due(&self, now: clock::Instant) -> Option<Duration> {
         let at = match (self.held, &self.watched) {
-            (Some(held), _) => held.sent.after(self.options.renewal),
+            (Some(held), _) => held.sent.unwrap_or_default().after(self.options.renewal),
             (None, Some(watched)) => watched.since.after(self.options.term),
             (None, None) => return None,
         };
--- /dev/null
+++ b/crates/fireflywheel/tests/fleet/lease.rs
@@ -0,0 +1,239 @@
+//! Who is steward: two must never both believe it while engines take the orders of either.
+
+use std::time::Duration;
+
+use arbtest::arbtest;
+use fireflywheel::clock::Instant;
+use fireflywheel::fleet::lease::{Lease, Options, Reading, Record};
+use smol_str::SmolStr;
+
+use crate::cases;
+
+const TERM: Duration = Duration::from_secs(3);
+
+/// The platform's record, which is only replaced at its end.
+#[derive(Clone, Default)]
+struct Log {
+    end: u64,
+    record: Option<(u64, Record)>,
+}
+
+impl Log {
+    fn read(&self) -> Reading {
+        Reading {
+            record: self.record.clone(),
+            end: self.end,
+        }
+    }
+
+    fn write(&mut self, at: u64, record: Record) -> Option<u64> {
+        if at != self.end {
+            return None;
+        }
+        self.record = Some((at, record));
+        self.end += 1;
+        Some(at)
+    }
+}
+
+fn lease(name: &str, fenced: bool) -> Lease {
+    let address = SmolStr::new("10.0.0.1:1");
+    Lease::new(Options::new(TERM), name.into(), 1, address).with_fenced(fenced)
+}
+
+fn at(millis: u64) -> Instant {
+    Instant(millis)
+}
+
+/// Lets an instance do what is due at a moment: write, or read if there is nothing to write.
+fn act(lease: &mut Lease, log: &mut Log, now: u64) {
+    match lease.proposal(at(now)) {
+        Some((end, record)) => match log.write(end, record) {
+            Some(offset) => lease.accepted(at(now), offset),
+            None => lease.lost(),
+        },
+        None => lease.observe(at(now), log.read()),
+    }
+}
+
+fn held(name: &str, fenced: bool, log: &mut Log, now: u64) -> Lease {
+    let mut lease = lease(name, fenced);
+    lease.observe(at(now), log.read());
+    act(&mut lease, log, now);
+    assert!(lease.fencing(at(now)).is_some(), "{name} should hold it");
+    lease
+}
+
+fn first_instance_takes_it_at_once() {
+    let mut log = Log::default();
+    let lease = held("a", false, &mut log, 10);
+    assert_eq!(lease.fencing(at(10)), Some(0));
+}
+
+fn holder_renews_with_its_first_number() {
+    let mut log = Log::default();
+    let mut lease = held("a", false, &mut log, 0);
+    for now in (1000..20_000).step_by(1000) {
+        act(&mut lease, &mut log, now);
+        assert_eq!(lease.fencing(at(now)), Some(0));
+    }
+}
+
+fn holder_that_cannot_renew_stops_before_others_may_start() {
+    let mut log = Log::default();
+    let mut first = held("a", false, &mut log, 0);
+    let mut second = lease("b", false);
+    second.observe(at(0), log.read());
+    first.unanswered(at(1000));
+    let stops = (0..10_000).find(|now| first.fencing(at(*now)).is_none());
+    let starts = (0..10_000).find(|now| second.proposal(at(*now)).is_some());
+    assert!(stops < starts, "{stops:?} {starts:?}");
+}
+
+fn fenced_holder_goes_on_while_the_store_is_away() {
+    let mut log = Log::default();
+    let mut lease = held("a", true, &mut log, 0);
+    for now in (1000..30_000).step_by(1000) {
+        lease.unanswered(at(now));
+        assert_eq!(lease.fencing(at(now + 500)), Some(0), "at {now}");
+    }
+}
+
+fn thawed_holder_tries_before_it_goes_on() {
+    let mut log = Log::default();
+    let mut lease = held("a", true, &mut log, 0);
+    lease.unanswered(at(1000));
+    assert_eq!(lease.fencing(at(8000)), None);
+}
+
+fn fenced_holder_stops_when_another_wrote() {
+    let mut log = Log::default();
+    let mut first = held("a", true, &mut log, 0);
+    let mut second = lease("b", true);
+    second.observe(at(0), log.read());
+    act(&mut second, &mut log, 3000);
+    assert_eq!(second.fencing(at(3000)), Some(1));
+    first.unanswered(at(2900));
+    act(&mut first, &mut log, 3500);
+    assert_eq!(first.fencing(at(3500)), None);
+}
+
+fn released_lease_is_free_at_once_where_engines_check() {
+    for fenced in [true, false] {
+        let mut log = Log::default();
+        let first = held("a", fenced, &mut log, 0);
+        let (end, record) = first.release().expect("it holds it");
+        log.write(end, record).expect("nobody else wrote");
+        let mut second = lease("b", fenced);
+        second.observe(at(100), log.read());
+        assert_eq!(second.proposal(at(100)).is_some(), fenced);
+        assert_eq!(second.holder(), None);
+    }
+}
+
+fn lost_answer_of_a_take_over_is_recognised() {
+    let mut log = Log::default();
+    let mut lease = lease("a", false);
+    lease.observe(at(0), log.read());
+    let (end, record) = lease.proposal(at(0)).expect("it is free");
+    log.write(end, record);
+    lease.unanswered(at(0));
+    lease.observe(at(500), log.read());
+    assert_eq!(
+        lease.fencing(at(500)),
+        None,
+        "only a renewal gives time to act"
+    );
+    act(&mut lease, &mut log, 600);
+    assert_eq!(lease.fencing(at(600)), Some(0));
+}
+
+fn restarted_instance_waits_for_its_own_old_lease() {
+    let mut log = Log::default();
+    let _before = held("a", false, &mut log, 0);
+    let mut after = Lease::new(Options::new(TERM), "a".into(), 2, "10.0.0.1:1".into());
+    after.observe(at(100), log.read());
+    assert_eq!(after.proposal(at(2000)), None);
+    assert!(after.proposal(at(3100)).is_some());
+}
+
+fn steward_s_word_of_the_record_s_end_starts_the_term() {
+    let mut log = Log::default();
+    let mut first = held("a", false, &mut log, 0);
+    let mut second = lease("b", false);
+    second.observe(at(0), log.read());
+    act(&mut first, &mut log, 1000);
+    second.heard(at(1010), log.end);
+    second.heard(at(1900), log.end);
+    second.observe(at(2500), log.read());
+    assert_eq!(second.proposal(at(4000)), None);
+    assert!(second.proposal(at(4010)).is_some());
+}
+
+/// Several instances act, stand still, and lose answers in any order. At most one of them may believe that it
+/// holds the lease, and numbers only rise.
+fn any_order_leaves_one_holder() {
+    arbtest(|u| {
+        let mut log = Log::default();
+        let mut leases: Vec<Lease> = ["a", "b", "c"].map(|name| lease(name, false)).into();
+        let (mut now, mut highest) = (0, None);
+        for _ in 0..60 {
+            now += u.int_in_range(0..=1500)?;
+            let place = u.choose_index(leases.len())?;
+            let lease = &mut leases[place];
+            match u.int_in_range(0..=4)? {
+                0 => lease.observe(at(now), log.read()),
+                1 => {
+                    if let Some((end, record)) = lease.proposal(at(now)) {
+                        // Done, but the answer is lost.
+                        log.write(end, record);
+                        lease.unanswered(at(now));
+                        lease.observe(at(now), log.read());
+                    }
+                }
+                2 => lease.heard(at(now), log.end),
+                _ => act(lease, &mut log, now),
+            }
+            let holders: Vec<u64> = leases
+                .iter()
+                .filter_map(|lease| lease.fencing(at(now)))
+                .collect();
+            assert!(holders.len() <= 1, "{holders:?} at {now}");
+            if let Some(number) = holders.first() {
+                assert!(highest.is_none_or(|highest| highest <= *number));
+                highest = Some(*number);
+            }
+        }
+        Ok(())
+    });
+}
+
+cases! {
+    /// Nobody has ever been steward. Were it to wait a term, no cold model could be loaded for as long.
+    first_take_over => first_instance_takes_it_at_once();
+    /// A holder that changed its number with each renewal would make engines refuse orders on their way.
+    renewals_keep_the_number => holder_renews_with_its_first_number();
+    /// The holder can't reach the store, and another instance sees its lease lapse. If the holder went on for
+    /// longer, both would order engines that don't check who does.
+    store_lost_by_the_holder => holder_that_cannot_renew_stops_before_others_may_start();
+    /// The store is away for everyone. If the holder stopped, models that aren't in memory would stay cold for
+    /// as long as the outage lasts.
+    store_away_for_all => fenced_holder_goes_on_while_the_store_is_away();
+    /// A process stands still for seconds and wakes up. Others may have taken over meanwhile; going on at once
+    /// it would undo their work.
+    holder_stood_still => thawed_holder_tries_before_it_goes_on();
+    /// The holder's renewal finds that another one wrote. Going on, it would order engines under an old number.
+    replaced_holder => fenced_holder_stops_when_another_wrote();
+    /// A planned stop gives the lease up. If others waited a term, each restart would leave models cold for it;
+    /// if they didn't where engines take any order, two would order at once.
+    planned_stop => released_lease_is_free_at_once_where_engines_check();
+    /// The answer to a take-over is lost although it was done. Not recognised, the instance would wait a term for
+    /// itself.
+    lost_answer => lost_answer_of_a_take_over_is_recognised();
+    /// A killed process starts again under its old name, and orders of the one before may still be on their way.
+    killed_and_back => restarted_instance_waits_for_its_own_old_lease();
+    /// A link to the steward ends. Counting the term only from then on would leave models cold for a second more.
+    term_by_the_steward_s_word => steward_s_word_of_the_record_s_end_starts_the_term();
+    /// Any order of acts, pauses and lost answers.
+    any_order => any_order_leaves_one_holder();
+}
--- /dev/null
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -0,0 +1,25 @@
+//! Serving from a directory: the decisions, one module at a time.
+
+mod budget;
+mod config;
+mod demand;
+mod events;
+mod lease;
+mod patience;
+mod plan;
+mod routing;
+mod settings;
+
+/// Makes a test of each name and the check behind it.
+#[macro_export]
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $check:expr;)+) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                $check;
+            }
+        )+
+    };
+}
--- /dev/null
+++ b/crates/fireflywheel/tests/fleet/plan.rs
@@ -0,0 +1,373 @@
+//! Which orders are sent, and that none overcommits an engine or asks the weight store for what a disk has.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use arbtest::arbtest;
+use fireflywheel::clock::Instant;
+use fireflywheel::fleet::config::{Engine, Model};
+use fireflywheel::fleet::demand::Want;
+use fireflywheel::fleet::plan::{self, Site, Step, Tier, View};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::cases;
+
+const NOW: Instant = Instant(100_000);
+
+struct World {
+    engine: Engine,
+    sites: Vec<Site>,
+    wants: Vec<Want>,
+    rates: BTreeMap<SmolStr, f64>,
+    fetches: usize,
+}
+
+impl World {
+    /// Engines that hold two of ten models of the same size.
+    fn new(sites: usize) -> Self {
+        let model = Model {
+            memory_mb: 40.0,
+            fetch: Duration::from_secs(6),
+            from_disk: Duration::from_secs(1),
+            from_host: Duration::from_millis(500),
+            adapter_mb: 1.0,
+        };
+        let models = (0..10)
+            .map(|number| (format_smolstr!("m{number}"), model))
+            .collect();
+        let engine = Engine {
+            slots: 8,
+            memory_mb: 83.0,
+            adapter_places: 2,
+            loads_per_second: 5.0,
+            models,
+        };
+        let site = Site {
+            usable: true,
+            ..Site::default()
+        };
+        Self {
+            engine,
+            sites: vec![site; sites],
+            wants: Vec::new(),
+            rates: BTreeMap::new(),
+            fetches: plan::FETCHES,
+        }
+    }
+
+    fn holding(mut self, site: usize, model: &str) -> Self {
+        let held = &mut self.sites[site].held;
+        held.models.insert(model.into(), BTreeSet::new());
+        held.on_disk.insert(model.into());
+        self
+    }
+
+    fn on_disk(mut self, site: usize, model: &str) -> Self {
+        self.sites[site].held.on_disk.insert(model.into());
+        self
+    }
+
+    fn all_on_disk(mut self, site: usize) -> Self {
+        let models = self.engine.models.keys().cloned();
+        self.sites[site].held.on_disk.extend(models);
+        self
+    }
+
+    fn running(mut self, site: usize, model: &str, count: u32) -> Self {
+        self.sites[site].running.insert((model.into(), None), count);
+        self
+    }
+
+    fn busy(mut self, site: usize) -> Self {
+        self.sites[site].held.busy = true;
+        self
+    }
+
+    fn fetching(mut self, site: usize, model: &str) -> Self {
+        self.sites[site].loading = Some(model.into());
+        self.sites[site].fetching = true;
+        self.busy(site)
+    }
+
+    fn rate(mut self, model: &str, rate: f64) -> Self {
+        self.rates.insert(model.into(), rate);
+        self
+    }
+
+    fn wanted(self, model: &str) -> Self {
+        self.wanted_adapter(model, None)
+    }
+
+    fn wanted_adapter(mut self, model: &str, adapter: Option<&str>) -> Self {
+        self.wants.push(Want {
+            model: model.into(),
+            adapter: adapter.map(SmolStr::new),
+            waiting: 1,
+            since: Instant(NOW.0 - 100),
+            until: Instant(NOW.0 + 5000),
+        });
+        self
+    }
+
+    fn view(&self) -> View<'_> {
+        View {
+            now: NOW,
+            engine: &self.engine,
+            sites: &self.sites,
+            wants: &self.wants,
+            rates: &self.rates,
+            fetches: self.fetches,
+        }
+    }
+
+    fn steps(&self) -> Vec<Step> {
+        plan::steps(&self.view())
+    }
+}
+
+fn load(site: usize, model: &str, tier: Tier) -> Step {
+    Step::Load {
+        site,
+        model: model.into(),
+        tier,
+    }
+}
+
+fn unload(site: usize, model: &str) -> Step {
+    Step::Unload {
+        site,
+        model: model.into(),
+    }
+}
+
+fn fetched(steps: &[Step]) -> usize {
+    let from_store = |step: &&Step| {
+        matches!(
+            step,
+            Step::Load {
+                tier: Tier::Store,
+                ..
+            }
+        )
+    };
+    steps.iter().filter(from_store).count()
+}
+
+fn wanted_model_comes_from_a_disk() {
+    let world = World::new(3).all_on_disk(1).wanted("m3");
+    assert!(world.steps().contains(&load(1, "m3", Tier::Disk)));
+}
+
+fn copy_on_a_busy_disk_is_waited_for() {
+    let world = World::new(3).all_on_disk(1).busy(1).wanted("m3");
+    assert_eq!(world.steps(), []);
+}
+
+fn least_wanted_model_makes_room() {
+    let world = World::new(1)
+        .all_on_disk(0)
+        .holding(0, "m0")
+        .holding(0, "m1")
+        .rate("m0", 0.1)
+        .rate("m1", 5.0)
+        .wanted("m2");
+    assert_eq!(world.steps(), [unload(0, "m0")]);
+}
+
+fn model_in_use_stays() {
+    let world = World::new(1)
+        .all_on_disk(0)
+        .holding(0, "m0")
+        .holding(0, "m1")
+        .running(0, "m0", 1)
+        .running(0, "m1", 1)
+        .wanted("m2");
+    assert_eq!(world.steps(), []);
+}
+
+fn model_that_others_wait_for_stays() {
+    let world = World::new(1)
+        .all_on_disk(0)
+        .holding(0, "m0")
+        .holding(0, "m1")
+        .wanted("m0")
+        .wanted("m1")
+        .wanted("m2");
+    assert_eq!(world.steps(), []);
+}
+
+fn few_loads_from_the_store_run_at_once() {
+    let world = World::new(8).fetching(0, "m0").fetching(1, "m1");
+    assert_eq!(fetched(&world.steps()), 2);
+}
+
+fn no_second_copy_from_the_store_while_a_model_has_none() {
+    let world = World::new(3).holding(0, "m0").running(0, "m0", 50);
+    let loads_m0 = |step: &Step| matches!(step, Step::Load { model, .. } if model == "m0");
+    assert!(!world.steps().iter().any(loads_m0));
+}
+
+fn crowded_model_is_copied_from_a_disk() {
+    let world = World::new(2)
+        .all_on_disk(0)
+        .all_on_disk(1)
+        .holding(0, "m0")
+        .running(0, "m0", 50);
+    assert_eq!(world.steps(), [load(1, "m0", Tier::Disk)]);
+}
+
+fn one_order_for_each_engine() {
+    let world = World::new(2)
+        .all_on_disk(0)
+        .all_on_disk(1)
+        .wanted("m1")
+        .wanted("m2")
+        .wanted("m3");
+    let sites: Vec<usize> = world.steps().iter().map(Step::site).collect();
+    assert_eq!(sites.len(), 2);
+    assert_ne!(sites[0], sites[1]);
+}
+
+fn unusable_engine_gets_no_order() {
+    let mut world = World::new(1).all_on_disk(0).wanted("m1");
+    world.sites[0].usable = false;
+    assert_eq!(world.steps(), []);
+}
+
+fn adapter_is_brought_where_its_model_is() {
+    let world = World::new(2)
+        .all_on_disk(0)
+        .all_on_disk(1)
+        .holding(1, "m0")
+        .wanted_adapter("m0", Some("a1"));
+    let expected = Step::LoadAdapter {
+        site: 1,
+        model: "m0".into(),
+        adapter: "a1".into(),
+    };
+    assert_eq!(world.steps(), [expected]);
+}
+
+fn idle_adapter_makes_room() {
+    let mut world = World::new(1)
+        .all_on_disk(0)
+        .holding(0, "m0")
+        .wanted_adapter("m0", Some("a3"));
+    let adapters = world.sites[0]
+        .held
+        .models
+        .get_mut("m0")
+        .expect("it is held");
+    adapters.extend([SmolStr::new("a1"), SmolStr::new("a2")]);
+    let key = (SmolStr::new("m0"), Some(SmolStr::new("a1")));
+    world.sites[0].running.insert(key, 1);
+    let expected = Step::UnloadAdapter {
+        site: 0,
+        model: "m0".into(),
+        adapter: "a2".into(),
+    };
+    assert_eq!(world.steps(), [expected]);
+}
+
+fn forecast_counts_what_is_ahead_at_the_store() {
+    let world = World::new(8)
+        .fetching(0, "m8")
+        .fetching(1, "m9")
+        .fetching(2, "m7")
+        .fetching(3, "m6")
+        .on_disk(4, "m0")
+        .wanted("m0")
+        .wanted("m1");
+    let expected = [(SmolStr::new("m1"), Duration::from_secs(12))];
+    assert_eq!(plan::forecast(&world.view()), expected);
+}
+
+/// Any state of the engines, any wants. No order may put more into an engine than it holds, go to an engine
+/// that carries one out, unload what runs, or pass the weight store's limit.
+fn any_plan_is_safe() {
+    arbtest(|u| {
+        let mut world = World::new(u.int_in_range(1..=5)?);
+        let models: Vec<SmolStr> = world.engine.models.keys().cloned().collect();
+        for site in 0..world.sites.len() {
+            for _ in 0..u.int_in_range(0..=2)? {
+                world = world.holding(site, u.choose(&models)?);
+            }
+            if u.ratio(1, 4)? {
+                world = world.fetching(site, u.choose(&models)?);
+            }
+            for _ in 0..u.int_in_range(0..=4)? {
+                world = world.on_disk(site, u.choose(&models)?);
+            }
+            if u.ratio(1, 2)? {
+                world = world.running(site, u.choose(&models)?, u.int_in_range(0..=40)?);
+            }
+            world.sites[site].ordering = u.ratio(1, 5)?;
+            world.sites[site].usable = u.ratio(4, 5)?;
+        }
+        for _ in 0..u.int_in_range(0..=6)? {
+            world = world.wanted(u.choose(&models)?);
+        }
+        let steps = world.steps();
+        let already = world.sites.iter().filter(|site| site.fetching).count();
+        assert!(fetched(&steps) == 0 || already + fetched(&steps) <= world.fetches);
+        let mut ordered = BTreeSet::new();
+        for step in &steps {
+            assert!(ordered.insert(step.site()), "two orders for one engine");
+            check(&world, step);
+        }
+        Ok(())
+    });
+}
+
+fn check(world: &World, step: &Step) {
+    let site = &world.sites[step.site()];
+    assert!(site.usable && !site.ordering && !site.held.busy, "{step:?}");
+    match step {
+        Step::Load { model, .. } => {
+            let used = 40.0 * (site.held.models.len() + 1) as f64;
+            assert!(used <= world.engine.memory_mb, "{step:?}");
+            assert!(!site.held.models.contains_key(model));
+        }
+        Step::Unload { model, .. } => {
+            let running = site
+                .running
+                .get(&(model.clone(), None))
+                .copied()
+                .unwrap_or_default();
+            assert_eq!(running, 0, "{step:?}");
+        }
+        Step::LoadAdapter { .. } | Step::UnloadAdapter { .. } => {}
+    }
+}
+
+cases! {
+    /// The weight store takes six seconds and is shared by all; a disk takes one.
+    disk_before_store => wanted_model_comes_from_a_disk();
+    /// The only disk with a copy belongs to an engine that is busy for a second. A load from the store would
+    /// keep another engine busy for six, and the store from a model that has no copy at all.
+    busy_disk_before_store => copy_on_a_busy_disk_is_waited_for();
+    /// Room is made. If the model that most ask for went, its callers would wait at once.
+    eviction_by_rate => least_wanted_model_makes_room();
+    /// An unload waits for its runs, and the engine takes no other order meanwhile.
+    no_eviction_in_use => model_in_use_stays();
+    /// Requests wait for three models where two fit. If they pushed each other out, none would ever be served.
+    no_thrashing => model_that_others_wait_for_stays();
+    /// More loads at once are each slower in proportion, and keep more engines from swapping.
+    store_limit => few_loads_from_the_store_run_at_once();
+    /// A busy model calls for copies while others are nowhere; their callers would never be served.
+    store_for_the_homeless => no_second_copy_from_the_store_while_a_model_has_none();
+    /// Requests crowd on one copy, and each makes all others of its batch slower.
+    copies_for_crowds => crowded_model_is_copied_from_a_disk();
+    /// An engine refuses an order while it carries out another.
+    one_order_at_a_time => one_order_for_each_engine();
+    /// An engine that leaves would take a model with it.
+    leaving_engine => unusable_engine_gets_no_order();
+    /// An adapter without its model is an order that doesn't exist.
+    adapter_beside_its_model => adapter_is_brought_where_its_model_is();
+    /// All places for adapters are taken, one of them by a running request.
+    adapter_room => idle_adapter_makes_room();
+    /// A caller is told when to come back; a time that leaves out those ahead brings it back too early.
+    forecast => forecast_counts_what_is_ahead_at_the_store();
+    /// Any state of the engines.
+    any_state => any_plan_is_safe();
+}
--- /dev/null
+++ b/crates/fireflywheel/tests/fleet/routing.rs
@@ -0,0 +1,130 @@
+//! Requests go to the least loaded server that answers as it should.
+
+use fireflywheel::clock::Instant;
+use fireflywheel::fleet::routing::{self, Candidate, Report, Seen};
+
+use crate::cases;
+
+const NOW: Instant = Instant(100_000);
+
+fn candidate(seen: &Seen) -> Candidate<'_> {
+    Candidate {
+        seen,
+        slots: 8,
+        near: true,
+        warm: false,
+    }
+}
+
+/// How often each of two servers is chosen over draws.
+fn shares(first: Candidate<'_>, second: Candidate<'_>) -> [usize; 2] {
+    let mut shares = [0; 2];
+    for draw in 0..100 {
+        let place = routing::pick(NOW, &[first, second], draw).expect("one has room");
+        shares[place] += 1;
+    }
+    shares
+}
+
+fn loaded(in_flight: u32) -> Seen {
+    let mut seen = Seen::default();
+    seen.in_flight = in_flight;
+    seen
+}
+
+fn equals_share() {
+    let seen = Seen::default();
+    assert_eq!(shares(candidate(&seen), candidate(&seen)), [50, 50]);
+}
+
+fn less_loaded_wins() {
+    let (idle, busy) = (Seen::default(), loaded(3));
+    assert_eq!(shares(candidate(&busy), candidate(&idle)), [0, 100]);
+}
+
+fn report_of_others_counts() {
+    let (idle, mut busy) = (loaded(1), Seen::default());
+    let report = Report {
+        running: 6,
+        waiting: 2,
+        slots: 8,
+    };
+    busy.reported(NOW, report);
+    assert_eq!(shares(candidate(&busy), candidate(&idle)), [0, 100]);
+}
+
+fn old_report_is_forgotten() {
+    let (loaded, mut seen) = (loaded(1), Seen::default());
+    let report = Report {
+        running: 8,
+        waiting: 9,
+        slots: 8,
+    };
+    seen.reported(Instant(NOW.0 - 5000), report);
+    assert_eq!(shares(candidate(&seen), candidate(&loaded)), [100, 0]);
+}
+
+fn failing_server_is_left_alone() {
+    let (mut failing, busy) = (Seen::default(), loaded(4));
+    failing.failed(NOW);
+    failing.failed(NOW);
+    assert_eq!(shares(candidate(&failing), candidate(&busy)), [0, 100]);
+}
+
+fn failing_server_gets_another_chance() {
+    let (mut failing, busy) = (Seen::default(), loaded(2));
+    failing.failed(Instant(NOW.0 - 15_000));
+    assert_eq!(shares(candidate(&failing), candidate(&busy)), [100, 0]);
+}
+
+fn unreachable_server_comes_last() {
+    let (mut down, full) = (Seen::default(), loaded(40));
+    down.unreachable(NOW);
+    assert_eq!(shares(candidate(&down), candidate(&full)), [0, 100]);
+    assert_eq!(routing::pick(NOW, &[candidate(&down)], 0), Some(0));
+}
+
+fn full_server_is_not_asked_again_at_once() {
+    let mut full = Seen::default();
+    full.full(NOW);
+    assert_eq!(routing::pick(NOW, &[candidate(&full)], 0), None);
+    assert_eq!(
+        routing::pick(Instant(NOW.0 + 100), &[candidate(&full)], 0),
+        Some(0)
+    );
+}
+
+fn warm_server_wins_until_it_is_loaded() {
+    let (seen, busy) = (Seen::default(), loaded(3));
+    let warm = Candidate {
+        warm: true,
+        ..candidate(&seen)
+    };
+    assert_eq!(shares(candidate(&seen), warm), [0, 100]);
+    let warm = Candidate {
+        warm: true,
+        ..candidate(&busy)
+    };
+    assert_eq!(shares(candidate(&seen), warm), [100, 0]);
+}
+
+cases! {
+    /// All instances see the same idle servers; if they chose alike, one server would get the whole burst.
+    equals => equals_share();
+    /// A batch that is fuller makes each token slower.
+    by_load => less_loaded_wins();
+    /// Other instances use the server too.
+    by_report => report_of_others_counts();
+    /// A report from before a quiet spell would keep a server idle for ever.
+    old_report => old_report_is_forgotten();
+    /// A server fails requests while its health check is good.
+    failing => failing_server_is_left_alone();
+    /// It was mended meanwhile. Left alone for ever, its room is lost.
+    another_chance => failing_server_gets_another_chance();
+    /// A server can't be reached; each try costs its request part of its time.
+    unreachable => unreachable_server_comes_last();
+    /// A server had no room a moment ago. Asked at once it would use up the repeats.
+    full => full_server_is_not_asked_again_at_once();
+    /// A long prompt was read there before.
+    warm => warm_server_wins_until_it_is_loaded();
+}
