Tell the steward when an engine doesn't hold what it said

Ruled out: the lease (the old holder stopped with its first refused order). Now an instance names the engine in its next demand and the steward asks it for a report.

--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -21,6 +21,8 @@
     pub running: Vec<Running>,
     /// Requests that came since the last demand, by group and model.
     pub arrived: Vec<Arrived>,
+    /// Engines that didn't hold what the steward had said that they hold.
+    pub denied: Vec<SmolStr>,
 }
 
 /// Requests that wait for one model, or one adapter of it.
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -1,6 +1,6 @@
 //! What an instance knows, behind one lock that is never held across a wait.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -61,6 +61,7 @@
     servers: BTreeMap<SmolStr, Known>,
     lanes: BTreeMap<LaneKey, BTreeMap<u64, Waiting>>,
     arrived: BTreeMap<(SmolStr, SmolStr), u32>,
+    denied: BTreeSet<SmolStr>,
     forecasts: BTreeMap<(SmolStr, SmolStr), Instant>,
     budgets: BTreeMap<SmolStr, Budget>,
     instances: Option<usize>,
@@ -322,6 +323,7 @@
         let now = self.now();
         let mut state = self.lock();
         let arrived = std::mem::take(&mut state.arrived);
+        let denied = std::mem::take(&mut state.denied);
         Demand {
             lanes: state
                 .lanes
@@ -337,6 +339,7 @@
                     count,
                 })
                 .collect(),
+            denied: denied.into_iter().collect(),
         }
     }
 
@@ -480,12 +483,15 @@
         }
     }
 
-    /// A server said that it doesn't hold a model which it was thought to hold.
+    /// A server said that it doesn't hold a model which it was thought to hold. The steward is told: somebody else
+    /// may have ordered the server, and all instances would go on to send it requests that it refuses.
     pub fn denied(&self, id: &str, lane: &LaneKey) {
         let Some(model) = &lane.model else {
             return;
         };
-        if let Some(known) = self.lock().servers.get_mut(id) {
+        let mut state = self.lock();
+        state.denied.insert(id.into());
+        if let Some(known) = state.servers.get_mut(id) {
             let told = known.told.iter_mut();
             for held in told.chain([&mut known.server.held]) {
                 match &lane.adapter {
@@ -500,6 +506,8 @@
                 }
             }
         }
+        drop(state);
+        self.wanted.notify_one();
     }
 
     /// A request is sent for the first time.
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -142,7 +142,7 @@
             } else if !self.node.may_repeat(&job.lane.group) {
                 return Err(failure);
             }
-            log::debug!(
+            log::info!(
                 request = job.call.id.as_str(), server = chosen.server.as_str(), sending = sending as u64,
                 waited_ms = millis(self.node.now().since(job.arrived));
                 "request sent"
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -143,7 +143,14 @@
     /// An instance says what it wants.
     pub fn demand(&self, instance: &SmolStr, demand: Demand) {
         let now = self.node.now();
-        self.lock().board.take(now, instance.clone(), demand);
+        let mut state = self.lock();
+        for server in &demand.denied {
+            if let Some(track) = state.tracks.get_mut(server) {
+                track.denied(now);
+            }
+        }
+        state.board.take(now, instance.clone(), demand);
+        drop(state);
         self.wake.notify_one();
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/track.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/track.rs
@@ -171,6 +171,11 @@
         self.report_at = Some(now.after(REPORT_LAG));
     }
 
+    /// It didn't hold what it was thought to hold.
+    pub(super) fn denied(&mut self, now: Instant) {
+        self.report_at.get_or_insert(now);
+    }
+
     pub(super) fn needs_report(&self, now: Instant) -> bool {
         !self.asking && self.report_at.is_some_and(|at| now >= at)
     }
