--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -1,9 +1,14 @@
 //! What instance and steward tell each other over their link.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use super::{demand, server};
+use crate::clock;
 
 /// One message of a link.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -36,7 +41,119 @@
         instances: u32,
         /// The end of the lease's record after the last renewal.
         lease_end: u64,
+        /// The newest configuration that it knows of.
+        config_version: u64,
+        /// How old the oldest is of what it last read of the directory and the configuration, in milliseconds.
+        /// While it is young, other instances need not read the store themselves.
+        read_ms: u32,
     },
+    /// Entries of the directory that have changed, from the steward.
+    Directory(Changes),
+}
+
+/// Entries of the directory that have changed.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Changes {
+    /// These are all entries there are.
+    pub all: bool,
+    /// Entries that are new or other than before.
+    pub entries: Vec<Entry>,
+    /// Ids of entries that are gone.
+    pub gone: Vec<SmolStr>,
+}
+
+/// A backend server's entry, without what it holds.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Entry {
+    /// The server's id.
+    pub id: SmolStr,
+    /// The group that it belongs to.
+    pub group: SmolStr,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: SmolStr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It takes new requests.
+    pub ready: bool,
+    /// How long until it is gone, if it said so, in milliseconds.
+    pub leaves_ms: Option<u32>,
+    /// Unix milliseconds of its start.
+    pub born: u64,
+}
+
+impl Entry {
+    /// The entry of a server, told at `now`.
+    #[must_use]
+    pub fn new(server: &server::Server, now: clock::Instant) -> Self {
+        let left =
+            |at: clock::Instant| u32::try_from(at.since(now).as_millis()).unwrap_or(u32::MAX);
+        Self {
+            id: server.id.clone(),
+            group: server.group.clone(),
+            address: server.address,
+            domain: server.domain.clone(),
+            slots: server.slots,
+            ready: server.ready,
+            leaves_ms: server.leaves.map(left),
+            born: server.born,
+        }
+    }
+
+    /// The server, told at `now`; what it holds is told apart.
+    #[must_use]
+    pub fn server(self, now: clock::Instant) -> server::Server {
+        let leaves = self
+            .leaves_ms
+            .map(|left| now.after(Duration::from_millis(left.into())));
+        server::Server {
+            id: self.id,
+            group: self.group,
+            address: self.address,
+            domain: self.domain,
+            slots: self.slots,
+            ready: self.ready,
+            leaves,
+            born: self.born,
+            held: server::Held::default(),
+        }
+    }
+
+    /// Whether the other says the same; how long it stays counts down and is left out.
+    fn says_same(&self, other: &Self) -> bool {
+        let same_stay = self.leaves_ms.is_some() == other.leaves_ms.is_some();
+        let other = Self {
+            leaves_ms: self.leaves_ms,
+            ..other.clone()
+        };
+        same_stay && *self == other
+    }
+}
+
+impl Changes {
+    /// What has changed between two states of the directory; none when nothing has.
+    #[must_use]
+    pub fn between(
+        before: &BTreeMap<SmolStr, Entry>,
+        after: &BTreeMap<SmolStr, Entry>,
+    ) -> Option<Self> {
+        let is_new = |entry: &&Entry| {
+            before
+                .get(&entry.id)
+                .is_none_or(|old| !old.says_same(entry))
+        };
+        let changes = Self {
+            all: false,
+            entries: after.values().filter(is_new).cloned().collect(),
+            gone: before
+                .keys()
+                .filter(|id| !after.contains_key(*id))
+                .cloned()
+                .collect(),
+        };
+        (!changes.entries.is_empty() || !changes.gone.is_empty()).then_some(changes)
+    }
 }
 
 /// When a model can be used.
--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -73,6 +73,8 @@
     pub peers: SocketAddr,
     /// `[platform] store`.
     pub store: SocketAddr,
+    /// `[platform] apply_ms`, 2,000 if left out: within this of its acceptance a configuration must be in force.
+    pub apply: Duration,
     /// `[steward] lease_ms`, 3,000 if left out: the times of the steward's lease.
     pub lease: lease::Options,
     /// `[steward] fenced`, no if left out: engines refuse orders of an earlier holder.
@@ -129,6 +131,7 @@
     let section = find(sections, "platform");
     let mut reader = field::Reader::new(&section, faults);
     let store = reader.required("store", ADDRESS_RULE, nowhere, field::parsed);
+    let apply = reader.optional_millis("apply_ms", OBEY_MS);
     reader.finish();
     let section = find(sections, "steward");
     let mut reader = field::Reader::new(&section, faults);
@@ -161,6 +164,7 @@
         ready,
         peers,
         store,
+        apply: apply.unwrap_or(Duration::from_secs(2)),
         lease: lease::Options::new(term.unwrap_or(Duration::from_secs(3))),
         fenced,
         repeats,
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -14,6 +14,7 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
+use super::node::Relayed;
 use super::platform::Platform;
 use super::steward::{BEAT, Steward};
 
@@ -73,6 +74,7 @@
                 .map_or_else(|| "ended".to_owned(), |error| error.to_string());
             steward.set_linked(false);
             steward.node.set_told(false);
+            steward.node.relayed.send_replace(Relayed::default());
             log::info!(steward = holder.instance.as_str(), why = why.as_str(); "no link to the steward");
         }
         time::sleep(PAUSE).await;
@@ -179,20 +181,35 @@
         Frame::Beat {
             instances,
             lease_end,
+            config_version,
+            read_ms,
             ..
         } => {
             steward.heard(lease_end);
+            relayed(steward, config_version, read_ms);
             steward.node.learn_instances(instances as usize);
             steward.set_linked(true);
             steward.node.set_told(true);
         }
         Frame::Held { server, born, held } => steward.node.learn_held(&server, born, held),
         Frame::Forecast(forecasts) => steward.node.learn_forecasts(forecasts),
+        Frame::Directory(changes) => steward.node.learn_entries(changes),
         Frame::Hello { .. } | Frame::Demand(_) => {}
     }
     Ok(())
 }
 
+/// Takes the steward's reads of the store for this instance's own, as long as they are young.
+fn relayed<P>(steward: &Steward<P>, version: u64, read_ms: u32)
+where
+    P: Platform,
+{
+    let young = Duration::from_millis(read_ms.into()) < steward.node.settings.obey / 2;
+    let until = young.then(|| steward.node.now().after(SILENCE));
+    let relayed = Relayed { until, version };
+    steward.node.relayed.send_replace(relayed);
+}
+
 async fn send(socket: &mut Socket, frame: &Frame) -> anyhow::Result<()> {
     let mut bytes = Vec::new();
     ciborium::into_writer(frame, &mut bytes)?;
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -9,7 +9,7 @@
 use fireflywheel::fleet::budget::Budget;
 use fireflywheel::fleet::config::Config;
 use fireflywheel::fleet::demand::{Arrived, Demand, Lane, Running};
-use fireflywheel::fleet::frame::Forecast;
+use fireflywheel::fleet::frame::{Changes, Entry, Forecast};
 use fireflywheel::fleet::routing::{self, Candidate, Seen};
 use fireflywheel::fleet::server::{Held, Server};
 use fireflywheel::rendezvous;
@@ -52,9 +52,20 @@
     pub changed: watch::Sender<u64>,
     /// Told when more, or something else, is wanted of the steward.
     pub wanted: Notify,
+    /// What the steward says of its own reads of the store.
+    pub relayed: watch::Sender<Relayed>,
     state: Mutex<State>,
 }
 
+/// What the steward says of its own reads of the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Relayed {
+    /// Until then its word stands for reads of this instance's own.
+    pub until: Option<Instant>,
+    /// The newest configuration that it knows of.
+    pub version: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     config: Option<Arc<Config>>,
@@ -65,6 +76,9 @@
     forecasts: BTreeMap<(SmolStr, SmolStr), Instant>,
     budgets: BTreeMap<SmolStr, Budget>,
     instances: Option<usize>,
+    config_read: Option<Instant>,
+    directory_read: Option<Instant>,
+    relaying: bool,
     /// Until when the steward's word goes before the directory's; none while there is a link to it.
     told_until: Option<Instant>,
     next_waiting: u64,
@@ -178,6 +192,7 @@
             incarnation: rand::random(),
             changed: watch::Sender::new(0),
             wanted: Notify::new(),
+            relayed: watch::Sender::new(Relayed::default()),
             state: Mutex::default(),
         }
     }
@@ -207,6 +222,43 @@
         true
     }
 
+    /// The configuration was read at this time.
+    pub fn read_config(&self, asked: Instant) {
+        self.lock().config_read = Some(asked);
+    }
+
+    /// The directory was read at this time.
+    pub fn read_directory(&self, asked: Instant) {
+        self.lock().directory_read = Some(asked);
+    }
+
+    /// How long ago the older of both was read.
+    #[must_use]
+    pub fn read_age(&self) -> Duration {
+        let now = self.now();
+        let state = self.lock();
+        let oldest = state.config_read.min(state.directory_read);
+        oldest.map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    /// Whether the steward's reads of the store stand for this instance's own.
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
+        let until = self.relayed.borrow().until;
+        until.is_some_and(|until| self.now() < until)
+    }
+
+    /// Whether this instance's reads stand for those of others.
+    #[must_use]
+    pub fn is_relaying(&self) -> bool {
+        self.lock().relaying
+    }
+
+    /// This instance is steward from now on, or no more.
+    pub fn set_relaying(&self, relaying: bool) {
+        self.lock().relaying = relaying;
+    }
+
     /// Whether callers should be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -263,6 +315,37 @@
         self.wake();
     }
 
+    /// All entries of the directory, for other instances.
+    #[must_use]
+    pub fn entries(&self) -> BTreeMap<SmolStr, Entry> {
+        let now = self.now();
+        let state = self.lock();
+        let present = state
+            .servers
+            .iter()
+            .filter(|(_, known)| known.missing.is_none());
+        present
+            .map(|(id, known)| (id.clone(), Entry::new(&known.server, now)))
+            .collect()
+    }
+
+    /// The steward says what has changed in the directory.
+    pub fn learn_entries(&self, changes: Changes) {
+        let now = self.now();
+        let servers = changes.entries.into_iter().map(|entry| entry.server(now));
+        let news = if changes.all {
+            News::All(servers.collect())
+        } else {
+            let changed = servers.map(|server| (server.id.clone(), Some(server)));
+            News::Some(
+                changed
+                    .chain(changes.gone.into_iter().map(|id| (id, None)))
+                    .collect(),
+            )
+        };
+        self.learn(news, Duration::ZERO);
+    }
+
     /// The steward says what an engine holds that was started at `born`.
     pub fn learn_held(&self, id: &str, born: u64, held: Held) {
         let mut state = self.lock();
@@ -562,6 +645,11 @@
             known.seen = Seen::default();
             known.running.clear();
             known.told = None;
+        } else if server.held == Held::default() {
+            // The steward's word on entries leaves out what they hold.
+            let held = std::mem::take(&mut known.server.held);
+            known.server = Server { held, ..server };
+            return;
         }
         known.server = server;
     }
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -178,10 +178,11 @@
     /// What is wrong with it.
     fn read_report(&self, body: &[u8]) -> anyhow::Result<server::Report>;
 
-    /// Waits some seconds for a configuration later than the cursor.
+    /// Waits for a configuration later than the cursor, for `wait` at most.
     fn configuration(
         &self,
         cursor: &mut Self::ConfigCursor,
+        wait: Duration,
     ) -> impl Future<Output = Result<Option<config::Config>, Fault>> + Send;
 
     /// What has changed in the directory since the cursor.
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -11,7 +11,7 @@
 use fireflywheel::clock::Instant;
 use fireflywheel::fleet::config::{Config, Engine};
 use fireflywheel::fleet::demand::{Board, Demand};
-use fireflywheel::fleet::frame::{Forecast, Frame};
+use fireflywheel::fleet::frame::{Changes, Entry, Forecast, Frame};
 use fireflywheel::fleet::lease::{Lease, Record};
 use fireflywheel::fleet::plan::{self, Step, Tier, View};
 use fireflywheel::fleet::server::Server;
@@ -19,7 +19,7 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time;
 
-use super::node::Node;
+use super::node::{Node, Relayed};
 use super::platform::Platform;
 use track::Track;
 
@@ -62,11 +62,24 @@
     links: BTreeMap<u64, mpsc::Sender<Frame>>,
     fetches: VecDeque<Instant>,
     acting: Option<u64>,
-    beat: Instant,
+    beat: Option<Instant>,
+    told_version: u64,
+    /// The directory as it was told last.
+    entries: BTreeMap<SmolStr, Entry>,
     forecast: Instant,
     forecasts: Vec<Forecast>,
 }
 
+/// What the steward says of itself.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    acts: bool,
+    instances: usize,
+    lease_end: u64,
+    config_version: u64,
+    read_age: Duration,
+}
+
 /// An order that is to be sent.
 #[derive(Clone, Debug)]
 struct Due {
@@ -100,7 +113,9 @@
             links: BTreeMap::new(),
             fetches: VecDeque::new(),
             acting: None,
-            beat: Instant::default(),
+            beat: None,
+            told_version: 0,
+            entries: BTreeMap::new(),
             forecast: Instant::default(),
             forecasts: Vec::new(),
         };
@@ -161,14 +176,11 @@
         let mut state = self.lock();
         let capacity = QUEUE + state.tracks.len();
         let (sender, receiver) = mpsc::channel(capacity);
-        let mut frames = vec![beat(&state, now)];
-        frames.extend(
-            state
-                .tracks
-                .iter()
-                .map(|(server, track)| track.frame(server)),
-        );
-        frames.push(Frame::Forecast(state.forecasts.clone()));
+        let word = self.word(&state, now);
+        // Last: from its first beat on, an instance relies on what it was told. One that isn't steward knows no
+        // more than the other, and must not take its knowledge away.
+        let mut frames = if word.acts { state.all() } else { Vec::new() };
+        frames.push(word.frame());
         for frame in frames {
             // The queue was made large enough.
             let _ = sender.try_send(frame);
@@ -209,10 +221,13 @@
             state.turn(now, acting);
             self.node.metrics.set_steward(acting.is_some());
             self.node.set_told(acting.is_some());
+            self.node.set_relaying(acting.is_some());
+            self.node.relayed.send_replace(Relayed::default());
             log::info!(acts = acting.is_some(), fencing = acting.unwrap_or_default(); "stewardship changed");
         }
+        let word = self.word(&state, now);
         let Some(fencing) = acting else {
-            state.beat(now);
+            state.beat(now, &word);
             return;
         };
         let mut due = Vec::new();
@@ -222,7 +237,8 @@
             due.extend(state.plan(now, name, engine, fencing, &mut forecasts));
         }
         state.tell_forecasts(now, forecasts);
-        state.beat(now);
+        state.tell_directory(self.node.entries());
+        state.beat(now, &word);
         let instances = state.links.len() + 1;
         let local = state.forecasts.clone();
         let reports = state.reports_due(now);
@@ -237,6 +253,17 @@
         }
     }
 
+    fn word(&self, state: &State, now: Instant) -> Word {
+        let version = self.node.config().map_or(0, |config| config.version);
+        Word {
+            acts: state.lease.fencing(now).is_some(),
+            instances: state.links.len() + 1,
+            lease_end: state.lease.end().unwrap_or_default(),
+            config_version: version,
+            read_age: self.node.read_age(),
+        }
+    }
+
     fn is_busy(&self) -> bool {
         let state = self.lock();
         state.acting.is_some() && state.tracks.values().any(Track::is_busy)
@@ -259,7 +286,7 @@
         // Loads of the steward before may have begun a moment ago: the window starts as if it were half full.
         self.fetches.clear();
         self.fetches.extend(std::iter::repeat_n(now, plan::FETCHES));
-        self.beat = Instant::default();
+        self.beat = None;
     }
 
     /// Takes in what the directory says of a group's engines.
@@ -372,13 +399,39 @@
         }
     }
 
-    fn beat(&mut self, now: Instant) {
-        if now.since(self.beat) < BEAT && self.beat > Instant::default() {
+    /// A beat at its time, and at once when there is a new configuration.
+    fn beat(&mut self, now: Instant, word: &Word) {
+        let due = self.beat.is_none_or(|beat| now.since(beat) >= BEAT);
+        if !due && word.config_version == self.told_version {
             return;
         }
-        self.beat = now;
-        let frame = beat(self, now);
-        self.broadcast(&frame);
+        self.beat = Some(now);
+        self.told_version = word.config_version;
+        self.broadcast(&word.frame());
+    }
+
+    /// All that an instance with a new link must know.
+    fn all(&self) -> Vec<Frame> {
+        let mut frames = Vec::new();
+        if !self.entries.is_empty() {
+            frames.push(Frame::Directory(Changes {
+                all: true,
+                entries: self.entries.values().cloned().collect(),
+                gone: Vec::new(),
+            }));
+        }
+        let tracks = self.tracks.iter();
+        frames.extend(tracks.map(|(server, track)| track.frame(server)));
+        frames.push(Frame::Forecast(self.forecasts.clone()));
+        frames
+    }
+
+    fn tell_directory(&mut self, entries: BTreeMap<SmolStr, Entry>) {
+        let changes = Changes::between(&self.entries, &entries);
+        self.entries = entries;
+        if let Some(changes) = changes {
+            self.broadcast(&Frame::Directory(changes));
+        }
     }
 
     /// A link whose queue is full is dropped: its instance would go on with old news.
@@ -399,11 +452,15 @@
     }
 }
 
-fn beat(state: &State, now: Instant) -> Frame {
-    Frame::Beat {
-        acts: state.lease.fencing(now).is_some(),
-        instances: u32::try_from(state.links.len() + 1).unwrap_or(u32::MAX),
-        lease_end: state.lease.end().unwrap_or_default(),
+impl Word {
+    fn frame(&self) -> Frame {
+        Frame::Beat {
+            acts: self.acts,
+            instances: u32::try_from(self.instances).unwrap_or(u32::MAX),
+            lease_end: self.lease_end,
+            config_version: self.config_version,
+            read_ms: u32::try_from(self.read_age.as_millis()).unwrap_or(u32::MAX),
+        }
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/watch.rs
@@ -2,11 +2,13 @@
 //!
 //! Each call to the store costs money. The configuration rarely changes, so one call waits for it; entries of
 //! servers change all the time, so they are read now and then, as often as a server that leaves must be obeyed.
+//! An instance with a link to the steward reads neither, as long as the steward's own reads are young: it is told.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use fireflywheel::clock::Instant;
+use fireflywheel::fleet::config::Config;
 use tokio::time;
 
 use super::node::Node;
@@ -18,6 +20,11 @@
 const LAPSED: Duration = Duration::from_millis(2300);
 /// The directory is read this many times while a server that leaves must be obeyed.
 const READS: u32 = 3;
+/// A read of the configuration waits this many times while a configuration must be in force: a store that is
+/// about to drop its history may not end the wait when there is news, and the next read must still be in time.
+const WAITS: u32 = 2;
+/// The same at the steward, whose reads stand for those of all others and must be young.
+const RELAY_WAITS: u32 = 4;
 /// Unused connections are looked for this often.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -66,20 +73,18 @@
     let mut cursor = P::ConfigCursor::default();
     let mut contact = Contact::new("configuration");
     loop {
-        let result = node.platform.configuration(&mut cursor).await;
+        let wait = until_needed(&node, true).await;
+        let asked = node.now();
+        let result = node.platform.configuration(&mut cursor, wait).await;
         node.metrics.store_called("configuration", result.is_ok());
         match result {
             Ok(config) => {
                 contact.good(node.now());
-                let Some(config) = config else {
-                    continue;
-                };
-                let (version, routes) = (config.version, config.routes.len() as u64);
-                let taken = node.configure(config);
-                if taken {
-                    node.metrics.set_version(version);
+                // The answer to a read that waited is as old as its end.
+                node.read_config(asked.after(wait).min(node.now()));
+                if let Some(config) = config {
+                    take(&node, config);
                 }
-                log::info!(version = version, routes = routes, taken = taken; "configuration read");
             }
             Err(fault) => {
                 contact.bad(node.now(), &fault.to_string());
@@ -89,6 +94,18 @@
     }
 }
 
+fn take<P>(node: &Node<P>, config: Config)
+where
+    P: Platform,
+{
+    let (version, routes) = (config.version, config.routes.len() as u64);
+    let taken = node.configure(config);
+    if taken {
+        node.metrics.set_version(version);
+    }
+    log::info!(version = version, routes = routes, taken = taken; "configuration read");
+}
+
 /// Follows the directory for ever.
 pub async fn directory<P>(node: Arc<Node<P>>)
 where
@@ -98,6 +115,11 @@
     let mut contact = Contact::new("directory");
     let interval = node.settings.obey / READS;
     loop {
+        if node.is_relayed() {
+            until_needed(&node, false).await;
+            // What was missed meanwhile is more than what there is.
+            cursor = P::DirectoryCursor::default();
+        }
         let asked = node.now();
         let result = node.platform.directory(&mut cursor, asked).await;
         node.metrics.store_called("directory", result.is_ok());
@@ -105,6 +127,7 @@
         match result {
             Ok(news) => {
                 contact.good(now);
+                node.read_directory(asked);
                 let patience = if contact.is_fresh(now) {
                     LAPSED
                 } else {
@@ -121,6 +144,36 @@
     }
 }
 
+/// Waits as long as the steward's reads stand for this instance's own; with `config`, until it has heard of a
+/// configuration that this instance doesn't have. Returns how long the next read may wait for news.
+async fn until_needed<P>(node: &Node<P>, config: bool) -> Duration
+where
+    P: Platform,
+{
+    let mut changes = node.relayed.subscribe();
+    loop {
+        let relayed = *changes.borrow_and_update();
+        let now = node.now();
+        let left = relayed
+            .until
+            .map_or(Duration::ZERO, |until| until.since(now));
+        if left.is_zero() {
+            let waits = if node.is_relaying() {
+                RELAY_WAITS
+            } else {
+                WAITS
+            };
+            return node.settings.apply / waits;
+        }
+        let newest = node.config().map_or(0, |config| config.version);
+        if config && relayed.version > newest {
+            return Duration::ZERO;
+        }
+        // Either way the state is looked at again.
+        let _ = time::timeout(left, changes.changed()).await;
+    }
+}
+
 /// Closes unused connections for ever.
 pub async fn sweep<P>(node: Arc<Node<P>>)
 where
