Hand the lease over by link when a steward is stopped as planned

Now its successor gets the next number by link and the others its address. Numbers are a take-over's offset with room for hand-overs below the next.

--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{demand, server};
+use super::{demand, lease, server};
 use crate::clock;
 
 /// One message of a link.
@@ -19,6 +19,8 @@
         instance: SmolStr,
         /// Tells two processes of one name apart.
         incarnation: u64,
+        /// Where its peers reach it.
+        address: SmolStr,
     },
     /// All that an instance wants and has running; replaces what it said before.
     Demand(demand::Demand),
@@ -49,6 +51,10 @@
     },
     /// Entries of the directory that have changed, from the steward.
     Directory(Changes),
+    /// The receiver is steward from now on, from the one before, which stops.
+    HandOver(lease::HandOver),
+    /// Another instance is steward from now on, from the one before.
+    Moved(lease::Record),
 }
 
 /// Entries of the directory that have changed.
--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -16,6 +16,10 @@
 
 use crate::clock;
 
+/// A take-over leaves room for this many hand-overs, as a power of two. The number of a take-over is its record's
+/// offset and so above all numbers before; each hand-over adds one.
+const HAND_OVER_BITS: u32 = 10;
+
 /// What stands in the lease's record.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
@@ -89,6 +93,17 @@
     sent: Option<clock::Instant>,
     /// When the last renewal that had no answer was sent.
     unanswered: Option<clock::Instant>,
+    /// It is known that nobody else held it when this instance got it.
+    certain: bool,
+}
+
+/// What a holder hands to its successor, without the store.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HandOver {
+    /// The successor's number.
+    pub fencing: u64,
+    /// The end of the lease's record.
+    pub end: u64,
 }
 
 impl Held {
@@ -133,13 +148,14 @@
             .filter(|(_, record)| self.is_mine(record) && !record.released);
         if let Some((offset, record)) = mine {
             // A write of ours whose answer was lost. It gives no time to act: only a renewal does.
-            let fencing = record.fencing.unwrap_or(*offset);
+            let fencing = record.fencing.unwrap_or_else(|| first_number(*offset));
             let before = self.held.filter(|held| held.fencing == fencing);
             self.held = Some(Held {
                 fencing,
                 end: reading.end,
                 sent: before.and_then(|held| held.sent),
                 unanswered: before.and_then(|held| held.unanswered),
+                certain: before.is_some_and(|held| held.certain),
             });
             return;
         }
@@ -212,12 +228,15 @@
 
     /// A proposal was accepted at `offset`; it had been sent at `sent`.
     pub fn accepted(&mut self, sent: clock::Instant, offset: u64) {
-        let fencing = self.held.map_or(offset, |held| held.fencing);
+        let fencing = self
+            .held
+            .map_or_else(|| first_number(offset), |held| held.fencing);
         self.held = Some(Held {
             fencing,
             end: offset + 1,
             sent: Some(sent),
             unanswered: None,
+            certain: true,
         });
     }
 
@@ -238,13 +257,53 @@
     #[must_use]
     pub fn fencing(&self, now: clock::Instant) -> Option<u64> {
         let held = self.held?;
-        let sent = held.sent?;
-        let until = sent.after(self.options.term - self.options.margin);
+        let span = self.options.term - self.options.margin;
+        let renewed = held.sent.is_some_and(|sent| now < sent.after(span));
         // A process that stood still has tried nothing meanwhile, and must try before it goes on.
-        let tried = held
-            .unanswered
-            .is_some_and(|tried| now < tried.after(self.options.term));
-        (now < until || (self.fenced && tried)).then_some(held.fencing)
+        let tried = held.unanswered;
+        let tried = tried.is_some_and(|tried| now < tried.after(self.options.term));
+        (renewed || (self.fenced && held.certain && tried)).then_some(held.fencing)
+    }
+
+    /// Gives the lease to a successor that is reached without the store. This instance has it no more.
+    pub fn hand_over(&mut self) -> Option<HandOver> {
+        let held = self.held.take()?;
+        self.watched = None;
+        held.certain.then_some(HandOver {
+            fencing: held.fencing + 1,
+            end: held.end,
+        })
+    }
+
+    /// Takes the lease from its holder. Where engines take orders of anyone, it may be used only once it is
+    /// renewed: how much of the holder's term is left can't be told across clocks.
+    pub fn receive(&mut self, now: clock::Instant, given: HandOver) {
+        self.held = Some(Held {
+            fencing: given.fencing,
+            end: given.end,
+            sent: None,
+            unanswered: Some(now),
+            certain: true,
+        });
+    }
+
+    /// The holder says who has the lease now.
+    pub fn moved(&mut self, now: clock::Instant, holder: Record) {
+        if self.held.is_some() {
+            return;
+        }
+        let end = self.watched.as_ref().map_or(0, |watched| watched.end);
+        self.watched = Some(Watched {
+            end,
+            since: now,
+            holder: Some(holder),
+        });
+    }
+
+    /// This instance's name in the record.
+    #[must_use]
+    pub fn me(&self) -> &Record {
+        &self.me
     }
 
     /// The record that gives the lease up, and the end that it must be written at.
@@ -274,3 +333,7 @@
         record.instance == self.me.instance && record.incarnation == self.me.incarnation
     }
 }
+
+fn first_number(offset: u64) -> u64 {
+    offset << HAND_OVER_BITS
+}
--- a/crates/fireflywheel_daemon/src/fleet/daemon.rs
+++ b/crates/fireflywheel_daemon/src/fleet/daemon.rs
@@ -38,6 +38,17 @@
     tasks: JoinSet<()>,
 }
 
+/// The sockets of an instance.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For those who ask whether it is ready.
+    pub ready: TcpListener,
+    /// For other instances.
+    pub peers: TcpListener,
+}
+
 impl<P> Daemon<P>
 where
     P: Platform,
@@ -48,9 +59,25 @@
     ///
     /// When an address can't be listened on.
     pub async fn start(platform: P, settings: Settings) -> anyhow::Result<Self> {
-        let callers_at = listen(settings.callers).await?;
-        let ready_at = listen(settings.ready).await?;
-        let peers_at = listen(settings.peers).await?;
+        let listeners = Listeners {
+            callers: listen(settings.callers).await?,
+            ready: listen(settings.ready).await?,
+            peers: listen(settings.peers).await?,
+        };
+        Self::start_on(platform, settings, listeners)
+    }
+
+    /// Starts an instance on sockets that listen at the addresses of its settings.
+    ///
+    /// # Errors
+    ///
+    /// When its metrics can't be made.
+    pub fn start_on(platform: P, settings: Settings, listeners: Listeners) -> anyhow::Result<Self> {
+        let Listeners {
+            callers: callers_at,
+            ready: ready_at,
+            peers: peers_at,
+        } = listeners;
         let limits = door_limits(&settings);
         let node = Arc::new(Node::new(platform, settings, Metrics::new()?));
         let steward = Arc::new(Steward::new(Arc::clone(&node)));
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context as _;
 use fireflywheel::fleet::frame::Frame;
+use fireflywheel::fleet::lease::Record;
 use futures_util::{SinkExt as _, StreamExt as _};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
@@ -100,13 +101,21 @@
     let Ok(Ok(Frame::Hello {
         instance,
         incarnation,
+        address,
     })) = hello
     else {
         return;
     };
     let number = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
     let key = SmolStr::new(format!("{instance}/{incarnation}"));
-    let mut frames = steward.link(number);
+    let peer = Record {
+        instance: instance.clone(),
+        incarnation,
+        address,
+        fencing: None,
+        released: false,
+    };
+    let mut frames = steward.link(number, peer);
     let mut heard = steward.node.now();
     let why = loop {
         let silence = heard.after(SILENCE).since(steward.node.now());
@@ -120,7 +129,10 @@
             frame = receive(&mut socket) => {
                 heard = steward.node.now();
                 match frame {
-                    Ok(Frame::Demand(demand)) => steward.demand(&key, demand),
+                    Ok(Frame::Demand(demand)) => {
+                        steward.set_leaving(number, demand.leaving);
+                        steward.demand(&key, demand);
+                    }
                     Ok(_) => {}
                     Err(_) => break "broken",
                 }
@@ -153,6 +165,7 @@
     let hello = Frame::Hello {
         instance: steward.node.settings.instance.clone(),
         incarnation: steward.node.incarnation,
+        address: steward.node.settings.peers.to_string().into(),
     };
     send(&mut socket, &hello).await?;
     send(&mut socket, &Frame::Demand(steward.node.demand())).await?;
@@ -193,6 +206,14 @@
         }
         Frame::Held { server, born, held } => steward.node.learn_held(&server, born, held),
         Frame::Forecast(forecasts) => steward.node.learn_forecasts(forecasts),
+        Frame::HandOver(given) => {
+            steward.receive(given);
+            anyhow::bail!("it handed the lease over");
+        }
+        Frame::Moved(holder) => {
+            steward.moved(holder);
+            anyhow::bail!("another instance is steward");
+        }
         Frame::Directory(changes) => steward.node.learn_entries(changes),
         Frame::Hello { .. } | Frame::Demand(_) => {}
     }
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -422,6 +422,7 @@
                     count,
                 })
                 .collect(),
+            leaving: state.stops.is_some(),
             denied: denied.into_iter().collect(),
         }
     }
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -12,7 +12,7 @@
 use fireflywheel::fleet::config::{Config, Engine};
 use fireflywheel::fleet::demand::{Board, Demand};
 use fireflywheel::fleet::frame::{Changes, Entry, Forecast, Frame};
-use fireflywheel::fleet::lease::{Lease, Record};
+use fireflywheel::fleet::lease::{HandOver, Lease, Record};
 use fireflywheel::fleet::plan::{self, Step, Tier, View};
 use fireflywheel::fleet::server::Server;
 use smol_str::SmolStr;
@@ -59,7 +59,7 @@
     lease_known: bool,
     board: Board,
     tracks: BTreeMap<SmolStr, Track>,
-    links: BTreeMap<u64, mpsc::Sender<Frame>>,
+    links: BTreeMap<u64, Link>,
     fetches: VecDeque<Instant>,
     acting: Option<u64>,
     beat: Option<Instant>,
@@ -70,6 +70,14 @@
     forecasts: Vec<Forecast>,
 }
 
+/// A link to another instance.
+#[derive(Debug)]
+struct Link {
+    sender: mpsc::Sender<Frame>,
+    peer: Record,
+    leaving: bool,
+}
+
 /// What the steward says of itself.
 #[derive(Clone, Copy, Debug)]
 struct Word {
@@ -171,7 +179,7 @@
 
     /// An instance is linked from now on; it is told all there is.
     #[must_use]
-    pub fn link(&self, number: u64) -> mpsc::Receiver<Frame> {
+    pub fn link(&self, number: u64, peer: Record) -> mpsc::Receiver<Frame> {
         let now = self.node.now();
         let mut state = self.lock();
         let capacity = QUEUE + state.tracks.len();
@@ -185,10 +193,40 @@
             // The queue was made large enough.
             let _ = sender.try_send(frame);
         }
-        state.links.insert(number, sender);
+        let link = Link {
+            sender,
+            peer,
+            leaving: false,
+        };
+        state.links.insert(number, link);
         receiver
     }
 
+    /// An instance is being stopped, or not.
+    pub fn set_leaving(&self, number: u64, leaving: bool) {
+        if let Some(link) = self.lock().links.get_mut(&number) {
+            link.leaving = leaving;
+        }
+    }
+
+    /// The steward hands the lease over to this instance.
+    pub fn receive(&self, given: HandOver) {
+        let now = self.node.now();
+        let mut state = self.lock();
+        state.lease.receive(now, given);
+        state.lease_known = true;
+        drop(state);
+        log::info!(fencing = given.fencing; "lease received");
+        self.lease_wake.notify_one();
+        self.wake.notify_one();
+    }
+
+    /// The steward says that another instance has the lease now.
+    pub fn moved(&self, holder: Record) {
+        let now = self.node.now();
+        self.lock().lease.moved(now, holder);
+    }
+
     /// An instance's link has ended.
     pub fn unlink(&self, number: u64, instance: &str) {
         let mut state = self.lock();
@@ -437,7 +475,7 @@
     /// A link whose queue is full is dropped: its instance would go on with old news.
     fn broadcast(&mut self, frame: &Frame) {
         self.links
-            .retain(|_, link| link.try_send(frame.clone()).is_ok());
+            .retain(|_, link| link.sender.try_send(frame.clone()).is_ok());
     }
 
     fn reports_due(&mut self, now: Instant) -> Vec<SmolStr> {
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fireflywheel::fleet::frame::Frame;
 use tokio::time;
 
 use super::super::platform::{Platform, Written};
@@ -49,8 +50,11 @@
         }
     }
 
-    /// Gives the lease up, so that another instance can take it at once.
+    /// Gives the lease to another instance by its link, or else up, so that another can take it at once.
     pub async fn release(&self) {
+        if self.hand_over() {
+            return;
+        }
         let record = self.lock().lease.release();
         let Some((end, record)) = record else {
             return;
@@ -61,6 +65,29 @@
         log::info!(end = end, given_up = matches!(result, Ok(Written::At(_))); "lease released");
     }
 
+    /// The store may be away, and reading it takes time; a link is there.
+    fn hand_over(&self) -> bool {
+        let mut state = self.lock();
+        let staying = state.links.iter().find(|(_, link)| !link.leaving);
+        let Some((number, peer)) = staying.map(|(number, link)| (*number, link.peer.clone()))
+        else {
+            return false;
+        };
+        let Some(given) = state.lease.hand_over() else {
+            return false;
+        };
+        let Some(heir) = state.links.remove(&number) else {
+            return false;
+        };
+        log::info!(instance = peer.instance.as_str(), fencing = given.fencing; "lease handed over");
+        // One that doesn't read loses its link, and the lease lapses as if this instance had died.
+        let _ = heir.sender.try_send(Frame::HandOver(given));
+        state.broadcast(&Frame::Moved(peer));
+        drop(state);
+        self.wake.notify_one();
+        true
+    }
+
     fn lease_task(&self) -> Task {
         let now = self.node.now();
         let state = self.lock();
