--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -184,6 +184,29 @@
     waits
 }
 
+/// Why a wanted model can't be used yet, for the log.
+#[must_use]
+pub fn obstacle(view: &View<'_>, model: &SmolStr) -> &'static str {
+    let usable = || view.sites.iter().filter(|site| site.usable);
+    if usable().any(|site| site.held.models.contains_key(model)) {
+        return "it is there";
+    }
+    if is_coming(view, model) {
+        return "it is being loaded";
+    }
+    if !has_copy(view, model) {
+        return "it has no copy, and the weight store is in use";
+    }
+    let mut copies = usable().filter(|site| tier(site, model) != Tier::Store);
+    if copies.clone().all(|site| site.fetching) {
+        return "engines with a copy load from the weight store";
+    }
+    if copies.all(|site| site.ordering || site.held.busy) {
+        return "engines with a copy carry out orders";
+    }
+    "nothing may make room for it"
+}
+
 fn has_copy(view: &View<'_>, model: &SmolStr) -> bool {
     view.sites
         .iter()
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -38,6 +38,11 @@
 /// Loads from the weight store are counted over this window.
 const STORE_WINDOW: Duration = Duration::from_secs(5);
 
+/// A wait that is worth a line in the log: twice a swap from a disk.
+const LONG_WAIT: Duration = Duration::from_millis(1500);
+/// Time between two such lines for one model.
+const DELAY_LOG: Duration = Duration::from_secs(1);
+
 /// The steward's part of an instance, whether or not it holds the lease.
 #[derive(Debug)]
 pub struct Steward<P> {
@@ -68,6 +73,8 @@
     entries: BTreeMap<SmolStr, Entry>,
     forecast: Instant,
     forecasts: Vec<Forecast>,
+    /// When it was last logged that a model is waited for.
+    delays: BTreeMap<SmolStr, Instant>,
 }
 
 /// A link to another instance.
@@ -126,6 +133,7 @@
             entries: BTreeMap::new(),
             forecast: Instant::default(),
             forecasts: Vec::new(),
+            delays: BTreeMap::new(),
         };
         Self {
             node,
@@ -377,6 +385,7 @@
             model,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         }));
+        log_delays(&view, &mut self.delays);
         let mut due = Vec::new();
         for step in plan::steps(&view) {
             let server = ids[step.site()].clone();
@@ -502,6 +511,24 @@
     }
 }
 
+/// Logs what keeps callers waiting for long, once a second for each model.
+fn log_delays(view: &View<'_>, logged: &mut BTreeMap<SmolStr, Instant>) {
+    logged.retain(|_, at| view.now.since(*at) < DELAY_LOG);
+    for want in view.wants.iter().filter(|want| want.adapter.is_none()) {
+        let waited = view.now.since(want.since);
+        if waited < LONG_WAIT || logged.contains_key(&want.model) {
+            continue;
+        }
+        logged.insert(want.model.clone(), view.now);
+        log::info!(
+            model = want.model.as_str(), waiting = want.waiting,
+            waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+            why = plan::obstacle(view, &want.model);
+            "model waited for"
+        );
+    }
+}
+
 fn engines(config: &Config) -> impl Iterator<Item = (&SmolStr, &Engine)> {
     let groups = config.groups.iter();
     groups.filter_map(|(name, group)| Some((name, group.engine.as_ref()?)))
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -118,6 +118,7 @@
             self.node.judge(&self.source.server, verdict);
             if end == End::Complete {
                 let now = self.node.now();
+                self.log_complete();
                 self.node
                     .pool
                     .keep(now, self.source.connection, self.source.keep);
@@ -131,6 +132,15 @@
         }
     }
 
+    fn log_complete(&self) {
+        let took = self.node.now().since(self.job.arrived);
+        log::info!(
+            request = self.job.call.id.as_str(), server = self.source.server.as_str(),
+            runs = self.tried.len() as u64 + 1, took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+            "stream complete"
+        );
+    }
+
     fn stop(self, end: End) {
         let why = match end {
             End::Complete => "complete",
