Pages for the users' platform; a lease whose process has ended is free at once

After all processes are killed the new ones waited a whole term (3 s) for a holder that no longer existed, with every cold model cold. Now another incarnation at the holder's address proves that it has ended, where engines refuse its old number. Test: ended_process, failing before for want of the function.

--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -37,6 +37,8 @@
     Forecast(Vec<Forecast>),
     /// The sender is alive, from the steward.
     Beat {
+        /// Tells two processes of one name apart.
+        incarnation: u64,
         /// It may order engines.
         acts: bool,
         /// Instances that it has a link to, itself included.
--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -287,6 +287,19 @@
         });
     }
 
+    /// A process of another incarnation answers at the address of the one that was seen as holder, which has
+    /// therefore ended. Where engines refuse orders of an earlier holder, the lease is free at once: only orders
+    /// that it sent before may still be on their way.
+    pub fn ended(&mut self, incarnation: u64) {
+        let holder = self
+            .watched
+            .as_mut()
+            .and_then(|watched| watched.holder.as_mut());
+        if let Some(holder) = holder.filter(|holder| holder.incarnation == incarnation) {
+            holder.released = true;
+        }
+    }
+
     /// The holder says who has the lease now.
     pub fn moved(&mut self, now: clock::Instant, holder: Record) {
         if self.held.is_some() {
--- a/crates/fireflywheel/tests/fleet/lease.rs
+++ b/crates/fireflywheel/tests/fleet/lease.rs
@@ -254,7 +254,27 @@
     assert_eq!(second.fencing(at(3500)), None);
 }
 
+fn lease_of_an_ended_process_is_free_where_engines_check() {
+    for fenced in [true, false] {
+        let mut log = Log::default();
+        let _dead = held("a", fenced, &mut log, 0);
+        let mut second = lease("b", fenced);
+        second.observe(at(100), log.read());
+        second.ended(7);
+        assert_eq!(
+            second.proposal(at(100)),
+            None,
+            "another incarnation is meant"
+        );
+        second.ended(1);
+        assert_eq!(second.proposal(at(100)).is_some(), fenced);
+    }
+}
+
 cases! {
+    /// All processes were killed and are back, and the lease names one of before. If they waited a term, cold
+    /// models would stay cold for as long after each such end.
+    ended_process => lease_of_an_ended_process_is_free_where_engines_check();
     /// A planned stop hands the lease over while the store is away.
     hand_over => successor_goes_on_with_a_higher_number();
     /// The same where engines take orders of anyone: the holder's term may be nearly over.
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -69,7 +69,7 @@
             continue;
         }
         if let Some(holder) = steward.other() {
-            let result = connect(&steward, &holder.address).await;
+            let result = connect(&steward, &holder).await;
             let why = result
                 .err()
                 .map_or_else(|| "ended".to_owned(), |error| error.to_string());
@@ -145,10 +145,11 @@
 }
 
 /// An instance's end of a link.
-async fn connect<P>(steward: &Steward<P>, address: &str) -> anyhow::Result<()>
+async fn connect<P>(steward: &Steward<P>, holder: &Record) -> anyhow::Result<()>
 where
     P: Platform,
 {
+    let address = holder.address.as_str();
     let opening = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -174,7 +175,7 @@
         let silence = heard.after(SILENCE).since(steward.node.now());
         tokio::select! {
             frame = receive(&mut socket) => {
-                take(steward, frame?)?;
+                take(steward, holder, frame?)?;
                 heard = steward.node.now();
             }
             () = time::sleep(silence) => anyhow::bail!("silent"),
@@ -185,11 +186,15 @@
     }
 }
 
-fn take<P>(steward: &Steward<P>, frame: Frame) -> anyhow::Result<()>
+fn take<P>(steward: &Steward<P>, holder: &Record, frame: Frame) -> anyhow::Result<()>
 where
     P: Platform,
 {
     match frame {
+        Frame::Beat { incarnation, .. } if incarnation != holder.incarnation => {
+            steward.ended(holder.incarnation);
+            anyhow::bail!("another process answers in its place");
+        }
         Frame::Beat { acts: false, .. } => anyhow::bail!("it doesn't act as steward"),
         Frame::Beat {
             instances,
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -88,6 +88,7 @@
 /// What the steward says of itself.
 #[derive(Clone, Copy, Debug)]
 struct Word {
+    incarnation: u64,
     acts: bool,
     instances: usize,
     lease_end: u64,
@@ -229,6 +230,12 @@
         self.wake.notify_one();
     }
 
+    /// Another process answers at the address of the one that held the lease.
+    pub fn ended(&self, incarnation: u64) {
+        self.lock().lease.ended(incarnation);
+        self.lease_wake.notify_one();
+    }
+
     /// The steward says that another instance has the lease now.
     pub fn moved(&self, holder: Record) {
         let now = self.node.now();
@@ -302,6 +309,7 @@
     fn word(&self, state: &State, now: Instant) -> Word {
         let version = self.node.config().map_or(0, |config| config.version);
         Word {
+            incarnation: self.node.incarnation,
             acts: state.lease.fencing(now).is_some(),
             instances: state.links.len() + 1,
             lease_end: state.lease.end().unwrap_or_default(),
@@ -502,6 +510,7 @@
 impl Word {
     fn frame(&self) -> Frame {
         Frame::Beat {
+            incarnation: self.incarnation,
             acts: self.acts,
             instances: u32::try_from(self.instances).unwrap_or(u32::MAX),
             lease_end: self.lease_end,
--- a/crates/fireflywheel_demo/tests/pages.rs
+++ b/crates/fireflywheel_demo/tests/pages.rs
@@ -40,6 +40,7 @@
     {
         test_text(&entry.path().join("tests"), &mut text);
     }
+    test_text(&root.join("platform/tests"), &mut text);
     let names = names(&page);
     assert!(names.len() > 20, "the page names its tests");
     let missing = names
