Keep a link's demands due across frames, bound the age of the steward's word, tell changes together

Causes: a pause that began anew with each frame never ended while the steward talked, so instances fell silent and lost their links; beats that had waited in a queue passed for young, so leaving servers went on getting requests; and each change of an engine went to every link by itself. Ruled out: the directory's own reads (young when told). Now demands are due at a kept time, a beat answers the demand that it follows and is no younger than that, changes are told together (at once to all up to 40 links), and strong instances take the lease first.

--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -21,6 +21,8 @@
     pub running: Vec<Running>,
     /// Requests that came since the last demand, by group and model.
     pub arrived: Vec<Arrived>,
+    /// The instance's clock when it said this, in milliseconds; comes back with the steward's next beat.
+    pub stamp_ms: u64,
     /// The instance is being stopped, and can't become steward.
     pub leaving: bool,
     /// Engines that didn't hold what the steward had said that they hold.
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -21,18 +21,13 @@
         incarnation: u64,
         /// Where its peers reach it.
         address: SmolStr,
+        /// The part of a processor that it has.
+        cpu_share: f64,
     },
     /// All that an instance wants and has running; replaces what it said before.
     Demand(demand::Demand),
-    /// What an engine holds, from the steward that orders it.
-    Held {
-        /// The engine's id.
-        server: SmolStr,
-        /// Unix milliseconds of its start.
-        born: u64,
-        /// What it holds.
-        held: server::Held,
-    },
+    /// What engines hold that have changed, from the steward that orders them.
+    Held(Vec<Holding>),
     /// How long models will take that are nowhere yet, from the steward.
     Forecast(Vec<Forecast>),
     /// The sender is alive, from the steward.
@@ -50,6 +45,9 @@
         /// How old the oldest is of what it last read of the directory and the configuration, in milliseconds.
         /// While it is young, other instances need not read the store themselves.
         read_ms: u32,
+        /// The stamp of the receiver's last demand. Without it frames that waited in a queue for seconds would
+        /// pass for young.
+        stamp_ms: u64,
     },
     /// Entries of the directory that have changed, from the steward.
     Directory(Changes),
@@ -59,6 +57,17 @@
     Moved(lease::Record),
 }
 
+/// What an engine holds.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Holding {
+    /// The engine's id.
+    pub server: SmolStr,
+    /// Unix milliseconds of its start.
+    pub born: u64,
+    /// What it holds.
+    pub held: server::Held,
+}
+
 /// Entries of the directory that have changed.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Changes {
--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -52,6 +52,7 @@
 const GRACE_MS: RangeInclusive<u64> = 500..=600_000;
 const WINDOW_MS: RangeInclusive<u64> = 100..=600_000;
 const DESCRIPTORS: RangeInclusive<u64> = 64..=10_000_000;
+const CPU_SHARE: RangeInclusive<f64> = 0.001..=1024.0;
 const RATIO: RangeInclusive<f64> = 0.0..=10.0;
 const EXTRA: RangeInclusive<f64> = 0.0..=1_000_000.0;
 
@@ -65,6 +66,8 @@
     pub instance: SmolStr,
     /// `[instance] failure_domain`.
     pub domain: SmolStr,
+    /// `[instance] cpu_share`, 1 if left out: the part of a processor that it has.
+    pub cpu_share: f64,
     /// `[listen] callers`: where callers reach it.
     pub callers: SocketAddr,
     /// `[listen] ready`: where it is asked whether it is ready, and for its metrics.
@@ -121,6 +124,7 @@
     let mut reader = field::Reader::new(&section, faults);
     let instance = reader.name("name");
     let domain = reader.name("failure_domain");
+    let cpu_share = reader.optional_number("cpu_share", CPU_SHARE);
     reader.finish();
     let section = find(sections, "listen");
     let mut reader = field::Reader::new(&section, faults);
@@ -160,6 +164,7 @@
     Settings {
         instance,
         domain,
+        cpu_share: cpu_share.unwrap_or(1.0),
         callers,
         ready,
         peers,
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use fireflywheel::clock::Instant;
 use fireflywheel::fleet::frame::Frame;
 use fireflywheel::fleet::lease::Record;
 use futures_util::{SinkExt as _, StreamExt as _};
@@ -27,6 +28,11 @@
 const PAUSE: Duration = Duration::from_millis(200);
 /// Changes of demand that come together are told together.
 const GATHER: Duration = Duration::from_millis(6);
+/// What the steward has read stands for an instance's own reads until it is this share of the time old within
+/// which both must be obeyed; the rest is for the instance's own read after that.
+const RELAYED_SHARE: f64 = 0.75;
+/// Use of engines is told after this for each instance: 17 instances tell theirs within 10 ms, 125 within 75.
+const LAZY_AN_INSTANCE: Duration = Duration::from_micros(600);
 /// The largest frame, in bytes.
 const FRAME_LIMIT: usize = 4 << 20;
 
@@ -65,7 +71,7 @@
         if steward.acts() {
             let demand = steward.node.demand();
             steward.demand(&steward.node.settings.instance, demand);
-            wait_for_change(&steward).await;
+            Due::new(steward.node.now()).wait(&steward).await;
             continue;
         }
         if let Some(holder) = steward.other() {
@@ -82,16 +88,46 @@
     }
 }
 
-async fn wait_for_change<P>(steward: &Steward<P>)
-where
-    P: Platform,
-{
-    tokio::select! {
-        () = steward.node.wanted.notified() => time::sleep(GATHER).await,
-        () = time::sleep(BEAT) => {}
+/// When the next demand is due. Kept across all that comes meanwhile: a pause that begins anew with each frame
+/// would never end while the steward talks.
+struct Due(Instant);
+
+impl Due {
+    fn new(now: Instant) -> Self {
+        Self(now.after(BEAT))
+    }
+
+    fn within(&mut self, now: Instant, pause: Duration) {
+        self.0 = self.0.min(now.after(pause));
+    }
+
+    /// Waits until a demand is due; what is wanted is told soon, what is used when it is convenient.
+    async fn wait<P>(&mut self, steward: &Steward<P>)
+    where
+        P: Platform,
+    {
+        let node = &steward.node;
+        loop {
+            let left = self.0.since(node.now());
+            if left.is_zero() {
+                *self = Self::new(node.now());
+                return;
+            }
+            tokio::select! {
+                () = node.wanted.notified() => self.within(node.now(), GATHER),
+                () = node.used.notified() => self.within(node.now(), lazily(node.instances())),
+                () = time::sleep(left) => {}
+            }
+        }
     }
 }
 
+/// Use of engines is told this much later: a steward with many instances would do nothing but listen.
+fn lazily(instances: usize) -> Duration {
+    let pause = LAZY_AN_INSTANCE * u32::try_from(instances).unwrap_or(u32::MAX);
+    pause.clamp(GATHER, BEAT)
+}
+
 /// The steward's end of a link.
 async fn serve<P>(steward: &Arc<Steward<P>>, mut socket: Socket)
 where
@@ -102,6 +138,7 @@
         instance,
         incarnation,
         address,
+        cpu_share,
     })) = hello
     else {
         return;
@@ -115,7 +152,7 @@
         fencing: None,
         released: false,
     };
-    let mut frames = steward.link(number, peer);
+    let mut frames = steward.link(number, peer, cpu_share);
     let mut heard = steward.node.now();
     let why = loop {
         let silence = heard.after(SILENCE).since(steward.node.now());
@@ -130,7 +167,7 @@
                 heard = steward.node.now();
                 match frame {
                     Ok(Frame::Demand(demand)) => {
-                        steward.set_leaving(number, demand.leaving);
+                        steward.hear(number, &demand);
                         steward.demand(&key, demand);
                     }
                     Ok(_) => {}
@@ -167,10 +204,12 @@
         instance: steward.node.settings.instance.clone(),
         incarnation: steward.node.incarnation,
         address: steward.node.settings.peers.to_string().into(),
+        cpu_share: steward.node.settings.cpu_share,
     };
     send(&mut socket, &hello).await?;
     send(&mut socket, &Frame::Demand(steward.node.demand())).await?;
     let mut heard = steward.node.now();
+    let mut due = Due::new(heard);
     loop {
         let silence = heard.after(SILENCE).since(steward.node.now());
         tokio::select! {
@@ -179,7 +218,7 @@
                 heard = steward.node.now();
             }
             () = time::sleep(silence) => anyhow::bail!("silent"),
-            () = wait_for_change(steward) => {
+            () = due.wait(steward) => {
                 send(&mut socket, &Frame::Demand(steward.node.demand())).await?;
             }
         }
@@ -201,15 +240,20 @@
             lease_end,
             config_version,
             read_ms,
+            stamp_ms,
             ..
         } => {
             steward.heard(lease_end);
-            relayed(steward, config_version, read_ms);
+            relayed(steward, config_version, read_ms, stamp_ms);
             steward.node.learn_instances(instances as usize);
             steward.set_linked(true);
             steward.node.set_told(true);
         }
-        Frame::Held { server, born, held } => steward.node.learn_held(&server, born, held),
+        Frame::Held(holdings) => {
+            for holding in holdings {
+                steward.node.learn_held(holding);
+            }
+        }
         Frame::Forecast(forecasts) => steward.node.learn_forecasts(forecasts),
         Frame::HandOver(given) => {
             steward.receive(given);
@@ -225,14 +269,21 @@
     Ok(())
 }
 
-/// Takes the steward's reads of the store for this instance's own, as long as they are young.
-fn relayed<P>(steward: &Steward<P>, version: u64, read_ms: u32)
+/// Takes the steward's reads of the store for this instance's own, as long as they are young. The beat answers a
+/// demand of this instance, so it was made later than that; whatever held it up is counted.
+fn relayed<P>(steward: &Steward<P>, version: u64, read_ms: u32, stamp_ms: u64)
 where
     P: Platform,
 {
-    let young = Duration::from_millis(read_ms.into()) < steward.node.settings.obey / 2;
-    let until = young.then(|| steward.node.now().after(SILENCE));
-    let relayed = Relayed { until, version };
+    let settings = &steward.node.settings;
+    let oldest = settings.obey.min(settings.apply).mul_f64(RELAYED_SHARE);
+    let fresh = oldest.saturating_sub(Duration::from_millis(read_ms.into()));
+    let until = Instant(stamp_ms).after(fresh);
+    let young = stamp_ms > 0 && until > steward.node.now();
+    let relayed = Relayed {
+        until: young.then_some(until),
+        version,
+    };
     steward.node.relayed.send_replace(relayed);
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -9,7 +9,7 @@
 use fireflywheel::fleet::budget::Budget;
 use fireflywheel::fleet::config::Config;
 use fireflywheel::fleet::demand::{Arrived, Demand, Lane, Running};
-use fireflywheel::fleet::frame::{Changes, Entry, Forecast};
+use fireflywheel::fleet::frame::{Changes, Entry, Forecast, Holding};
 use fireflywheel::fleet::routing::{self, Candidate, Seen};
 use fireflywheel::fleet::server::{Held, Server};
 use fireflywheel::rendezvous;
@@ -52,6 +52,8 @@
     pub changed: watch::Sender<u64>,
     /// Told when more, or something else, is wanted of the steward.
     pub wanted: Notify,
+    /// Told when requests in progress begin or end.
+    pub used: Notify,
     /// What the steward says of its own reads of the store.
     pub relayed: watch::Sender<Relayed>,
     state: Mutex<State>,
@@ -192,6 +194,7 @@
             incarnation: rand::random(),
             changed: watch::Sender::new(0),
             wanted: Notify::new(),
+            used: Notify::new(),
             relayed: watch::Sender::new(Relayed::default()),
             state: Mutex::default(),
         }
@@ -346,13 +349,13 @@
         self.learn(news, Duration::ZERO);
     }
 
-    /// The steward says what an engine holds that was started at `born`.
-    pub fn learn_held(&self, id: &str, born: u64, held: Held) {
+    /// The steward says what an engine holds.
+    pub fn learn_held(&self, holding: Holding) {
         let mut state = self.lock();
-        if let Some(known) = state.servers.get_mut(id)
-            && known.server.born == born
+        if let Some(known) = state.servers.get_mut(&holding.server)
+            && known.server.born == holding.born
         {
-            known.told = Some(held);
+            known.told = Some(holding.held);
         }
         drop(state);
         self.wake();
@@ -389,6 +392,12 @@
         self.lock().instances = Some(instances.max(1));
     }
 
+    /// Instances that share limits, as far as known.
+    #[must_use]
+    pub fn instances(&self) -> usize {
+        self.lock().instances()
+    }
+
     /// The engines of a group, for the steward.
     #[must_use]
     pub fn engines(&self, group: &str) -> Vec<Server> {
@@ -422,6 +431,7 @@
                     count,
                 })
                 .collect(),
+            stamp_ms: now.0,
             leaving: state.stops.is_some(),
             denied: denied.into_iter().collect(),
         }
@@ -502,7 +512,7 @@
             born = known.server.born;
         }
         drop(state);
-        self.wanted.notify_one();
+        self.used.notify_one();
         InFlight {
             node: Arc::clone(self),
             server: server.clone(),
@@ -750,7 +760,7 @@
             }
         }
         drop(state);
-        self.node.wanted.notify_one();
+        self.node.used.notify_one();
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -4,7 +4,7 @@
 mod orders;
 mod track;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -82,7 +82,14 @@
 struct Link {
     sender: mpsc::Sender<Frame>,
     peer: Record,
+    cpu_share: f64,
     leaving: bool,
+    /// Of its last demand.
+    stamp_ms: u64,
+    /// Requests wait there, so that each change of an engine may matter to it at once.
+    waits: bool,
+    /// Engines that have changed since it was told.
+    untold: BTreeSet<SmolStr>,
 }
 
 /// What the steward says of itself.
@@ -188,7 +195,7 @@
 
     /// An instance is linked from now on; it is told all there is.
     #[must_use]
-    pub fn link(&self, number: u64, peer: Record) -> mpsc::Receiver<Frame> {
+    pub fn link(&self, number: u64, peer: Record, cpu_share: f64) -> mpsc::Receiver<Frame> {
         let now = self.node.now();
         let mut state = self.lock();
         let capacity = QUEUE + state.tracks.len();
@@ -197,7 +204,7 @@
         // Last: from its first beat on, an instance relies on what it was told. One that isn't steward knows no
         // more than the other, and must not take its knowledge away.
         let mut frames = if word.acts { state.all() } else { Vec::new() };
-        frames.push(word.frame());
+        frames.push(word.frame(0));
         for frame in frames {
             // The queue was made large enough.
             let _ = sender.try_send(frame);
@@ -205,16 +212,22 @@
         let link = Link {
             sender,
             peer,
+            cpu_share,
             leaving: false,
+            stamp_ms: 0,
+            waits: false,
+            untold: BTreeSet::new(),
         };
         state.links.insert(number, link);
         receiver
     }
 
-    /// An instance is being stopped, or not.
-    pub fn set_leaving(&self, number: u64, leaving: bool) {
+    /// What a demand says of its sender.
+    pub fn hear(&self, number: u64, demand: &Demand) {
         if let Some(link) = self.lock().links.get_mut(&number) {
-            link.leaving = leaving;
+            link.leaving = demand.leaving;
+            link.stamp_ms = demand.stamp_ms;
+            link.waits = !demand.lanes.is_empty();
         }
     }
 
@@ -292,6 +305,7 @@
         state.tell_forecasts(now, forecasts);
         state.tell_directory(self.node.entries());
         state.beat(now, &word);
+        state.tell_waiting();
         let instances = state.links.len() + 1;
         let local = state.forecasts.clone();
         let reports = state.reports_due(now);
@@ -328,6 +342,9 @@
     }
 }
 
+/// Up to this many instances are told of each change of an engine at once. With more, only those at which
+/// requests wait: some twenty changes a second to each of 125 would take all of a small instance's processor.
+const PROMPT_LINKS: usize = 40;
 /// Frames that may wait for one instance. One that doesn't read loses its link, and reads all anew.
 const QUEUE: usize = 256;
 
@@ -462,7 +479,11 @@
         }
         self.beat = Some(now);
         self.told_version = word.config_version;
-        self.broadcast(&word.frame());
+        self.tell_all_held();
+        self.links.retain(|_, link| {
+            let frame = word.frame(link.stamp_ms);
+            link.sender.try_send(frame).is_ok()
+        });
     }
 
     /// All that an instance with a new link must know.
@@ -476,7 +497,8 @@
             }));
         }
         let tracks = self.tracks.iter();
-        frames.extend(tracks.map(|(server, track)| track.frame(server)));
+        let holdings = tracks.map(|(server, track)| track.holding(server));
+        frames.push(Frame::Held(holdings.collect()));
         frames.push(Frame::Forecast(self.forecasts.clone()));
         frames
     }
@@ -489,6 +511,26 @@
         }
     }
 
+    /// An engine has changed.
+    fn tell_held(&mut self, server: &SmolStr) {
+        for link in self.links.values_mut() {
+            link.untold.insert(server.clone());
+        }
+    }
+
+    /// Tells those at once for whom it may matter; all, if they are few.
+    fn tell_waiting(&mut self) {
+        let tracks = &self.tracks;
+        let few = self.links.len() <= PROMPT_LINKS;
+        self.links
+            .retain(|_, link| !(few || link.waits) || link.tell(tracks));
+    }
+
+    fn tell_all_held(&mut self) {
+        let tracks = &self.tracks;
+        self.links.retain(|_, link| link.tell(tracks));
+    }
+
     /// A link whose queue is full is dropped: its instance would go on with old news.
     fn broadcast(&mut self, frame: &Frame) {
         self.links
@@ -507,8 +549,24 @@
     }
 }
 
+impl Link {
+    /// Tells of the engines that have changed; whether the link still has room.
+    fn tell(&mut self, tracks: &BTreeMap<SmolStr, Track>) -> bool {
+        if self.untold.is_empty() {
+            return true;
+        }
+        let changed = std::mem::take(&mut self.untold);
+        let holdings = changed
+            .iter()
+            .filter_map(|server| Some(tracks.get(server)?.holding(server)));
+        self.sender
+            .try_send(Frame::Held(holdings.collect()))
+            .is_ok()
+    }
+}
+
 impl Word {
-    fn frame(&self) -> Frame {
+    fn frame(&self, stamp_ms: u64) -> Frame {
         Frame::Beat {
             incarnation: self.incarnation,
             acts: self.acts,
@@ -516,6 +574,7 @@
             lease_end: self.lease_end,
             config_version: self.config_version,
             read_ms: u32::try_from(self.read_age.as_millis()).unwrap_or(u32::MAX),
+            stamp_ms,
         }
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -14,7 +14,12 @@
 /// Time between two looks while there is nothing to do.
 const QUIET: Duration = Duration::from_millis(250);
 /// Instances that see the lease lapse don't all write at once.
-const SPREAD_MS: u64 = 150;
+const SPREAD_MS: u64 = 60;
+/// An instance with a whole processor writes this long after it sees the lease lapse, one with a tenth of it ten
+/// times as long.
+const HEAD_START: Duration = Duration::from_millis(20);
+/// Below this share of a processor the wait grows no longer.
+const LEAST_SHARE: f64 = 0.05;
 
 /// What is to be done for the lease.
 enum Task {
@@ -36,7 +41,7 @@
                 Task::Read => self.read_lease().await,
                 Task::Write(end, record) => {
                     if record.fencing.is_none() {
-                        time::sleep(Duration::from_millis(rand::random_range(0..SPREAD_MS))).await;
+                        time::sleep(self.spread()).await;
                     }
                     self.write_lease(end, &record).await;
                     continue;
@@ -68,7 +73,8 @@
     /// The store may be away, and reading it takes time; a link is there.
     fn hand_over(&self) -> bool {
         let mut state = self.lock();
-        let staying = state.links.iter().find(|(_, link)| !link.leaving);
+        let staying = state.links.iter().filter(|(_, link)| !link.leaving);
+        let staying = staying.max_by(|(_, a), (_, b)| a.cpu_share.total_cmp(&b.cpu_share));
         let Some((number, peer)) = staying.map(|(number, link)| (*number, link.peer.clone()))
         else {
             return false;
@@ -88,6 +94,13 @@
         true
     }
 
+    /// A steward has work in proportion to the number of instances, so the strong ones go first.
+    fn spread(&self) -> Duration {
+        let share = self.node.settings.cpu_share.max(LEAST_SHARE);
+        let luck = Duration::from_millis(rand::random_range(0..SPREAD_MS));
+        HEAD_START.div_f64(share) + luck
+    }
+
     fn lease_task(&self) -> Task {
         let now = self.node.now();
         let state = self.lock();
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -133,14 +133,10 @@
             Some(StatusCode::CONFLICT) => track.conflicted(now),
             _ => track.unanswered(now),
         }
-        let (frame, born, held) = (
-            track.frame(&due.server),
-            track.server.born,
-            track.held.clone(),
-        );
-        state.broadcast(&frame);
+        let holding = track.holding(&due.server);
+        state.tell_held(&due.server);
         drop(state);
-        self.node.learn_held(&due.server, born, held);
+        self.node.learn_held(holding);
         self.wake.notify_one();
     }
 
@@ -176,10 +172,10 @@
         if !track.reported(asked, now, report) {
             return;
         }
-        let (frame, born, held) = (track.frame(&id), track.server.born, track.held.clone());
-        state.broadcast(&frame);
+        let holding = track.holding(&id);
+        state.tell_held(&id);
         drop(state);
-        self.node.learn_held(&id, born, held);
+        self.node.learn_held(holding);
         self.wake.notify_one();
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/track.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/track.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fireflywheel::clock::Instant;
-use fireflywheel::fleet::frame::Frame;
+use fireflywheel::fleet::frame::Holding;
 use fireflywheel::fleet::plan::{Site, Step, Tier};
 use fireflywheel::fleet::server::{Held, Report, Server};
 use smol_str::SmolStr;
@@ -105,8 +105,8 @@
     }
 
     /// What the instances are told of it.
-    pub(super) fn frame(&self, id: &SmolStr) -> Frame {
-        Frame::Held {
+    pub(super) fn holding(&self, id: &SmolStr) -> Holding {
+        Holding {
             server: id.clone(),
             born: self.server.born,
             held: self.held.clone(),
