--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -120,43 +120,43 @@
 
 fn read(sections: &[ini_text::Section], faults: &mut fault::List) -> Settings {
     let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-    let section = find(sections, "instance");
+    let section = ini_text::find(sections, "instance");
     let mut reader = field::Reader::new(&section, faults);
     let instance = reader.name("name");
     let domain = reader.name("failure_domain");
     let cpu_share = reader.optional_number("cpu_share", CPU_SHARE);
     reader.finish();
-    let section = find(sections, "listen");
+    let section = ini_text::find(sections, "listen");
     let mut reader = field::Reader::new(&section, faults);
     let callers = reader.required("callers", ADDRESS_RULE, nowhere, field::parsed);
     let ready = reader.required("ready", ADDRESS_RULE, nowhere, field::parsed);
     let peers = reader.required("peers", ADDRESS_RULE, nowhere, field::parsed);
     reader.finish();
-    let section = find(sections, "platform");
+    let section = ini_text::find(sections, "platform");
     let mut reader = field::Reader::new(&section, faults);
     let store = reader.required("store", ADDRESS_RULE, nowhere, field::parsed);
     let apply = reader.optional_millis("apply_ms", OBEY_MS);
     reader.finish();
-    let section = find(sections, "steward");
+    let section = ini_text::find(sections, "steward");
     let mut reader = field::Reader::new(&section, faults);
     let term = reader.optional_millis("lease_ms", LEASE_MS);
     let fenced = reader.optional_word("fenced", &YES_NO).unwrap_or(false);
     reader.finish();
-    let repeats = read_repeats(&find(sections, "repeats"), faults);
-    let section = find(sections, "backend");
+    let repeats = read_repeats(&ini_text::find(sections, "repeats"), faults);
+    let section = ini_text::find(sections, "backend");
     let mut reader = field::Reader::new(&section, faults);
     let obey = reader.optional_millis("obey_ms", OBEY_MS);
     reader.finish();
-    let section = find(sections, "stop");
+    let section = ini_text::find(sections, "stop");
     let mut reader = field::Reader::new(&section, faults);
     let grace = reader.optional_millis("grace_ms", GRACE_MS);
     reader.finish();
-    let section = find(sections, "limits");
+    let section = ini_text::find(sections, "limits");
     let mut reader = field::Reader::new(&section, faults);
     let descriptors = reader.optional_whole("descriptors", DESCRIPTORS);
     let descriptors: u64 = descriptors.unwrap_or(1024);
     reader.finish();
-    let section = find(sections, "log");
+    let section = ini_text::find(sections, "log");
     let mut reader = field::Reader::new(&section, faults);
     let level = reader.optional_word("level", &LEVELS);
     let level = level.unwrap_or(log::LevelFilter::Info);
@@ -195,13 +195,3 @@
     reader.finish();
     repeats
 }
-
-/// The section of this name; one without keys when it was left out.
-fn find(sections: &[ini_text::Section], name: &str) -> ini_text::Section {
-    let found = sections.iter().find(|section| section.name == name);
-    found.cloned().unwrap_or_else(|| ini_text::Section {
-        line: 1,
-        name: SmolStr::new(name),
-        pairs: Vec::new(),
-    })
-}
--- a/crates/fireflywheel/src/ini_text.rs
+++ b/crates/fireflywheel/src/ini_text.rs
@@ -233,3 +233,14 @@
         first == pair.line
     });
 }
+
+/// The section of this name; one without keys when it was left out.
+#[must_use]
+pub fn find(sections: &[Section], name: &str) -> Section {
+    let found = sections.iter().find(|section| section.name == name);
+    found.cloned().unwrap_or_else(|| Section {
+        line: 1,
+        name: SmolStr::new(name),
+        pairs: Vec::new(),
+    })
+}
--- a/crates/fireflywheel/src/settings/parse.rs
+++ b/crates/fireflywheel/src/settings/parse.rs
@@ -52,13 +52,13 @@
         let sections = ini_text::read(text, LIMIT, &mut faults)?;
         unknown(&sections, &mut faults);
         let settings = Self {
-            instance: instance(&find(&sections, "instance"), &mut faults),
-            listen: listen(&find(&sections, "listen"), &mut faults),
-            platform: platform(&find(&sections, "platform"), &mut faults),
-            peers: peers(&find(&sections, "peers"), &mut faults),
-            limits: limits(&find(&sections, "limits"), &mut faults),
-            timing: timing(&find(&sections, "timing"), &mut faults),
-            log: log(&find(&sections, "log"), &mut faults),
+            instance: instance(&ini_text::find(&sections, "instance"), &mut faults),
+            listen: listen(&ini_text::find(&sections, "listen"), &mut faults),
+            platform: platform(&ini_text::find(&sections, "platform"), &mut faults),
+            peers: peers(&ini_text::find(&sections, "peers"), &mut faults),
+            limits: limits(&ini_text::find(&sections, "limits"), &mut faults),
+            timing: timing(&ini_text::find(&sections, "timing"), &mut faults),
+            log: log(&ini_text::find(&sections, "log"), &mut faults),
         };
         faults.finish(settings)
     }
@@ -78,16 +78,6 @@
     }
 }
 
-/// The section of this name; one without keys when it was left out.
-fn find(sections: &[ini_text::Section], name: &str) -> ini_text::Section {
-    let found = sections.iter().find(|section| section.name == name);
-    found.cloned().unwrap_or_else(|| ini_text::Section {
-        line: 1,
-        name: SmolStr::new(name),
-        pairs: Vec::new(),
-    })
-}
-
 fn instance(section: &ini_text::Section, faults: &mut fault::List) -> Instance {
     let mut reader = field::Reader::new(section, faults);
     let instance = Instance {
--- /dev/null
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -0,0 +1,93 @@
+//! What this instance tells the steward.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fireflywheel::clock::Instant;
+use fireflywheel::fleet::demand::{Arrived, Demand, Lane, Running};
+use fireflywheel::fleet::server::Server;
+use smol_str::SmolStr;
+
+use super::state::{Known, Waiting};
+use super::{LaneKey, Node};
+
+impl<P> Node<P>
+where
+    P: Send + Sync,
+{
+    /// The engines of a group, for the steward.
+    #[must_use]
+    pub fn engines(&self, group: &str) -> Vec<Server> {
+        let state = self.lock();
+        let known = state.servers.values();
+        known
+            .filter(|known| known.server.group == group)
+            .map(|known| known.server.clone())
+            .collect()
+    }
+
+    /// All that this instance wants and has running.
+    #[must_use]
+    pub fn demand(&self) -> Demand {
+        let now = self.now();
+        let mut state = self.lock();
+        let arrived = std::mem::take(&mut state.arrived);
+        let denied = std::mem::take(&mut state.denied);
+        Demand {
+            lanes: state
+                .lanes
+                .iter()
+                .filter_map(|(key, lane)| lane_demand(now, key, lane))
+                .collect(),
+            running: state.servers.values().flat_map(running).collect(),
+            arrived: arrived
+                .into_iter()
+                .map(|((group, model), count)| Arrived {
+                    group,
+                    model,
+                    count,
+                })
+                .collect(),
+            stamp_ms: now.0,
+            leaving: state.stops.is_some(),
+            denied: denied.into_iter().collect(),
+        }
+    }
+
+    /// A request for a model came.
+    pub fn arrived(&self, group: &SmolStr, model: &SmolStr) {
+        let mut state = self.lock();
+        *state
+            .arrived
+            .entry((group.clone(), model.clone()))
+            .or_default() += 1;
+    }
+}
+
+fn lane_demand(now: Instant, key: &LaneKey, lane: &BTreeMap<u64, Waiting>) -> Option<Lane> {
+    let model = key.model.clone()?;
+    let since = lane.values().map(|waiting| waiting.since).min()?;
+    let until = lane.values().map(|waiting| waiting.until).max()?;
+    Some(Lane {
+        group: key.group.clone(),
+        model,
+        adapter: key.adapter.clone(),
+        waiting: u32::try_from(lane.len()).unwrap_or(u32::MAX),
+        waited_ms: millis(now.since(since)),
+        left_ms: millis(until.since(now)),
+    })
+}
+
+fn running(known: &Known) -> impl Iterator<Item = Running> {
+    let counts = known.running.iter().filter(|(_, count)| **count > 0);
+    counts.map(|((model, adapter), count)| Running {
+        server: known.server.id.clone(),
+        model: model.clone(),
+        adapter: adapter.clone(),
+        count: *count,
+    })
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/fireflywheel_daemon/src/fleet/node/guard.rs
@@ -0,0 +1,71 @@
+//! Requests that are counted as long as something of them lives.
+
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+
+use super::{LaneKey, Node};
+
+/// A request in progress at a server, counted as long as this lives.
+#[derive(Debug)]
+pub struct InFlight<P>
+where
+    P: Send + Sync,
+{
+    pub(super) node: Arc<Node<P>>,
+    pub(super) server: SmolStr,
+    pub(super) born: u64,
+    pub(super) key: (SmolStr, Option<SmolStr>),
+}
+
+/// A request that waits, counted as long as this lives.
+#[derive(Debug)]
+pub struct Waiter<P>
+where
+    P: Send + Sync,
+{
+    pub(super) node: Arc<Node<P>>,
+    pub(super) lane: LaneKey,
+    pub(super) number: u64,
+}
+
+impl<P> Drop for InFlight<P>
+where
+    P: Send + Sync,
+{
+    fn drop(&mut self) {
+        let mut state = self.node.lock();
+        let Some(known) = state.servers.get_mut(&self.server) else {
+            return;
+        };
+        if known.server.born != self.born {
+            return;
+        }
+        known.seen.in_flight = known.seen.in_flight.saturating_sub(1);
+        if let Some(count) = known.running.get_mut(&self.key) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                known.running.remove(&self.key);
+            }
+        }
+        drop(state);
+        self.node.used.notify_one();
+    }
+}
+
+impl<P> Drop for Waiter<P>
+where
+    P: Send + Sync,
+{
+    fn drop(&mut self) {
+        let mut state = self.node.lock();
+        if let Some(lane) = state.lanes.get_mut(&self.lane) {
+            lane.remove(&self.number);
+            if lane.is_empty() {
+                state.lanes.remove(&self.lane);
+            }
+        }
+        drop(state);
+        self.node.wanted.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
@@ -0,0 +1,172 @@
+//! What the directory, the steward and the servers themselves say.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fireflywheel::fleet::frame::{Changes, Entry, Forecast, Holding};
+use fireflywheel::fleet::routing;
+use smol_str::SmolStr;
+
+use super::state::TOLD;
+use super::{LaneKey, Node, Verdict};
+use crate::fleet::platform::News;
+
+impl<P> Node<P>
+where
+    P: Send + Sync,
+{
+    /// Takes in news of the directory. Entries that are gone are kept for `patience`, in case they lapsed
+    /// only because the store was away.
+    pub fn learn(&self, news: News, patience: Duration) {
+        let now = self.now();
+        let mut state = self.lock();
+        match news {
+            News::All(servers) => {
+                for known in state.servers.values_mut() {
+                    if servers.iter().all(|server| server.id != known.server.id) {
+                        known.missing.get_or_insert(now);
+                    }
+                }
+                for server in servers {
+                    state.enter(server);
+                }
+            }
+            News::Some(changes) => {
+                for (id, server) in changes {
+                    match server {
+                        Some(server) => state.enter(server),
+                        None => state.miss(&id, now),
+                    }
+                }
+            }
+        }
+        state.forget_missing(now, patience);
+        drop(state);
+        self.wake();
+    }
+
+    /// All entries of the directory, for other instances.
+    #[must_use]
+    pub fn entries(&self) -> BTreeMap<SmolStr, Entry> {
+        let now = self.now();
+        let state = self.lock();
+        let present = state
+            .servers
+            .iter()
+            .filter(|(_, known)| known.missing.is_none());
+        present
+            .map(|(id, known)| (id.clone(), Entry::new(&known.server, now)))
+            .collect()
+    }
+
+    /// The steward says what has changed in the directory.
+    pub fn learn_entries(&self, changes: Changes) {
+        let now = self.now();
+        let servers = changes.entries.into_iter().map(|entry| entry.server(now));
+        let news = if changes.all {
+            News::All(servers.collect())
+        } else {
+            let changed = servers.map(|server| (server.id.clone(), Some(server)));
+            News::Some(
+                changed
+                    .chain(changes.gone.into_iter().map(|id| (id, None)))
+                    .collect(),
+            )
+        };
+        self.learn(news, Duration::ZERO);
+    }
+
+    /// The steward says what an engine holds.
+    pub fn learn_held(&self, holding: Holding) {
+        let mut state = self.lock();
+        if let Some(known) = state.servers.get_mut(&holding.server)
+            && known.server.born == holding.born
+        {
+            known.told = Some(holding.held);
+        }
+        drop(state);
+        self.wake();
+    }
+
+    /// There is a word of the steward from now on, or there is none any more.
+    pub fn set_told(&self, told: bool) {
+        let until = self.now().after(TOLD);
+        let mut state = self.lock();
+        match (told, state.told_until) {
+            (true, _) => state.told_until = None,
+            (false, None) => state.told_until = Some(until),
+            (false, Some(_)) => {}
+        }
+    }
+
+    /// The steward says when models can be used; replaces what it said before.
+    pub fn learn_forecasts(&self, forecasts: Vec<Forecast>) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.forecasts = forecasts
+            .into_iter()
+            .map(|forecast| {
+                let at = now.after(Duration::from_millis(forecast.wait_ms.into()));
+                ((forecast.group, forecast.model), at)
+            })
+            .collect();
+        drop(state);
+        self.wake();
+    }
+
+    /// How many instances share limits.
+    pub fn learn_instances(&self, instances: usize) {
+        self.lock().instances = Some(instances.max(1));
+    }
+
+    /// Remembers how a server did.
+    pub fn judge(&self, id: &str, verdict: Verdict) {
+        let now = self.now();
+        let mut state = self.lock();
+        let Some(known) = state.servers.get_mut(id) else {
+            return;
+        };
+        match verdict {
+            Verdict::Good => known.seen.succeeded(now),
+            Verdict::Failed => known.seen.failed(now),
+            Verdict::Unreachable => known.seen.unreachable(now),
+            Verdict::Full => known.seen.full(now),
+            Verdict::Replaced => known.seen.replaced(now),
+        }
+    }
+
+    /// A server reported its load.
+    pub fn reported(&self, id: &str, report: routing::Report) {
+        let now = self.now();
+        if let Some(known) = self.lock().servers.get_mut(id) {
+            known.seen.reported(now, report);
+        }
+    }
+
+    /// A server said that it doesn't hold a model which it was thought to hold. The steward is told: somebody else
+    /// may have ordered the server, and all instances would go on to send it requests that it refuses.
+    pub fn denied(&self, id: &str, lane: &LaneKey) {
+        let Some(model) = &lane.model else {
+            return;
+        };
+        let mut state = self.lock();
+        state.denied.insert(id.into());
+        if let Some(known) = state.servers.get_mut(id) {
+            let told = known.told.iter_mut();
+            for held in told.chain([&mut known.server.held]) {
+                match &lane.adapter {
+                    None => {
+                        held.models.remove(model);
+                    }
+                    Some(adapter) => {
+                        if let Some(adapters) = held.models.get_mut(model) {
+                            adapters.remove(adapter);
+                        }
+                    }
+                }
+            }
+        }
+        drop(state);
+        self.wanted.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -0,0 +1,139 @@
+//! The state behind a node's lock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use fireflywheel::clock::Instant;
+use fireflywheel::fleet::budget::Budget;
+use fireflywheel::fleet::config::Config;
+use fireflywheel::fleet::routing::Seen;
+use fireflywheel::fleet::server::{Held, Server};
+use fireflywheel::fleet::settings::Settings;
+use smol_str::SmolStr;
+
+use super::LaneKey;
+
+/// Instances that share limits while it isn't known how many there are: too many only makes parts small.
+pub(super) const UNKNOWN_INSTANCES: usize = 24;
+
+/// After the steward's last word, entries of the directory are as new as that after this time: two heartbeats
+/// and the time until they are read.
+pub(super) const TOLD: Duration = Duration::from_millis(1600);
+
+/// A server that says when it will be gone gets no request in its last moments.
+pub(super) const LEAVING_MARGIN: Duration = Duration::from_millis(300);
+
+#[derive(Debug, Default)]
+pub(super) struct State {
+    pub(super) config: Option<Arc<Config>>,
+    pub(super) servers: BTreeMap<SmolStr, Known>,
+    pub(super) lanes: BTreeMap<LaneKey, BTreeMap<u64, Waiting>>,
+    pub(super) arrived: BTreeMap<(SmolStr, SmolStr), u32>,
+    pub(super) denied: BTreeSet<SmolStr>,
+    pub(super) forecasts: BTreeMap<(SmolStr, SmolStr), Instant>,
+    pub(super) budgets: BTreeMap<SmolStr, Budget>,
+    pub(super) instances: Option<usize>,
+    pub(super) config_read: Option<Instant>,
+    pub(super) directory_read: Option<Instant>,
+    pub(super) relaying: bool,
+    /// Until when the steward's word goes before the directory's; none while there is a link to it.
+    pub(super) told_until: Option<Instant>,
+    pub(super) next_waiting: u64,
+    /// When a planned stop will be over, once one has begun.
+    pub(super) stops: Option<Instant>,
+}
+
+#[derive(Debug)]
+pub(super) struct Known {
+    pub(super) server: Server,
+    /// What the steward said that it holds.
+    pub(super) told: Option<Held>,
+    pub(super) seen: Seen,
+    pub(super) running: BTreeMap<(SmolStr, Option<SmolStr>), u32>,
+    /// Its entry is gone, but it may only have lapsed while the store was away.
+    pub(super) missing: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub(super) since: Instant,
+    pub(super) until: Instant,
+}
+
+impl Known {
+    /// What it holds: the steward knows more than the directory, as long as it can be heard.
+    pub(super) fn held(&self, now: Instant, told_until: Option<Instant>) -> &Held {
+        let fresh = told_until.is_none_or(|until| now < until);
+        self.told
+            .as_ref()
+            .filter(|_| fresh)
+            .unwrap_or(&self.server.held)
+    }
+}
+
+impl State {
+    pub(super) fn enter(&mut self, server: Server) {
+        let fresh = Known {
+            server: server.clone(),
+            told: None,
+            seen: Seen::default(),
+            running: BTreeMap::new(),
+            missing: None,
+        };
+        let known = self.servers.entry(server.id.clone()).or_insert(fresh);
+        known.missing = None;
+        if known.server.born != server.born || known.server.address != server.address {
+            // Another process: nothing that was seen of the one before holds for it.
+            known.seen = Seen::default();
+            known.running.clear();
+            known.told = None;
+        } else if server.held == Held::default() {
+            // The steward's word on entries leaves out what they hold.
+            let held = std::mem::take(&mut known.server.held);
+            known.server = Server { held, ..server };
+            return;
+        }
+        known.server = server;
+    }
+
+    pub(super) fn miss(&mut self, id: &str, now: Instant) {
+        if let Some(known) = self.servers.get_mut(id) {
+            known.missing.get_or_insert(now);
+        }
+    }
+
+    pub(super) fn forget_missing(&mut self, now: Instant, patience: Duration) {
+        self.servers.retain(|id, known| {
+            let stays = known.missing.is_none_or(|since| now < since.after(patience));
+            if !stays {
+                log::info!(server = id.as_str(), group = known.server.group.as_str(); "backend server gone");
+            }
+            stays
+        });
+    }
+
+    pub(super) fn usable<'a>(
+        &'a self,
+        now: Instant,
+        lane: &'a LaneKey,
+    ) -> impl Iterator<Item = &'a Known> {
+        let in_time = move |known: &&Known| {
+            let leaves = known.server.leaves;
+            leaves.is_none_or(|at| now.after(LEAVING_MARGIN) < at)
+        };
+        self.servers
+            .values()
+            .filter(|known| known.server.group == lane.group && known.server.ready)
+            .filter(in_time)
+    }
+
+    pub(super) fn instances(&self) -> usize {
+        self.instances.unwrap_or(UNKNOWN_INSTANCES)
+    }
+
+    pub(super) fn budget(&mut self, group: &SmolStr, settings: &Settings) -> &mut Budget {
+        let fresh = || Budget::new(settings.repeats);
+        self.budgets.entry(group.clone()).or_insert_with(fresh)
+    }
+}
--- /dev/null
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -0,0 +1,67 @@
+//! A link to another instance, as the steward sees it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use fireflywheel::fleet::frame::Frame;
+use fireflywheel::fleet::lease::Record;
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+
+use super::track::Track;
+
+/// A link to another instance.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub(super) sender: mpsc::Sender<Frame>,
+    pub(super) peer: Record,
+    pub(super) cpu_share: f64,
+    pub(super) leaving: bool,
+    /// Of its last demand.
+    pub(super) stamp_ms: u64,
+    /// Requests wait there, so that each change of an engine may matter to it at once.
+    pub(super) waits: bool,
+    /// Engines that have changed since it was told.
+    pub(super) untold: BTreeSet<SmolStr>,
+}
+
+/// What the steward says of itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Word {
+    pub(super) incarnation: u64,
+    pub(super) acts: bool,
+    pub(super) instances: usize,
+    pub(super) lease_end: u64,
+    pub(super) config_version: u64,
+    pub(super) read_age: Duration,
+}
+
+impl Link {
+    /// Tells of the engines that have changed; whether the link still has room.
+    pub(super) fn tell(&mut self, tracks: &BTreeMap<SmolStr, Track>) -> bool {
+        if self.untold.is_empty() {
+            return true;
+        }
+        let changed = std::mem::take(&mut self.untold);
+        let holdings = changed
+            .iter()
+            .filter_map(|server| Some(tracks.get(server)?.holding(server)));
+        self.sender
+            .try_send(Frame::Held(holdings.collect()))
+            .is_ok()
+    }
+}
+
+impl Word {
+    pub(super) fn frame(&self, stamp_ms: u64) -> Frame {
+        Frame::Beat {
+            incarnation: self.incarnation,
+            acts: self.acts,
+            instances: u32::try_from(self.instances).unwrap_or(u32::MAX),
+            lease_end: self.lease_end,
+            config_version: self.config_version,
+            read_ms: u32::try_from(self.read_age.as_millis()).unwrap_or(u32::MAX),
+            stamp_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -0,0 +1,290 @@
+//! What a steward knows and decides, behind its lock.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use fireflywheel::clock::Instant;
+use fireflywheel::fleet::config::Engine;
+use fireflywheel::fleet::demand::Board;
+use fireflywheel::fleet::frame::{Changes, Entry, Forecast, Frame};
+use fireflywheel::fleet::lease::Lease;
+use fireflywheel::fleet::plan::{self, Step, Tier, View};
+use fireflywheel::fleet::server::Server;
+use smol_str::SmolStr;
+
+use super::BEAT;
+use super::link::{Link, Word};
+use super::track::Track;
+
+/// Forecasts are sent again after this, since the wait that they tell of goes on.
+pub(super) const FORECAST: Duration = Duration::from_millis(500);
+
+/// The share of the weight store's rate that is used: a load may begin later than it was ordered.
+pub(super) const STORE_SHARE: f64 = 0.9;
+
+/// Loads from the weight store are counted over this window.
+pub(super) const STORE_WINDOW: Duration = Duration::from_secs(5);
+
+/// A wait that is worth a line in the log: twice a swap from a disk.
+pub(super) const LONG_WAIT: Duration = Duration::from_millis(1500);
+
+/// Time between two such lines for one model.
+pub(super) const DELAY_LOG: Duration = Duration::from_secs(1);
+
+/// Up to this many instances are told of each change of an engine at once. With more, only those at which
+/// requests wait: some twenty changes a second to each of 125 would take all of a small instance's processor.
+pub(super) const PROMPT_LINKS: usize = 40;
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) lease: Lease,
+    /// This instance has a link to a steward that acts.
+    pub(super) linked: bool,
+    /// The lease was read since it was last written, and since the last link ended.
+    pub(super) lease_known: bool,
+    pub(super) board: Board,
+    pub(super) tracks: BTreeMap<SmolStr, Track>,
+    pub(super) links: BTreeMap<u64, Link>,
+    pub(super) fetches: VecDeque<Instant>,
+    pub(super) acting: Option<u64>,
+    pub(super) beat: Option<Instant>,
+    pub(super) told_version: u64,
+    /// The directory as it was told last.
+    pub(super) entries: BTreeMap<SmolStr, Entry>,
+    pub(super) forecast: Instant,
+    pub(super) forecasts: Vec<Forecast>,
+    /// When it was last logged that a model is waited for.
+    pub(super) delays: BTreeMap<SmolStr, Instant>,
+}
+
+/// An order that is to be sent.
+#[derive(Clone, Debug)]
+pub(super) struct Due {
+    pub(super) server: SmolStr,
+    pub(super) fencing: u64,
+    pub(super) step: Step,
+}
+
+impl State {
+    /// The lease was won or lost.
+    pub(super) fn turn(&mut self, now: Instant, acting: Option<u64>) {
+        self.acting = acting;
+        self.tracks.clear();
+        self.forecasts.clear();
+        // Loads of the steward before may have begun a moment ago: the window starts as if it were half full.
+        self.fetches.clear();
+        self.fetches.extend(std::iter::repeat_n(now, plan::FETCHES));
+        self.beat = None;
+    }
+
+    /// Takes in what the directory says of a group's engines.
+    pub(super) fn follow(&mut self, group: &SmolStr, engines: Vec<Server>) {
+        self.tracks.retain(|id, track| {
+            track.group != *group || engines.iter().any(|server| server.id == *id)
+        });
+        for server in engines {
+            let fresh = || Track::new(group.clone(), server.clone());
+            let track = self.tracks.entry(server.id.clone()).or_insert_with(fresh);
+            track.follow(server);
+        }
+    }
+
+    /// The orders that are due in a group, counted as sent.
+    pub(super) fn plan(
+        &mut self,
+        now: Instant,
+        group: &SmolStr,
+        engine: &Engine,
+        fencing: u64,
+        forecasts: &mut Vec<Forecast>,
+    ) -> Vec<Due> {
+        let ids: Vec<SmolStr> = self
+            .tracks
+            .iter()
+            .filter(|(_, track)| track.group == *group)
+            .map(|(id, _)| id.clone())
+            .collect();
+        let sites: Vec<plan::Site> = ids
+            .iter()
+            .map(|id| self.tracks[id].site(now, self.board.running(id)))
+            .collect();
+        let wants = self.board.wants(group);
+        let models = engine.models.keys();
+        let rates = models
+            .map(|model| (model.clone(), self.board.rate(now, group, model)))
+            .collect();
+        let view = View {
+            now,
+            engine,
+            sites: &sites,
+            wants: &wants,
+            rates: &rates,
+            fetches: self.fetch_room(now, engine, &sites),
+        };
+        let expected = plan::forecast(&view).into_iter();
+        forecasts.extend(expected.map(|(model, wait)| Forecast {
+            group: group.clone(),
+            model,
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        }));
+        log_delays(&view, &mut self.delays);
+        let mut due = Vec::new();
+        for step in plan::steps(&view) {
+            let server = ids[step.site()].clone();
+            if matches!(
+                step,
+                Step::Load {
+                    tier: Tier::Store,
+                    ..
+                }
+            ) {
+                self.fetches.push_back(now);
+            }
+            let track = self
+                .tracks
+                .get_mut(&server)
+                .expect("it is a site of this plan");
+            track.sent(now);
+            due.push(Due {
+                server,
+                fencing,
+                step,
+            });
+        }
+        due
+    }
+
+    /// Loads from the weight store that may run at once, by its rate.
+    pub(super) fn fetch_room(
+        &mut self,
+        now: Instant,
+        engine: &Engine,
+        sites: &[plan::Site],
+    ) -> usize {
+        while self
+            .fetches
+            .front()
+            .is_some_and(|at| now.since(*at) > STORE_WINDOW)
+        {
+            self.fetches.pop_front();
+        }
+        let allowed = engine.loads_per_second * STORE_WINDOW.as_secs_f64() * STORE_SHARE;
+        let left = (allowed - self.fetches.len() as f64).max(0.0) as usize;
+        let running = sites.iter().filter(|site| site.fetching).count();
+        plan::FETCHES.min(running + left)
+    }
+
+    pub(super) fn tell_forecasts(&mut self, now: Instant, forecasts: Vec<Forecast>) {
+        let models = |list: &[Forecast]| {
+            list.iter()
+                .map(|forecast| forecast.model.clone())
+                .collect::<Vec<_>>()
+        };
+        let changed = models(&forecasts) != models(&self.forecasts);
+        if !changed && now.since(self.forecast) < FORECAST {
+            return;
+        }
+        let empty = forecasts.is_empty() && self.forecasts.is_empty();
+        self.forecasts = forecasts;
+        self.forecast = now;
+        if !empty {
+            let frame = Frame::Forecast(self.forecasts.clone());
+            self.broadcast(&frame);
+        }
+    }
+
+    /// A beat at its time, and at once when there is a new configuration.
+    pub(super) fn beat(&mut self, now: Instant, word: &Word) {
+        let due = self.beat.is_none_or(|beat| now.since(beat) >= BEAT);
+        if !due && word.config_version == self.told_version {
+            return;
+        }
+        self.beat = Some(now);
+        self.told_version = word.config_version;
+        self.tell_all_held();
+        self.links.retain(|_, link| {
+            let frame = word.frame(link.stamp_ms);
+            link.sender.try_send(frame).is_ok()
+        });
+    }
+
+    /// All that an instance with a new link must know.
+    pub(super) fn all(&self) -> Vec<Frame> {
+        let mut frames = Vec::new();
+        if !self.entries.is_empty() {
+            frames.push(Frame::Directory(Changes {
+                all: true,
+                entries: self.entries.values().cloned().collect(),
+                gone: Vec::new(),
+            }));
+        }
+        let tracks = self.tracks.iter();
+        let holdings = tracks.map(|(server, track)| track.holding(server));
+        frames.push(Frame::Held(holdings.collect()));
+        frames.push(Frame::Forecast(self.forecasts.clone()));
+        frames
+    }
+
+    pub(super) fn tell_directory(&mut self, entries: BTreeMap<SmolStr, Entry>) {
+        let changes = Changes::between(&self.entries, &entries);
+        self.entries = entries;
+        if let Some(changes) = changes {
+            self.broadcast(&Frame::Directory(changes));
+        }
+    }
+
+    /// An engine has changed.
+    pub(super) fn tell_held(&mut self, server: &SmolStr) {
+        for link in self.links.values_mut() {
+            link.untold.insert(server.clone());
+        }
+    }
+
+    /// Tells those at once for whom it may matter; all, if they are few.
+    pub(super) fn tell_waiting(&mut self) {
+        let tracks = &self.tracks;
+        let few = self.links.len() <= PROMPT_LINKS;
+        self.links
+            .retain(|_, link| !(few || link.waits) || link.tell(tracks));
+    }
+
+    pub(super) fn tell_all_held(&mut self) {
+        let tracks = &self.tracks;
+        self.links.retain(|_, link| link.tell(tracks));
+    }
+
+    /// A link whose queue is full is dropped: its instance would go on with old news.
+    pub(super) fn broadcast(&mut self, frame: &Frame) {
+        self.links
+            .retain(|_, link| link.sender.try_send(frame.clone()).is_ok());
+    }
+
+    pub(super) fn reports_due(&mut self, now: Instant) -> Vec<SmolStr> {
+        let mut due = Vec::new();
+        for (id, track) in &mut self.tracks {
+            if track.needs_report(now) {
+                track.asked(now);
+                due.push(id.clone());
+            }
+        }
+        due
+    }
+}
+
+/// Logs what keeps callers waiting for long, once a second for each model.
+pub(super) fn log_delays(view: &View<'_>, logged: &mut BTreeMap<SmolStr, Instant>) {
+    logged.retain(|_, at| view.now.since(*at) < DELAY_LOG);
+    for want in view.wants.iter().filter(|want| want.adapter.is_none()) {
+        let waited = view.now.since(want.since);
+        if waited < LONG_WAIT || logged.contains_key(&want.model) {
+            continue;
+        }
+        logged.insert(want.model.clone(), view.now);
+        log::info!(
+            model = want.model.as_str(), waiting = want.waiting,
+            waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+            why = plan::obstacle(view, &want.model);
+            "model waited for"
+        );
+    }
+}
