--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::config::Route;
+use fireflywheel::clock;
+use fireflywheel::fleet::config;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -14,8 +14,8 @@
 use smol_str::SmolStr;
 use tokio::time;
 
-use super::node::{Chosen, InFlight, LaneKey, Node, Verdict};
-use super::platform::{Attempt, Call, Platform, Reply};
+use super::node;
+use super::platform;
 use super::pool;
 
 /// The largest whole response that is kept back until it is known to be complete.
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 pub struct Job {
     /// What routing needs of it.
-    pub call: Call,
+    pub call: platform::Call,
     /// Its method.
     pub method: Method,
     /// Its path with the query.
@@ -35,31 +35,31 @@
     /// Its body.
     pub body: Bytes,
     /// The route that it takes.
-    pub route: Route,
+    pub route: config::Route,
     /// Where it waits.
-    pub lane: LaneKey,
+    pub lane: node::LaneKey,
     /// When it came.
-    pub arrived: Instant,
+    pub arrived: clock::Instant,
     /// When its final answer is due.
-    pub deadline: Instant,
+    pub deadline: clock::Instant,
 }
 
 /// A response that has begun.
 #[derive(Debug)]
 pub struct Begun<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     /// Its head.
     pub head: Parts,
     /// What the head says beside its status.
-    pub reply: Reply,
+    pub reply: platform::Reply,
     /// The rest of it.
     pub body: Incoming,
     /// The connection that it comes on; dropped, the server stops.
     pub connection: pool::Connection,
     /// Counts the request at its server.
-    pub in_flight: InFlight<P>,
+    pub in_flight: node::InFlight<P>,
     /// The server's id.
     pub server: SmolStr,
 }
@@ -68,7 +68,7 @@
 #[derive(Debug)]
 pub enum Outcome<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     /// A backend server answers.
     Begun(Box<Begun<P>>),
@@ -82,13 +82,13 @@
 
 /// Sends a request to a server, going on after `last_event` if the caller has had that already.
 pub async fn send<P>(
-    node: &Arc<Node<P>>,
+    node: &Arc<node::Node<P>>,
     job: &Job,
-    chosen: &Chosen,
+    chosen: &node::Chosen,
     last_event: Option<u64>,
 ) -> Outcome<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let now = node.now();
     let left = job.deadline.since(now);
@@ -119,7 +119,7 @@
     let named = reply.id.as_ref().is_none_or(|id| *id == job.call.id);
     if !named || !reply.sealed {
         // It answers another request, or no backend server made it. Whether ours has run is not known.
-        node.judge(server, Verdict::Failed);
+        node.judge(server, node::Verdict::Failed);
         return Outcome::Lost(if named {
             "response without proof"
         } else {
@@ -142,12 +142,12 @@
 ///
 /// Nothing more than that it broke off, or took until the deadline.
 pub async fn whole<P>(
-    node: &Arc<Node<P>>,
+    node: &Arc<node::Node<P>>,
     job: &Job,
     begun: Begun<P>,
 ) -> Result<(Parts, Bytes), Outcome<P>>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let left = job.deadline.since(node.now());
     let collecting = Limited::new(begun.body, WHOLE_LIMIT).collect();
@@ -155,13 +155,17 @@
         return Err(Outcome::Late);
     };
     let Ok(collected) = collected else {
-        node.judge(&begun.server, Verdict::Failed);
+        node.judge(&begun.server, node::Verdict::Failed);
         return Err(Outcome::Lost("response broke off"));
     };
     let good = !begun.head.status.is_server_error();
     node.judge(
         &begun.server,
-        if good { Verdict::Good } else { Verdict::Failed },
+        if good {
+            node::Verdict::Good
+        } else {
+            node::Verdict::Failed
+        },
     );
     node.pool
         .keep(node.now(), begun.connection, begun.reply.keep);
@@ -171,12 +175,12 @@
 fn outgoing<P>(
     platform: &P,
     job: &Job,
-    chosen: &Chosen,
+    chosen: &node::Chosen,
     left: Duration,
     last_event: Option<u64>,
 ) -> Request<Full<Bytes>>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.method.clone();
@@ -185,7 +189,7 @@
     if let Ok(host) = job.call.host.parse() {
         request.headers_mut().insert(HOST, host);
     }
-    let attempt = Attempt {
+    let attempt = platform::Attempt {
         server: &chosen.server,
         left,
         rank: job.route.rank,
@@ -195,45 +199,45 @@
     request
 }
 
-fn failed<P>(node: &Arc<Node<P>>, server: &str, fault: pool::Fault) -> Outcome<P>
+fn failed<P>(node: &Arc<node::Node<P>>, server: &str, fault: pool::Fault) -> Outcome<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     match fault {
         pool::Fault::Unreachable => {
-            node.judge(server, Verdict::Unreachable);
+            node.judge(server, node::Verdict::Unreachable);
             Outcome::NotRun("unreachable")
         }
         pool::Fault::Full => {
-            node.judge(server, Verdict::Full);
+            node.judge(server, node::Verdict::Full);
             Outcome::NotRun("no connection free")
         }
         pool::Fault::Unsent => Outcome::NotRun("connection ended unused"),
         pool::Fault::Lost => {
-            node.judge(server, Verdict::Failed);
+            node.judge(server, node::Verdict::Failed);
             Outcome::Lost("connection ended")
         }
     }
 }
 
 fn refused<P>(
-    node: &Arc<Node<P>>,
+    node: &Arc<node::Node<P>>,
     job: &Job,
     server: &str,
     status: StatusCode,
-    reply: &Reply,
+    reply: &platform::Reply,
 ) -> Outcome<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     if reply.server.as_ref().is_some_and(|other| other != server) {
-        node.judge(server, Verdict::Replaced);
+        node.judge(server, node::Verdict::Replaced);
         return Outcome::NotRun("another server has its address");
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         node.denied(server, &job.lane);
         return Outcome::NotRun("not held there");
     }
-    node.judge(server, Verdict::Full);
+    node.judge(server, node::Verdict::Full);
     Outcome::NotRun("refused by the server")
 }
--- a/crates/fireflywheel_daemon/src/fleet/daemon.rs
+++ b/crates/fireflywheel_daemon/src/fleet/daemon.rs
@@ -11,14 +11,14 @@
 use tokio::time;
 
 use super::door::Ready;
-use super::metrics::Metrics;
-use super::node::Node;
-use super::platform::Platform;
-use super::relay::Relay;
-use super::steward::Steward;
+use super::metrics;
+use super::node;
+use super::platform;
+use super::relay;
+use super::steward;
 use super::{links, watch as following};
 use crate::door;
-use fireflywheel::fleet::settings::Settings;
+use fireflywheel::fleet::settings;
 
 /// How long callers may still be sent here after the instance says that it isn't ready: whoever asks does so
 /// once a second, and believes the second answer.
@@ -31,8 +31,8 @@
 /// A running instance.
 #[derive(Debug)]
 pub struct Daemon<P> {
-    node: Arc<Node<P>>,
-    steward: Arc<Steward<P>>,
+    node: Arc<node::Node<P>>,
+    steward: Arc<steward::Steward<P>>,
     stop: watch::Sender<bool>,
     callers: JoinSet<()>,
     tasks: JoinSet<()>,
@@ -51,14 +51,14 @@
 
 impl<P> Daemon<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     /// Starts an instance. It is ready once it has a configuration.
     ///
     /// # Errors
     ///
     /// When an address can't be listened on.
-    pub async fn start(platform: P, settings: Settings) -> anyhow::Result<Self> {
+    pub async fn start(platform: P, settings: settings::Settings) -> anyhow::Result<Self> {
         let listeners = Listeners {
             callers: listen(settings.callers).await?,
             ready: listen(settings.ready).await?,
@@ -72,18 +72,26 @@
     /// # Errors
     ///
     /// When its metrics can't be made.
-    pub fn start_on(platform: P, settings: Settings, listeners: Listeners) -> anyhow::Result<Self> {
+    pub fn start_on(
+        platform: P,
+        settings: settings::Settings,
+        listeners: Listeners,
+    ) -> anyhow::Result<Self> {
         let Listeners {
             callers: callers_at,
             ready: ready_at,
             peers: peers_at,
         } = listeners;
         let limits = door_limits(&settings);
-        let node = Arc::new(Node::new(platform, settings, Metrics::new()?));
-        let steward = Arc::new(Steward::new(Arc::clone(&node)));
+        let node = Arc::new(node::Node::new(
+            platform,
+            settings,
+            metrics::Metrics::new()?,
+        ));
+        let steward = Arc::new(steward::Steward::new(Arc::clone(&node)));
         let stop = watch::Sender::new(false);
         let mut callers = JoinSet::new();
-        let relay = Arc::new(Relay::new(Arc::clone(&node)));
+        let relay = Arc::new(relay::Relay::new(Arc::clone(&node)));
         callers.spawn(door::Door::new(callers_at, limits, stop.subscribe()).serve(relay));
         let mut tasks = JoinSet::new();
         // The address that says "not ready" must answer until the end.
@@ -145,7 +153,7 @@
     listener.with_context(|| format!("can't listen on {address}"))
 }
 
-fn door_limits(settings: &Settings) -> fireflywheel::settings::Limits {
+fn door_limits(settings: &settings::Settings) -> fireflywheel::settings::Limits {
     let limits = config::Limits::default();
     fireflywheel::settings::Limits {
         connections: settings.connections,
--- a/crates/fireflywheel_daemon/src/fleet/door.rs
+++ b/crates/fireflywheel_daemon/src/fleet/door.rs
@@ -6,8 +6,8 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 
-use super::node::Node;
-use super::platform::Platform;
+use super::node;
+use super::platform;
 use crate::door;
 
 /// Where scrapers find the metrics.
@@ -19,20 +19,20 @@
 /// Answers the platform and scrapers.
 #[derive(Debug)]
 pub struct Ready<P> {
-    node: Arc<Node<P>>,
+    node: Arc<node::Node<P>>,
 }
 
 impl<P> Ready<P> {
     /// Tells of `node`.
     #[must_use]
-    pub fn new(node: Arc<Node<P>>) -> Self {
+    pub fn new(node: Arc<node::Node<P>>) -> Self {
         Self { node }
     }
 }
 
 impl<P> door::Service for Ready<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<door::Body> {
         let path = request.uri().path();
@@ -51,7 +51,7 @@
     }
 }
 
-fn metrics<P>(node: &Node<P>) -> Response<door::Body> {
+fn metrics<P>(node: &node::Node<P>) -> Response<door::Body> {
     match node.metrics.text() {
         Ok(text) => {
             let mut response = Response::new(door::Body::whole(text));
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::frame::Frame;
-use fireflywheel::fleet::lease::Record;
+use fireflywheel::clock;
+use fireflywheel::fleet::frame;
+use fireflywheel::fleet::lease;
 use futures_util::{SinkExt as _, StreamExt as _};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
@@ -16,9 +16,9 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
-use super::node::Relayed;
-use super::platform::Platform;
-use super::steward::{BEAT, Steward};
+use super::node;
+use super::platform;
+use super::steward;
 
 /// A link without a frame for this long is dead: three beats.
 const SILENCE: Duration = Duration::from_millis(900);
@@ -41,9 +41,9 @@
 type Socket = WebSocketStream<TcpStream>;
 
 /// Takes links of other instances, for ever.
-pub async fn accept<P>(steward: Arc<Steward<P>>, listener: TcpListener)
+pub async fn accept<P>(steward: Arc<steward::Steward<P>>, listener: TcpListener)
 where
-    P: Platform,
+    P: platform::Platform,
 {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -63,9 +63,9 @@
 }
 
 /// Tells the steward what this instance wants, whoever is steward, for ever.
-pub async fn follow<P>(steward: Arc<Steward<P>>)
+pub async fn follow<P>(steward: Arc<steward::Steward<P>>)
 where
-    P: Platform,
+    P: platform::Platform,
 {
     loop {
         if steward.acts() {
@@ -81,7 +81,7 @@
                 .map_or_else(|| "ended".to_owned(), |error| error.to_string());
             steward.set_linked(false);
             steward.node.set_told(false);
-            steward.node.relayed.send_replace(Relayed::default());
+            steward.node.relayed.send_replace(node::Relayed::default());
             log::info!(steward = holder.instance.as_str(), why = why.as_str(); "no link to the steward");
         }
         time::sleep(PAUSE).await;
@@ -90,21 +90,21 @@
 
 /// When the next demand is due. Kept across all that comes meanwhile: a pause that begins anew with each frame
 /// would never end while the steward talks.
-struct Due(Instant);
+struct Due(clock::Instant);
 
 impl Due {
-    fn new(now: Instant) -> Self {
-        Self(now.after(BEAT))
+    fn new(now: clock::Instant) -> Self {
+        Self(now.after(steward::BEAT))
     }
 
-    fn within(&mut self, now: Instant, pause: Duration) {
+    fn within(&mut self, now: clock::Instant, pause: Duration) {
         self.0 = self.0.min(now.after(pause));
     }
 
     /// Waits until a demand is due; what is wanted is told soon, what is used when it is convenient.
-    async fn wait<P>(&mut self, steward: &Steward<P>)
+    async fn wait<P>(&mut self, steward: &steward::Steward<P>)
     where
-        P: Platform,
+        P: platform::Platform,
     {
         let node = &steward.node;
         loop {
@@ -125,16 +125,16 @@
 /// Use of engines is told this much later: a steward with many instances would do nothing but listen.
 fn lazily(instances: usize) -> Duration {
     let pause = LAZY_AN_INSTANCE * u32::try_from(instances).unwrap_or(u32::MAX);
-    pause.clamp(GATHER, BEAT)
+    pause.clamp(GATHER, steward::BEAT)
 }
 
 /// The steward's end of a link.
-async fn serve<P>(steward: &Arc<Steward<P>>, mut socket: Socket)
+async fn serve<P>(steward: &Arc<steward::Steward<P>>, mut socket: Socket)
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let hello = time::timeout(OPEN, receive(&mut socket)).await;
-    let Ok(Ok(Frame::Hello {
+    let Ok(Ok(frame::Frame::Hello {
         instance,
         incarnation,
         address,
@@ -145,7 +145,7 @@
     };
     let number = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
     let key = SmolStr::new(format!("{instance}/{incarnation}"));
-    let peer = Record {
+    let peer = lease::Record {
         instance: instance.clone(),
         incarnation,
         address,
@@ -166,7 +166,7 @@
             frame = receive(&mut socket) => {
                 heard = steward.node.now();
                 match frame {
-                    Ok(Frame::Demand(demand)) => {
+                    Ok(frame::Frame::Demand(demand)) => {
                         steward.hear(number, &demand);
                         steward.demand(&key, demand);
                     }
@@ -182,9 +182,9 @@
 }
 
 /// An instance's end of a link.
-async fn connect<P>(steward: &Steward<P>, holder: &Record) -> anyhow::Result<()>
+async fn connect<P>(steward: &steward::Steward<P>, holder: &lease::Record) -> anyhow::Result<()>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let address = holder.address.as_str();
     let opening = async {
@@ -200,14 +200,14 @@
     let mut socket = time::timeout(OPEN, opening)
         .await
         .context("not opened in time")??;
-    let hello = Frame::Hello {
+    let hello = frame::Frame::Hello {
         instance: steward.node.settings.instance.clone(),
         incarnation: steward.node.incarnation,
         address: steward.node.settings.peers.to_string().into(),
         cpu_share: steward.node.settings.cpu_share,
     };
     send(&mut socket, &hello).await?;
-    send(&mut socket, &Frame::Demand(steward.node.demand())).await?;
+    send(&mut socket, &frame::Frame::Demand(steward.node.demand())).await?;
     let mut heard = steward.node.now();
     let mut due = Due::new(heard);
     loop {
@@ -219,23 +219,27 @@
             }
             () = time::sleep(silence) => anyhow::bail!("silent"),
             () = due.wait(steward) => {
-                send(&mut socket, &Frame::Demand(steward.node.demand())).await?;
+                send(&mut socket, &frame::Frame::Demand(steward.node.demand())).await?;
             }
         }
     }
 }
 
-fn take<P>(steward: &Steward<P>, holder: &Record, frame: Frame) -> anyhow::Result<()>
+fn take<P>(
+    steward: &steward::Steward<P>,
+    holder: &lease::Record,
+    frame: frame::Frame,
+) -> anyhow::Result<()>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     match frame {
-        Frame::Beat { incarnation, .. } if incarnation != holder.incarnation => {
+        frame::Frame::Beat { incarnation, .. } if incarnation != holder.incarnation => {
             steward.ended(holder.incarnation);
             anyhow::bail!("another process answers in its place");
         }
-        Frame::Beat { acts: false, .. } => anyhow::bail!("it doesn't act as steward"),
-        Frame::Beat {
+        frame::Frame::Beat { acts: false, .. } => anyhow::bail!("it doesn't act as steward"),
+        frame::Frame::Beat {
             instances,
             lease_end,
             config_version,
@@ -249,45 +253,45 @@
             steward.set_linked(true);
             steward.node.set_told(true);
         }
-        Frame::Held(holdings) => {
+        frame::Frame::Held(holdings) => {
             for holding in holdings {
                 steward.node.learn_held(holding);
             }
         }
-        Frame::Forecast(forecasts) => steward.node.learn_forecasts(forecasts),
-        Frame::HandOver(given) => {
+        frame::Frame::Forecast(forecasts) => steward.node.learn_forecasts(forecasts),
+        frame::Frame::HandOver(given) => {
             steward.receive(given);
             anyhow::bail!("it handed the lease over");
         }
-        Frame::Moved(holder) => {
+        frame::Frame::Moved(holder) => {
             steward.moved(holder);
             anyhow::bail!("another instance is steward");
         }
-        Frame::Directory(changes) => steward.node.learn_entries(changes),
-        Frame::Hello { .. } | Frame::Demand(_) => {}
+        frame::Frame::Directory(changes) => steward.node.learn_entries(changes),
+        frame::Frame::Hello { .. } | frame::Frame::Demand(_) => {}
     }
     Ok(())
 }
 
 /// Takes the steward's reads of the store for this instance's own, as long as they are young. The beat answers a
 /// demand of this instance, so it was made later than that; whatever held it up is counted.
-fn relayed<P>(steward: &Steward<P>, version: u64, read_ms: u32, stamp_ms: u64)
+fn relayed<P>(steward: &steward::Steward<P>, version: u64, read_ms: u32, stamp_ms: u64)
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let settings = &steward.node.settings;
     let oldest = settings.obey.min(settings.apply).mul_f64(RELAYED_SHARE);
     let fresh = oldest.saturating_sub(Duration::from_millis(read_ms.into()));
-    let until = Instant(stamp_ms).after(fresh);
+    let until = clock::Instant(stamp_ms).after(fresh);
     let young = stamp_ms > 0 && until > steward.node.now();
-    let relayed = Relayed {
+    let relayed = node::Relayed {
         until: young.then_some(until),
         version,
     };
     steward.node.relayed.send_replace(relayed);
 }
 
-async fn send(socket: &mut Socket, frame: &Frame) -> anyhow::Result<()> {
+async fn send(socket: &mut Socket, frame: &frame::Frame) -> anyhow::Result<()> {
     let mut bytes = Vec::new();
     ciborium::into_writer(frame, &mut bytes)?;
     let sending = socket.send(Message::Binary(bytes.into()));
@@ -297,7 +301,7 @@
     Ok(())
 }
 
-async fn receive(socket: &mut Socket) -> anyhow::Result<Frame> {
+async fn receive(socket: &mut Socket) -> anyhow::Result<frame::Frame> {
     loop {
         match socket.next().await.context("closed")?? {
             Message::Binary(bytes) => return Ok(ciborium::from_reader(bytes.as_ref())?),
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -10,16 +10,16 @@
 use std::time::Duration;
 
 use fireflywheel::clock::Instant;
-use fireflywheel::fleet::config::Config;
-use fireflywheel::fleet::settings::Settings;
+use fireflywheel::fleet::config;
+use fireflywheel::fleet::settings;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
 pub use choice::{Choice, Chosen, Verdict};
 pub use guard::{InFlight, Waiter};
 
-use super::metrics::Metrics;
-use super::pool::Pool;
+use super::metrics;
+use super::pool;
 use crate::clock::Clock;
 use state::State;
 
@@ -29,13 +29,13 @@
     /// What translates.
     pub platform: P,
     /// What it was told at its start.
-    pub settings: Settings,
+    pub settings: settings::Settings,
     /// Its clock.
     pub clock: Clock,
     /// Its connections to backend servers.
-    pub pool: Pool,
+    pub pool: pool::Pool,
     /// What it counts.
-    pub metrics: Metrics,
+    pub metrics: metrics::Metrics,
     /// Tells two processes of one name apart.
     pub incarnation: u64,
     /// Changes when a request that waits may find something else.
@@ -75,12 +75,12 @@
 {
     /// An instance that knows nothing yet.
     #[must_use]
-    pub fn new(platform: P, settings: Settings, metrics: Metrics) -> Self {
+    pub fn new(platform: P, settings: settings::Settings, metrics: metrics::Metrics) -> Self {
         Self {
             platform,
             settings,
             clock: Clock::new(),
-            pool: Pool::default(),
+            pool: pool::Pool::default(),
             metrics,
             incarnation: rand::random(),
             changed: watch::Sender::new(0),
@@ -99,12 +99,12 @@
 
     /// The configuration in force.
     #[must_use]
-    pub fn config(&self) -> Option<Arc<Config>> {
+    pub fn config(&self) -> Option<Arc<config::Config>> {
         self.lock().config.clone()
     }
 
     /// Puts a configuration in force, unless a later one is.
-    pub fn configure(&self, config: Config) -> bool {
+    pub fn configure(&self, config: config::Config) -> bool {
         let mut state = self.lock();
         let newest = state.config.as_ref().map(|config| config.version);
         if newest.is_some_and(|version| version >= config.version) {
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -4,15 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::routing::{self, Candidate};
+use fireflywheel::clock;
+use fireflywheel::fleet::routing;
 use fireflywheel::rendezvous;
 use smol_str::SmolStr;
 
-use super::guard::{InFlight, Waiter};
-use super::state::{Known, Waiting};
+use super::guard;
+use super::state;
 use super::{LaneKey, Node};
-use crate::fleet::platform::Call;
+use crate::fleet::platform;
 
 /// Prompts that share at least this many tokens are sent to the server that has read them: below it, reading
 /// them again takes less time than the way to another server.
@@ -63,7 +63,7 @@
 {
     /// Where a request can go now, leaving out servers that it was sent to already if there are others.
     #[must_use]
-    pub fn choose(&self, lane: &LaneKey, call: &Call, tried: &[SmolStr]) -> Choice {
+    pub fn choose(&self, lane: &LaneKey, call: &platform::Call, tried: &[SmolStr]) -> Choice {
         let now = self.now();
         let state = self.lock();
         let group = state
@@ -73,7 +73,7 @@
         let Some(group) = group else {
             return Choice::Nobody;
         };
-        let mut servers: Vec<&Known> = state.usable(now, lane).collect();
+        let mut servers: Vec<&state::Known> = state.usable(now, lane).collect();
         if servers.is_empty() {
             return Choice::Nobody;
         }
@@ -96,9 +96,9 @@
             servers.retain(|known| !tried.contains(&known.server.id));
         }
         let warm = warm_server(call, &servers);
-        let candidates: Vec<Candidate<'_>> = servers
+        let candidates: Vec<routing::Candidate<'_>> = servers
             .iter()
-            .map(|known| Candidate {
+            .map(|known| routing::Candidate {
                 seen: &known.seen,
                 slots: known.server.slots,
                 near: known.server.domain == self.settings.domain,
@@ -117,7 +117,7 @@
 
     /// Counts a request at a server from now on.
     #[must_use]
-    pub fn begin(self: &Arc<Self>, server: &SmolStr, lane: &LaneKey) -> InFlight<P> {
+    pub fn begin(self: &Arc<Self>, server: &SmolStr, lane: &LaneKey) -> guard::InFlight<P> {
         let key = (lane.model.clone().unwrap_or_default(), lane.adapter.clone());
         let mut state = self.lock();
         let mut born = 0;
@@ -128,7 +128,7 @@
         }
         drop(state);
         self.used.notify_one();
-        InFlight {
+        guard::InFlight {
             node: Arc::clone(self),
             server: server.clone(),
             born,
@@ -138,11 +138,16 @@
 
     /// Counts a request as waiting from now on.
     #[must_use]
-    pub fn wait(self: &Arc<Self>, lane: &LaneKey, since: Instant, until: Instant) -> Waiter<P> {
+    pub fn wait(
+        self: &Arc<Self>,
+        lane: &LaneKey,
+        since: clock::Instant,
+        until: clock::Instant,
+    ) -> guard::Waiter<P> {
         let mut state = self.lock();
         state.next_waiting += 1;
         let number = state.next_waiting;
-        let waiting = Waiting { since, until };
+        let waiting = state::Waiting { since, until };
         state
             .lanes
             .entry(lane.clone())
@@ -150,7 +155,7 @@
             .insert(number, waiting);
         drop(state);
         self.wanted.notify_one();
-        Waiter {
+        guard::Waiter {
             node: Arc::clone(self),
             lane: lane.clone(),
             number,
@@ -174,7 +179,7 @@
 }
 
 /// Instances agree on it without talking, as long as they see the same servers.
-fn warm_server(call: &Call, servers: &[&Known]) -> Option<SmolStr> {
+fn warm_server(call: &platform::Call, servers: &[&state::Known]) -> Option<SmolStr> {
     let shared = call.shared.as_ref()?;
     if shared.tokens < WARM_TOKENS || servers.len() < 2 {
         return None;
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::demand::{Arrived, Demand, Lane, Running};
-use fireflywheel::fleet::server::Server;
+use fireflywheel::clock;
+use fireflywheel::fleet::demand;
+use fireflywheel::fleet::server;
 use smol_str::SmolStr;
 
-use super::state::{Known, Waiting};
+use super::state;
 use super::{LaneKey, Node};
 
 impl<P> Node<P>
@@ -17,7 +17,7 @@
 {
     /// The engines of a group, for the steward.
     #[must_use]
-    pub fn engines(&self, group: &str) -> Vec<Server> {
+    pub fn engines(&self, group: &str) -> Vec<server::Server> {
         let state = self.lock();
         let known = state.servers.values();
         known
@@ -28,12 +28,12 @@
 
     /// All that this instance wants and has running.
     #[must_use]
-    pub fn demand(&self) -> Demand {
+    pub fn demand(&self) -> demand::Demand {
         let now = self.now();
         let mut state = self.lock();
         let arrived = std::mem::take(&mut state.arrived);
         let denied = std::mem::take(&mut state.denied);
-        Demand {
+        demand::Demand {
             lanes: state
                 .lanes
                 .iter()
@@ -42,7 +42,7 @@
             running: state.servers.values().flat_map(running).collect(),
             arrived: arrived
                 .into_iter()
-                .map(|((group, model), count)| Arrived {
+                .map(|((group, model), count)| demand::Arrived {
                     group,
                     model,
                     count,
@@ -64,11 +64,15 @@
     }
 }
 
-fn lane_demand(now: Instant, key: &LaneKey, lane: &BTreeMap<u64, Waiting>) -> Option<Lane> {
+fn lane_demand(
+    now: clock::Instant,
+    key: &LaneKey,
+    lane: &BTreeMap<u64, state::Waiting>,
+) -> Option<demand::Lane> {
     let model = key.model.clone()?;
     let since = lane.values().map(|waiting| waiting.since).min()?;
     let until = lane.values().map(|waiting| waiting.until).max()?;
-    Some(Lane {
+    Some(demand::Lane {
         group: key.group.clone(),
         model,
         adapter: key.adapter.clone(),
@@ -78,9 +82,9 @@
     })
 }
 
-fn running(known: &Known) -> impl Iterator<Item = Running> {
+fn running(known: &state::Known) -> impl Iterator<Item = demand::Running> {
     let counts = known.running.iter().filter(|(_, count)| **count > 0);
-    counts.map(|((model, adapter), count)| Running {
+    counts.map(|((model, adapter), count)| demand::Running {
         server: known.server.id.clone(),
         model: model.clone(),
         adapter: adapter.clone(),
--- a/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fireflywheel::fleet::frame::{Changes, Entry, Forecast, Holding};
+use fireflywheel::fleet::frame;
 use fireflywheel::fleet::routing;
 use smol_str::SmolStr;
 
-use super::state::TOLD;
+use super::state;
 use super::{LaneKey, Node, Verdict};
-use crate::fleet::platform::News;
+use crate::fleet::platform;
 
 impl<P> Node<P>
 where
@@ -17,11 +17,11 @@
 {
     /// Takes in news of the directory. Entries that are gone are kept for `patience`, in case they lapsed
     /// only because the store was away.
-    pub fn learn(&self, news: News, patience: Duration) {
+    pub fn learn(&self, news: platform::News, patience: Duration) {
         let now = self.now();
         let mut state = self.lock();
         match news {
-            News::All(servers) => {
+            platform::News::All(servers) => {
                 for known in state.servers.values_mut() {
                     if servers.iter().all(|server| server.id != known.server.id) {
                         known.missing.get_or_insert(now);
@@ -31,7 +31,7 @@
                     state.enter(server);
                 }
             }
-            News::Some(changes) => {
+            platform::News::Some(changes) => {
                 for (id, server) in changes {
                     match server {
                         Some(server) => state.enter(server),
@@ -47,7 +47,7 @@
 
     /// All entries of the directory, for other instances.
     #[must_use]
-    pub fn entries(&self) -> BTreeMap<SmolStr, Entry> {
+    pub fn entries(&self) -> BTreeMap<SmolStr, frame::Entry> {
         let now = self.now();
         let state = self.lock();
         let present = state
@@ -55,19 +55,19 @@
             .iter()
             .filter(|(_, known)| known.missing.is_none());
         present
-            .map(|(id, known)| (id.clone(), Entry::new(&known.server, now)))
+            .map(|(id, known)| (id.clone(), frame::Entry::new(&known.server, now)))
             .collect()
     }
 
     /// The steward says what has changed in the directory.
-    pub fn learn_entries(&self, changes: Changes) {
+    pub fn learn_entries(&self, changes: frame::Changes) {
         let now = self.now();
         let servers = changes.entries.into_iter().map(|entry| entry.server(now));
         let news = if changes.all {
-            News::All(servers.collect())
+            platform::News::All(servers.collect())
         } else {
             let changed = servers.map(|server| (server.id.clone(), Some(server)));
-            News::Some(
+            platform::News::Some(
                 changed
                     .chain(changes.gone.into_iter().map(|id| (id, None)))
                     .collect(),
@@ -77,7 +77,7 @@
     }
 
     /// The steward says what an engine holds.
-    pub fn learn_held(&self, holding: Holding) {
+    pub fn learn_held(&self, holding: frame::Holding) {
         let mut state = self.lock();
         if let Some(known) = state.servers.get_mut(&holding.server)
             && known.server.born == holding.born
@@ -90,7 +90,7 @@
 
     /// There is a word of the steward from now on, or there is none any more.
     pub fn set_told(&self, told: bool) {
-        let until = self.now().after(TOLD);
+        let until = self.now().after(state::TOLD);
         let mut state = self.lock();
         match (told, state.told_until) {
             (true, _) => state.told_until = None,
@@ -100,7 +100,7 @@
     }
 
     /// The steward says when models can be used; replaces what it said before.
-    pub fn learn_forecasts(&self, forecasts: Vec<Forecast>) {
+    pub fn learn_forecasts(&self, forecasts: Vec<frame::Forecast>) {
         let now = self.now();
         let mut state = self.lock();
         state.forecasts = forecasts
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::budget::Budget;
-use fireflywheel::fleet::config::Config;
-use fireflywheel::fleet::routing::Seen;
-use fireflywheel::fleet::server::{Held, Server};
-use fireflywheel::fleet::settings::Settings;
+use fireflywheel::clock;
+use fireflywheel::fleet::budget;
+use fireflywheel::fleet::config;
+use fireflywheel::fleet::routing;
+use fireflywheel::fleet::server;
+use fireflywheel::fleet::settings;
 use smol_str::SmolStr;
 
 use super::LaneKey;
@@ -26,44 +26,48 @@
 
 #[derive(Debug, Default)]
 pub(super) struct State {
-    pub(super) config: Option<Arc<Config>>,
+    pub(super) config: Option<Arc<config::Config>>,
     pub(super) servers: BTreeMap<SmolStr, Known>,
     pub(super) lanes: BTreeMap<LaneKey, BTreeMap<u64, Waiting>>,
     pub(super) arrived: BTreeMap<(SmolStr, SmolStr), u32>,
     pub(super) denied: BTreeSet<SmolStr>,
-    pub(super) forecasts: BTreeMap<(SmolStr, SmolStr), Instant>,
-    pub(super) budgets: BTreeMap<SmolStr, Budget>,
+    pub(super) forecasts: BTreeMap<(SmolStr, SmolStr), clock::Instant>,
+    pub(super) budgets: BTreeMap<SmolStr, budget::Budget>,
     pub(super) instances: Option<usize>,
-    pub(super) config_read: Option<Instant>,
-    pub(super) directory_read: Option<Instant>,
+    pub(super) config_read: Option<clock::Instant>,
+    pub(super) directory_read: Option<clock::Instant>,
     pub(super) relaying: bool,
     /// Until when the steward's word goes before the directory's; none while there is a link to it.
-    pub(super) told_until: Option<Instant>,
+    pub(super) told_until: Option<clock::Instant>,
     pub(super) next_waiting: u64,
     /// When a planned stop will be over, once one has begun.
-    pub(super) stops: Option<Instant>,
+    pub(super) stops: Option<clock::Instant>,
 }
 
 #[derive(Debug)]
 pub(super) struct Known {
-    pub(super) server: Server,
+    pub(super) server: server::Server,
     /// What the steward said that it holds.
-    pub(super) told: Option<Held>,
-    pub(super) seen: Seen,
+    pub(super) told: Option<server::Held>,
+    pub(super) seen: routing::Seen,
     pub(super) running: BTreeMap<(SmolStr, Option<SmolStr>), u32>,
     /// Its entry is gone, but it may only have lapsed while the store was away.
-    pub(super) missing: Option<Instant>,
+    pub(super) missing: Option<clock::Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
-    pub(super) since: Instant,
-    pub(super) until: Instant,
+    pub(super) since: clock::Instant,
+    pub(super) until: clock::Instant,
 }
 
 impl Known {
     /// What it holds: the steward knows more than the directory, as long as it can be heard.
-    pub(super) fn held(&self, now: Instant, told_until: Option<Instant>) -> &Held {
+    pub(super) fn held(
+        &self,
+        now: clock::Instant,
+        told_until: Option<clock::Instant>,
+    ) -> &server::Held {
         let fresh = told_until.is_none_or(|until| now < until);
         self.told
             .as_ref()
@@ -73,11 +77,11 @@
 }
 
 impl State {
-    pub(super) fn enter(&mut self, server: Server) {
+    pub(super) fn enter(&mut self, server: server::Server) {
         let fresh = Known {
             server: server.clone(),
             told: None,
-            seen: Seen::default(),
+            seen: routing::Seen::default(),
             running: BTreeMap::new(),
             missing: None,
         };
@@ -85,25 +89,25 @@
         known.missing = None;
         if known.server.born != server.born || known.server.address != server.address {
             // Another process: nothing that was seen of the one before holds for it.
-            known.seen = Seen::default();
+            known.seen = routing::Seen::default();
             known.running.clear();
             known.told = None;
-        } else if server.held == Held::default() {
+        } else if server.held == server::Held::default() {
             // The steward's word on entries leaves out what they hold.
             let held = std::mem::take(&mut known.server.held);
-            known.server = Server { held, ..server };
+            known.server = server::Server { held, ..server };
             return;
         }
         known.server = server;
     }
 
-    pub(super) fn miss(&mut self, id: &str, now: Instant) {
+    pub(super) fn miss(&mut self, id: &str, now: clock::Instant) {
         if let Some(known) = self.servers.get_mut(id) {
             known.missing.get_or_insert(now);
         }
     }
 
-    pub(super) fn forget_missing(&mut self, now: Instant, patience: Duration) {
+    pub(super) fn forget_missing(&mut self, now: clock::Instant, patience: Duration) {
         self.servers.retain(|id, known| {
             let stays = known.missing.is_none_or(|since| now < since.after(patience));
             if !stays {
@@ -115,7 +119,7 @@
 
     pub(super) fn usable<'a>(
         &'a self,
-        now: Instant,
+        now: clock::Instant,
         lane: &'a LaneKey,
     ) -> impl Iterator<Item = &'a Known> {
         let in_time = move |known: &&Known| {
@@ -132,8 +136,12 @@
         self.instances.unwrap_or(UNKNOWN_INSTANCES)
     }
 
-    pub(super) fn budget(&mut self, group: &SmolStr, settings: &Settings) -> &mut Budget {
-        let fresh = || Budget::new(settings.repeats);
+    pub(super) fn budget(
+        &mut self,
+        group: &SmolStr,
+        settings: &settings::Settings,
+    ) -> &mut budget::Budget {
+        let fresh = || budget::Budget::new(settings.repeats);
         self.budgets.entry(group.clone()).or_insert_with(fresh)
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::config::{Config, Limits, Route};
+use fireflywheel::clock;
+use fireflywheel::fleet::config;
 use fireflywheel::fleet::patience;
 use fireflywheel::settings;
 use fireflywheel::verdict;
@@ -16,9 +16,9 @@
 use tokio::time;
 use xxhash_rust::xxh3;
 
-use super::attempt::{self, Begun, Job, Outcome};
-use super::node::{Choice, Chosen, LaneKey, Node};
-use super::platform::{Call, Platform};
+use super::attempt;
+use super::node;
+use super::platform;
 use super::stream;
 use crate::callers::intake;
 use crate::{backend, door, errors};
@@ -45,17 +45,17 @@
 /// Answers callers.
 #[derive(Debug)]
 pub struct Relay<P> {
-    node: Arc<Node<P>>,
+    node: Arc<node::Node<P>>,
 }
 
 impl<P> door::Service for Relay<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<door::Body> {
         let arrived = self.node.now();
         let (head, body) = request.into_parts();
-        let mut call = Call::default();
+        let mut call = platform::Call::default();
         let result = self.serve(arrived, head, body, &mut call).await;
         let mut response = match result {
             Ok(response) => response,
@@ -71,20 +71,20 @@
 
 impl<P> Relay<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     /// Answers with what `node` knows.
     #[must_use]
-    pub fn new(node: Arc<Node<P>>) -> Self {
+    pub fn new(node: Arc<node::Node<P>>) -> Self {
         Self { node }
     }
 
     async fn serve(
         &self,
-        arrived: Instant,
+        arrived: clock::Instant,
         head: Parts,
         body: Incoming,
-        call: &mut Call,
+        call: &mut platform::Call,
     ) -> Result<Response<door::Body>, errors::Problem> {
         check_framing(&head)?;
         *call = self.node.platform.read_call(&head)?;
@@ -111,7 +111,7 @@
         let limit = call
             .deadline
             .map_or(route.timeout, |deadline| deadline.min(route.timeout));
-        let job = Job {
+        let job = attempt::Job {
             call: call.clone(),
             target: origin_form(&head.uri),
             method: head.method,
@@ -126,7 +126,10 @@
     }
 
     /// Sends a request until it is answered or given up.
-    async fn dispatch(&self, job: Arc<Job>) -> Result<Response<door::Body>, errors::Problem> {
+    async fn dispatch(
+        &self,
+        job: Arc<attempt::Job>,
+    ) -> Result<Response<door::Body>, errors::Problem> {
         let mut tried: Vec<SmolStr> = Vec::new();
         let mut may_have_run = 0;
         let mut failure = unavailable("not_sent", "no server took it");
@@ -150,20 +153,22 @@
             tried.push(chosen.server.clone());
             let outcome = attempt::send(&self.node, &job, &chosen, job.call.last_event).await;
             let outcome = match outcome {
-                Outcome::Begun(begun) => match self.finish(&job, *begun, may_have_run).await {
-                    Ok(response) => return Ok(response),
-                    Err(outcome) => outcome,
-                },
+                attempt::Outcome::Begun(begun) => {
+                    match self.finish(&job, *begun, may_have_run).await {
+                        Ok(response) => return Ok(response),
+                        Err(outcome) => outcome,
+                    }
+                }
                 other => other,
             };
             match outcome {
-                Outcome::NotRun(why) => {
+                attempt::Outcome::NotRun(why) => {
                     self.note(&job, &chosen, "not run", why);
                     if may_have_run == 0 {
                         failure = unavailable("not_run", why).with_retry_after(NO_ROOM);
                     }
                 }
-                Outcome::Lost(why) => {
+                attempt::Outcome::Lost(why) => {
                     self.note(&job, &chosen, "may have run", why);
                     may_have_run += 1;
                     failure = errors::Problem::new(StatusCode::BAD_GATEWAY, "lost", why)
@@ -172,7 +177,7 @@
                         return Err(failure);
                     }
                 }
-                Outcome::Late | Outcome::Begun(_) => {
+                attempt::Outcome::Late | attempt::Outcome::Begun(_) => {
                     return Err(errors::Problem::new(
                         StatusCode::GATEWAY_TIMEOUT,
                         "timeout",
@@ -188,10 +193,10 @@
     /// Hands a response on, or says why another attempt is needed.
     async fn finish(
         &self,
-        job: &Arc<Job>,
-        begun: Begun<P>,
+        job: &Arc<attempt::Job>,
+        begun: attempt::Begun<P>,
         may_have_run: u32,
-    ) -> Result<Response<door::Body>, Outcome<P>> {
+    ) -> Result<Response<door::Body>, attempt::Outcome<P>> {
         let status = begun.head.status;
         if job.route.kind.is_stream() && status.is_success() {
             self.answered(job, status, &begun.server);
@@ -201,7 +206,7 @@
         let (head, body) = attempt::whole(&self.node, job, begun).await?;
         let again = job.route.kind.may_repeat() && may_have_run + 1 < job.route.attempts;
         if status.is_server_error() && again {
-            return Err(Outcome::Lost("failed by the server"));
+            return Err(attempt::Outcome::Lost("failed by the server"));
         }
         self.answered(job, status, &server);
         let mut response = Response::new(door::Body::whole(body));
@@ -210,7 +215,7 @@
         Ok(response)
     }
 
-    fn answered(&self, job: &Job, status: StatusCode, server: &str) {
+    fn answered(&self, job: &attempt::Job, status: StatusCode, server: &str) {
         let took = self.node.now().since(job.arrived);
         self.node
             .metrics
@@ -223,7 +228,7 @@
         );
     }
 
-    fn note(&self, job: &Job, chosen: &Chosen, verdict: &str, why: &str) {
+    fn note(&self, job: &attempt::Job, chosen: &node::Chosen, verdict: &str, why: &str) {
         self.node.metrics.attempt_failed(&job.route.name, why);
         log::info!(
             request = job.call.id.as_str(), server = chosen.server.as_str(), verdict = verdict, why = why,
@@ -236,8 +241,8 @@
     /// An answer of this instance's own.
     fn refuse(
         &self,
-        arrived: Instant,
-        call: &Call,
+        arrived: clock::Instant,
+        call: &platform::Call,
         problem: &errors::Problem,
     ) -> Response<door::Body> {
         let took = self.node.now().since(arrived);
@@ -265,12 +270,12 @@
 ///
 /// The refusal, at once when it is known that there will be none in time.
 pub async fn find<P>(
-    node: &Arc<Node<P>>,
-    job: &Job,
+    node: &Arc<node::Node<P>>,
+    job: &attempt::Job,
     tried: &[SmolStr],
-) -> Result<Chosen, errors::Problem>
+) -> Result<node::Chosen, errors::Problem>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let whole = job.deadline.since(job.arrived);
     let patience = patience::first_byte(&job.route, whole).mul_f64(PATIENCE_USED);
@@ -284,20 +289,20 @@
             patient_until.min(stops.before(LAST_REFUSAL))
         });
         let look_again = match node.choose(&job.lane, &job.call, tried) {
-            Choice::Server(chosen) => return Ok(chosen),
-            Choice::Nobody => {
+            node::Choice::Server(chosen) => return Ok(chosen),
+            node::Choice::Nobody => {
                 let wait = patience::retry_after(NO_SERVER, left);
                 return Err(unavailable("no_server", "no server of the group is there")
                     .with_retry_after(wait));
             }
-            Choice::Absent(Some(expected)) if now.after(expected) > give_up => {
+            node::Choice::Absent(Some(expected)) if now.after(expected) > give_up => {
                 let wait = patience::retry_after(expected, left);
                 return Err(
                     unavailable("cold", "the model can't be loaded in time").with_retry_after(wait)
                 );
             }
-            Choice::Absent(_) => give_up.since(now),
-            Choice::Full => LOOK_AGAIN,
+            node::Choice::Absent(_) => give_up.since(now),
+            node::Choice::Full => LOOK_AGAIN,
         };
         if now >= give_up {
             let wait = patience::retry_after(NO_ROOM, left);
@@ -334,14 +339,14 @@
     Ok(())
 }
 
-fn lane(config: &Config, route: &Route, call: &Call) -> LaneKey {
+fn lane(config: &config::Config, route: &config::Route, call: &platform::Call) -> node::LaneKey {
     let draw = xxh3::xxh3_64(call.id.as_bytes()) as f64 / u64::MAX as f64;
     let group = route.group(draw).cloned().unwrap_or_default();
     let engine = config
         .groups
         .get(&group)
         .is_some_and(|group| group.engine.is_some());
-    LaneKey {
+    node::LaneKey {
         group,
         model: call.model.clone().filter(|_| engine),
         adapter: call.adapter.clone().filter(|_| engine),
@@ -353,7 +358,7 @@
     target.map_or_else(|| uri.clone(), Uri::from)
 }
 
-fn body_limits(limits: &Limits) -> settings::Limits {
+fn body_limits(limits: &config::Limits) -> settings::Limits {
     settings::Limits {
         connections: 0,
         header_bytes: limits.header_bytes,
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -10,17 +10,17 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::config::{Config, Engine};
-use fireflywheel::fleet::demand::{Board, Demand};
-use fireflywheel::fleet::frame::Frame;
+use fireflywheel::clock;
+use fireflywheel::fleet::config;
+use fireflywheel::fleet::demand;
+use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease::{HandOver, Lease, Record};
 use smol_str::SmolStr;
 use tokio::sync::{Notify, mpsc};
 use tokio::time;
 
-use super::node::{Node, Relayed};
-use super::platform::Platform;
+use super::node;
+use super::platform;
 use link::{Link, Word};
 use state::{Due, State};
 use track::Track;
@@ -44,7 +44,7 @@
 #[derive(Debug)]
 pub struct Steward<P> {
     /// The instance.
-    pub node: Arc<Node<P>>,
+    pub node: Arc<node::Node<P>>,
     /// Told when there may be something to plan.
     pub wake: Notify,
     /// Told when the lease should be looked at.
@@ -54,11 +54,11 @@
 
 impl<P> Steward<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     /// A steward's part that doesn't hold the lease.
     #[must_use]
-    pub fn new(node: Arc<Node<P>>) -> Self {
+    pub fn new(node: Arc<node::Node<P>>) -> Self {
         let settings = &node.settings;
         let address = SmolStr::new(settings.peers.to_string());
         let lease = Lease::new(
@@ -72,7 +72,7 @@
             lease,
             linked: false,
             lease_known: false,
-            board: Board::default(),
+            board: demand::Board::default(),
             tracks: BTreeMap::new(),
             links: BTreeMap::new(),
             fetches: VecDeque::new(),
@@ -80,7 +80,7 @@
             beat: None,
             told_version: 0,
             entries: BTreeMap::new(),
-            forecast: Instant::default(),
+            forecast: clock::Instant::default(),
             forecasts: Vec::new(),
             delays: BTreeMap::new(),
         };
@@ -121,7 +121,7 @@
     }
 
     /// An instance says what it wants.
-    pub fn demand(&self, instance: &SmolStr, demand: Demand) {
+    pub fn demand(&self, instance: &SmolStr, demand: demand::Demand) {
         let now = self.node.now();
         let mut state = self.lock();
         for server in &demand.denied {
@@ -136,7 +136,7 @@
 
     /// An instance is linked from now on; it is told all there is.
     #[must_use]
-    pub fn link(&self, number: u64, peer: Record, cpu_share: f64) -> mpsc::Receiver<Frame> {
+    pub fn link(&self, number: u64, peer: Record, cpu_share: f64) -> mpsc::Receiver<frame::Frame> {
         let now = self.node.now();
         let mut state = self.lock();
         let capacity = QUEUE + state.tracks.len();
@@ -164,7 +164,7 @@
     }
 
     /// What a demand says of its sender.
-    pub fn hear(&self, number: u64, demand: &Demand) {
+    pub fn hear(&self, number: u64, demand: &demand::Demand) {
         if let Some(link) = self.lock().links.get_mut(&number) {
             link.leaving = demand.leaving;
             link.stamp_ms = demand.stamp_ms;
@@ -229,7 +229,7 @@
             self.node.metrics.set_steward(acting.is_some());
             self.node.set_told(acting.is_some());
             self.node.set_relaying(acting.is_some());
-            self.node.relayed.send_replace(Relayed::default());
+            self.node.relayed.send_replace(node::Relayed::default());
             log::info!(acts = acting.is_some(), fencing = acting.unwrap_or_default(); "stewardship changed");
         }
         let word = self.word(&state, now);
@@ -261,7 +261,7 @@
         }
     }
 
-    fn word(&self, state: &State, now: Instant) -> Word {
+    fn word(&self, state: &State, now: clock::Instant) -> Word {
         let version = self.node.config().map_or(0, |config| config.version);
         Word {
             incarnation: self.node.incarnation,
@@ -283,7 +283,7 @@
     }
 }
 
-fn engines(config: &Config) -> impl Iterator<Item = (&SmolStr, &Engine)> {
+fn engines(config: &config::Config) -> impl Iterator<Item = (&SmolStr, &config::Engine)> {
     let groups = config.groups.iter();
     groups.filter_map(|(name, group)| Some((name, group.engine.as_ref()?)))
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fireflywheel::fleet::frame::Frame;
+use fireflywheel::fleet::frame;
 use tokio::time;
 
-use super::super::platform::{Platform, Written};
+use super::super::platform;
 use super::Steward;
 
 /// Time between two reads while this instance watches the lease.
@@ -30,7 +30,7 @@
 
 impl<P> Steward<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     /// Watches the lease, takes it when it is free, and renews it, for ever.
     pub async fn keep_lease(self: Arc<Self>) {
@@ -67,7 +67,7 @@
         self.lock().lease.lost();
         self.wake.notify_one();
         let result = self.node.platform.write_lease(end, &record).await;
-        log::info!(end = end, given_up = matches!(result, Ok(Written::At(_))); "lease released");
+        log::info!(end = end, given_up = matches!(result, Ok(platform::Written::At(_))); "lease released");
     }
 
     /// The store may be away, and reading it takes time; a link is there.
@@ -87,8 +87,8 @@
         };
         log::info!(instance = peer.instance.as_str(), fencing = given.fencing; "lease handed over");
         // One that doesn't read loses its link, and the lease lapses as if this instance had died.
-        let _ = heir.sender.try_send(Frame::HandOver(given));
-        state.broadcast(&Frame::Moved(peer));
+        let _ = heir.sender.try_send(frame::Frame::HandOver(given));
+        state.broadcast(&frame::Frame::Moved(peer));
         drop(state);
         self.wake.notify_one();
         true
@@ -149,14 +149,14 @@
             .store_called("write lease", result.is_ok());
         let taken = record.fencing.is_none();
         match result {
-            Ok(Written::At(offset)) => {
+            Ok(platform::Written::At(offset)) => {
                 self.lock().lease.accepted(sent, offset);
                 if taken {
                     log::info!(fencing = offset; "lease taken");
                 }
                 self.wake.notify_one();
             }
-            Ok(Written::Late) => {
+            Ok(platform::Written::Late) => {
                 log::info!(end = end, taken = taken; "lease written by another");
                 let mut state = self.lock();
                 state.lease.lost();
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -3,18 +3,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use fireflywheel::fleet::frame::Frame;
-use fireflywheel::fleet::lease::Record;
+use fireflywheel::fleet::frame;
+use fireflywheel::fleet::lease;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
-use super::track::Track;
+use super::track;
 
 /// A link to another instance.
 #[derive(Debug)]
 pub(super) struct Link {
-    pub(super) sender: mpsc::Sender<Frame>,
-    pub(super) peer: Record,
+    pub(super) sender: mpsc::Sender<frame::Frame>,
+    pub(super) peer: lease::Record,
     pub(super) cpu_share: f64,
     pub(super) leaving: bool,
     /// Of its last demand.
@@ -38,7 +38,7 @@
 
 impl Link {
     /// Tells of the engines that have changed; whether the link still has room.
-    pub(super) fn tell(&mut self, tracks: &BTreeMap<SmolStr, Track>) -> bool {
+    pub(super) fn tell(&mut self, tracks: &BTreeMap<SmolStr, track::Track>) -> bool {
         if self.untold.is_empty() {
             return true;
         }
@@ -47,14 +47,14 @@
             .iter()
             .filter_map(|server| Some(tracks.get(server)?.holding(server)));
         self.sender
-            .try_send(Frame::Held(holdings.collect()))
+            .try_send(frame::Frame::Held(holdings.collect()))
             .is_ok()
     }
 }
 
 impl Word {
-    pub(super) fn frame(&self, stamp_ms: u64) -> Frame {
-        Frame::Beat {
+    pub(super) fn frame(&self, stamp_ms: u64) -> frame::Frame {
+        frame::Frame::Beat {
             incarnation: self.incarnation,
             acts: self.acts,
             instances: u32::try_from(self.instances).unwrap_or(u32::MAX),
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fireflywheel::fleet::plan::{Step, Tier};
-use fireflywheel::fleet::server::Server;
+use fireflywheel::fleet::plan;
+use fireflywheel::fleet::server;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{Request, StatusCode};
 use smol_str::SmolStr;
 use tokio::time;
 
-use super::super::platform::{Change, Order, Platform};
+use super::super::platform;
 use super::super::pool;
 use super::{Due, Steward};
 
@@ -23,24 +23,24 @@
 const CONNECTIONS: usize = usize::MAX;
 
 /// What an order asks for, for the engine and for the log.
-fn change(step: &Step) -> Change<'_> {
+fn change(step: &plan::Step) -> platform::Change<'_> {
     match step {
-        Step::Load { model, .. } => Change {
+        plan::Step::Load { model, .. } => platform::Change {
             load: true,
             model,
             adapter: None,
         },
-        Step::Unload { model, .. } => Change {
+        plan::Step::Unload { model, .. } => platform::Change {
             load: false,
             model,
             adapter: None,
         },
-        Step::LoadAdapter { model, adapter, .. } => Change {
+        plan::Step::LoadAdapter { model, adapter, .. } => platform::Change {
             load: true,
             model,
             adapter: Some(adapter),
         },
-        Step::UnloadAdapter { model, adapter, .. } => Change {
+        plan::Step::UnloadAdapter { model, adapter, .. } => platform::Change {
             load: false,
             model,
             adapter: Some(adapter),
@@ -48,26 +48,29 @@
     }
 }
 
-fn kind(step: &Step) -> &'static str {
+fn kind(step: &plan::Step) -> &'static str {
     match step {
-        Step::Load {
-            tier: Tier::Host, ..
+        plan::Step::Load {
+            tier: plan::Tier::Host,
+            ..
         } => "load from host memory",
-        Step::Load {
-            tier: Tier::Disk, ..
+        plan::Step::Load {
+            tier: plan::Tier::Disk,
+            ..
         } => "load from disk",
-        Step::Load {
-            tier: Tier::Store, ..
+        plan::Step::Load {
+            tier: plan::Tier::Store,
+            ..
         } => "load from the store",
-        Step::Unload { .. } => "unload",
-        Step::LoadAdapter { .. } => "load adapter",
-        Step::UnloadAdapter { .. } => "unload adapter",
+        plan::Step::Unload { .. } => "unload",
+        plan::Step::LoadAdapter { .. } => "load adapter",
+        plan::Step::UnloadAdapter { .. } => "unload adapter",
     }
 }
 
 impl<P> Steward<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     /// Sends an order that was counted as sent.
     pub(super) fn send(self: &Arc<Self>, due: Due) {
@@ -90,7 +93,7 @@
         if fencing != Some(due.fencing) {
             return;
         }
-        let request = self.node.platform.order(&Order {
+        let request = self.node.platform.order(&platform::Order {
             server: &due.server,
             holder: &self.node.settings.instance,
             fencing: due.fencing,
@@ -127,7 +130,7 @@
         };
         match status {
             Some(StatusCode::ACCEPTED) => track.accepted(now, &due.step, takes),
-            Some(StatusCode::OK) if matches!(due.step, Step::UnloadAdapter { .. }) => {
+            Some(StatusCode::OK) if matches!(due.step, plan::Step::UnloadAdapter { .. }) => {
                 track.accepted(now, &due.step, takes);
             }
             Some(StatusCode::CONFLICT) => track.conflicted(now),
@@ -179,15 +182,15 @@
         self.wake.notify_one();
     }
 
-    fn target(&self, id: &str) -> Option<(Server, u64)> {
+    fn target(&self, id: &str) -> Option<(server::Server, u64)> {
         let state = self.lock();
         let track = state.tracks.get(id)?;
         Some((track.server.clone(), track.orders))
     }
 
     /// How long an order should take.
-    fn expected(&self, server: &str, step: &Step) -> Duration {
-        let Step::Load { model, tier, .. } = step else {
+    fn expected(&self, server: &str, step: &plan::Step) -> Duration {
+        let plan::Step::Load { model, tier, .. } = step else {
             return Duration::ZERO;
         };
         let group = self
@@ -201,15 +204,15 @@
             engine.models.get(model).copied()
         });
         known.map_or(Duration::ZERO, |known| match tier {
-            Tier::Host => known.from_host,
-            Tier::Disk => known.from_disk,
-            Tier::Store => known.fetch,
+            plan::Tier::Host => known.from_host,
+            plan::Tier::Disk => known.from_disk,
+            plan::Tier::Store => known.fetch,
         })
     }
 
     async fn exchange(
         &self,
-        server: &Server,
+        server: &server::Server,
         request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, Bytes), &'static str> {
         let whole = async {
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -3,18 +3,18 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::config::Engine;
-use fireflywheel::fleet::demand::Board;
-use fireflywheel::fleet::frame::{Changes, Entry, Forecast, Frame};
-use fireflywheel::fleet::lease::Lease;
-use fireflywheel::fleet::plan::{self, Step, Tier, View};
-use fireflywheel::fleet::server::Server;
+use fireflywheel::clock;
+use fireflywheel::fleet::config;
+use fireflywheel::fleet::demand;
+use fireflywheel::fleet::frame;
+use fireflywheel::fleet::lease;
+use fireflywheel::fleet::plan;
+use fireflywheel::fleet::server;
 use smol_str::SmolStr;
 
 use super::BEAT;
-use super::link::{Link, Word};
-use super::track::Track;
+use super::link;
+use super::track;
 
 /// Forecasts are sent again after this, since the wait that they tell of goes on.
 pub(super) const FORECAST: Duration = Duration::from_millis(500);
@@ -37,24 +37,24 @@
 
 #[derive(Debug)]
 pub(super) struct State {
-    pub(super) lease: Lease,
+    pub(super) lease: lease::Lease,
     /// This instance has a link to a steward that acts.
     pub(super) linked: bool,
     /// The lease was read since it was last written, and since the last link ended.
     pub(super) lease_known: bool,
-    pub(super) board: Board,
-    pub(super) tracks: BTreeMap<SmolStr, Track>,
-    pub(super) links: BTreeMap<u64, Link>,
-    pub(super) fetches: VecDeque<Instant>,
+    pub(super) board: demand::Board,
+    pub(super) tracks: BTreeMap<SmolStr, track::Track>,
+    pub(super) links: BTreeMap<u64, link::Link>,
+    pub(super) fetches: VecDeque<clock::Instant>,
     pub(super) acting: Option<u64>,
-    pub(super) beat: Option<Instant>,
+    pub(super) beat: Option<clock::Instant>,
     pub(super) told_version: u64,
     /// The directory as it was told last.
-    pub(super) entries: BTreeMap<SmolStr, Entry>,
-    pub(super) forecast: Instant,
-    pub(super) forecasts: Vec<Forecast>,
+    pub(super) entries: BTreeMap<SmolStr, frame::Entry>,
+    pub(super) forecast: clock::Instant,
+    pub(super) forecasts: Vec<frame::Forecast>,
     /// When it was last logged that a model is waited for.
-    pub(super) delays: BTreeMap<SmolStr, Instant>,
+    pub(super) delays: BTreeMap<SmolStr, clock::Instant>,
 }
 
 /// An order that is to be sent.
@@ -62,12 +62,12 @@
 pub(super) struct Due {
     pub(super) server: SmolStr,
     pub(super) fencing: u64,
-    pub(super) step: Step,
+    pub(super) step: plan::Step,
 }
 
 impl State {
     /// The lease was won or lost.
-    pub(super) fn turn(&mut self, now: Instant, acting: Option<u64>) {
+    pub(super) fn turn(&mut self, now: clock::Instant, acting: Option<u64>) {
         self.acting = acting;
         self.tracks.clear();
         self.forecasts.clear();
@@ -78,12 +78,12 @@
     }
 
     /// Takes in what the directory says of a group's engines.
-    pub(super) fn follow(&mut self, group: &SmolStr, engines: Vec<Server>) {
+    pub(super) fn follow(&mut self, group: &SmolStr, engines: Vec<server::Server>) {
         self.tracks.retain(|id, track| {
             track.group != *group || engines.iter().any(|server| server.id == *id)
         });
         for server in engines {
-            let fresh = || Track::new(group.clone(), server.clone());
+            let fresh = || track::Track::new(group.clone(), server.clone());
             let track = self.tracks.entry(server.id.clone()).or_insert_with(fresh);
             track.follow(server);
         }
@@ -92,11 +92,11 @@
     /// The orders that are due in a group, counted as sent.
     pub(super) fn plan(
         &mut self,
-        now: Instant,
+        now: clock::Instant,
         group: &SmolStr,
-        engine: &Engine,
+        engine: &config::Engine,
         fencing: u64,
-        forecasts: &mut Vec<Forecast>,
+        forecasts: &mut Vec<frame::Forecast>,
     ) -> Vec<Due> {
         let ids: Vec<SmolStr> = self
             .tracks
@@ -113,7 +113,7 @@
         let rates = models
             .map(|model| (model.clone(), self.board.rate(now, group, model)))
             .collect();
-        let view = View {
+        let view = plan::View {
             now,
             engine,
             sites: &sites,
@@ -122,7 +122,7 @@
             fetches: self.fetch_room(now, engine, &sites),
         };
         let expected = plan::forecast(&view).into_iter();
-        forecasts.extend(expected.map(|(model, wait)| Forecast {
+        forecasts.extend(expected.map(|(model, wait)| frame::Forecast {
             group: group.clone(),
             model,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
@@ -133,8 +133,8 @@
             let server = ids[step.site()].clone();
             if matches!(
                 step,
-                Step::Load {
-                    tier: Tier::Store,
+                plan::Step::Load {
+                    tier: plan::Tier::Store,
                     ..
                 }
             ) {
@@ -157,8 +157,8 @@
     /// Loads from the weight store that may run at once, by its rate.
     pub(super) fn fetch_room(
         &mut self,
-        now: Instant,
-        engine: &Engine,
+        now: clock::Instant,
+        engine: &config::Engine,
         sites: &[plan::Site],
     ) -> usize {
         while self
@@ -174,8 +174,8 @@
         plan::FETCHES.min(running + left)
     }
 
-    pub(super) fn tell_forecasts(&mut self, now: Instant, forecasts: Vec<Forecast>) {
-        let models = |list: &[Forecast]| {
+    pub(super) fn tell_forecasts(&mut self, now: clock::Instant, forecasts: Vec<frame::Forecast>) {
+        let models = |list: &[frame::Forecast]| {
             list.iter()
                 .map(|forecast| forecast.model.clone())
                 .collect::<Vec<_>>()
@@ -188,13 +188,13 @@
         self.forecasts = forecasts;
         self.forecast = now;
         if !empty {
-            let frame = Frame::Forecast(self.forecasts.clone());
+            let frame = frame::Frame::Forecast(self.forecasts.clone());
             self.broadcast(&frame);
         }
     }
 
     /// A beat at its time, and at once when there is a new configuration.
-    pub(super) fn beat(&mut self, now: Instant, word: &Word) {
+    pub(super) fn beat(&mut self, now: clock::Instant, word: &link::Word) {
         let due = self.beat.is_none_or(|beat| now.since(beat) >= BEAT);
         if !due && word.config_version == self.told_version {
             return;
@@ -209,10 +209,10 @@
     }
 
     /// All that an instance with a new link must know.
-    pub(super) fn all(&self) -> Vec<Frame> {
+    pub(super) fn all(&self) -> Vec<frame::Frame> {
         let mut frames = Vec::new();
         if !self.entries.is_empty() {
-            frames.push(Frame::Directory(Changes {
+            frames.push(frame::Frame::Directory(frame::Changes {
                 all: true,
                 entries: self.entries.values().cloned().collect(),
                 gone: Vec::new(),
@@ -220,16 +220,16 @@
         }
         let tracks = self.tracks.iter();
         let holdings = tracks.map(|(server, track)| track.holding(server));
-        frames.push(Frame::Held(holdings.collect()));
-        frames.push(Frame::Forecast(self.forecasts.clone()));
+        frames.push(frame::Frame::Held(holdings.collect()));
+        frames.push(frame::Frame::Forecast(self.forecasts.clone()));
         frames
     }
 
-    pub(super) fn tell_directory(&mut self, entries: BTreeMap<SmolStr, Entry>) {
-        let changes = Changes::between(&self.entries, &entries);
+    pub(super) fn tell_directory(&mut self, entries: BTreeMap<SmolStr, frame::Entry>) {
+        let changes = frame::Changes::between(&self.entries, &entries);
         self.entries = entries;
         if let Some(changes) = changes {
-            self.broadcast(&Frame::Directory(changes));
+            self.broadcast(&frame::Frame::Directory(changes));
         }
     }
 
@@ -254,12 +254,12 @@
     }
 
     /// A link whose queue is full is dropped: its instance would go on with old news.
-    pub(super) fn broadcast(&mut self, frame: &Frame) {
+    pub(super) fn broadcast(&mut self, frame: &frame::Frame) {
         self.links
             .retain(|_, link| link.sender.try_send(frame.clone()).is_ok());
     }
 
-    pub(super) fn reports_due(&mut self, now: Instant) -> Vec<SmolStr> {
+    pub(super) fn reports_due(&mut self, now: clock::Instant) -> Vec<SmolStr> {
         let mut due = Vec::new();
         for (id, track) in &mut self.tracks {
             if track.needs_report(now) {
@@ -272,7 +272,7 @@
 }
 
 /// Logs what keeps callers waiting for long, once a second for each model.
-pub(super) fn log_delays(view: &View<'_>, logged: &mut BTreeMap<SmolStr, Instant>) {
+pub(super) fn log_delays(view: &plan::View<'_>, logged: &mut BTreeMap<SmolStr, clock::Instant>) {
     logged.retain(|_, at| view.now.since(*at) < DELAY_LOG);
     for want in view.wants.iter().filter(|want| want.adapter.is_none()) {
         let waited = view.now.since(want.since);
--- a/crates/fireflywheel_daemon/src/fleet/steward/track.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/track.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::frame::Holding;
-use fireflywheel::fleet::plan::{Site, Step, Tier};
-use fireflywheel::fleet::server::{Held, Report, Server};
+use fireflywheel::clock;
+use fireflywheel::fleet::frame;
+use fireflywheel::fleet::plan;
+use fireflywheel::fleet::server;
 use smol_str::SmolStr;
 
 /// Reports tell of this long ago.
@@ -26,25 +26,25 @@
 #[derive(Clone, Debug)]
 pub(super) struct Track {
     pub(super) group: SmolStr,
-    pub(super) held: Held,
+    pub(super) held: server::Held,
     /// Orders that it has accepted.
     pub(super) orders: u64,
-    pub(super) server: Server,
+    pub(super) server: server::Server,
     /// An order is on its way.
     ordering: bool,
     /// What it holds isn't known for certain: a report must tell.
     doubt: bool,
     loading: Option<Loading>,
     /// No order before this.
-    rest: Instant,
+    rest: clock::Instant,
     /// A report is on its way since.
     asking: bool,
     /// When the next report is of use.
-    report_at: Option<Instant>,
-    since: BTreeMap<(SmolStr, Option<SmolStr>), Instant>,
+    report_at: Option<clock::Instant>,
+    since: BTreeMap<(SmolStr, Option<SmolStr>), clock::Instant>,
     /// When an order was last accepted: reports asked for before tell of the time before it.
-    changed: Instant,
-    busy_since: Option<Instant>,
+    changed: clock::Instant,
+    busy_since: Option<clock::Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -54,7 +54,7 @@
 }
 
 impl Track {
-    pub(super) fn new(group: SmolStr, server: Server) -> Self {
+    pub(super) fn new(group: SmolStr, server: server::Server) -> Self {
         Self {
             group,
             held: server.held.clone(),
@@ -63,17 +63,17 @@
             ordering: false,
             doubt: true,
             loading: None,
-            rest: Instant::default(),
+            rest: clock::Instant::default(),
             asking: false,
-            report_at: Some(Instant::default()),
+            report_at: Some(clock::Instant::default()),
             since: BTreeMap::new(),
-            changed: Instant::default(),
+            changed: clock::Instant::default(),
             busy_since: None,
         }
     }
 
     /// Takes in the directory's word.
-    pub(super) fn follow(&mut self, server: Server) {
+    pub(super) fn follow(&mut self, server: server::Server) {
         if server.born != self.server.born || server.address != self.server.address {
             *self = Self::new(self.group.clone(), server);
             return;
@@ -84,16 +84,16 @@
     /// What a plan needs of it.
     pub(super) fn site(
         &self,
-        now: Instant,
+        now: clock::Instant,
         running: BTreeMap<(SmolStr, Option<SmolStr>), u32>,
-    ) -> Site {
+    ) -> plan::Site {
         let staying = self.server.leaves.is_none_or(|at| at.since(now) > LEAVING);
         let unknown_fetch = self.held.busy
             && self.loading.is_none()
             && self
                 .busy_since
                 .is_some_and(|since| now.since(since) > LONG_LOAD);
-        Site {
+        plan::Site {
             held: self.held.clone(),
             usable: self.server.ready && staying,
             ordering: self.ordering || self.doubt || now < self.rest,
@@ -105,8 +105,8 @@
     }
 
     /// What the instances are told of it.
-    pub(super) fn holding(&self, id: &SmolStr) -> Holding {
-        Holding {
+    pub(super) fn holding(&self, id: &SmolStr) -> frame::Holding {
+        frame::Holding {
             server: id.clone(),
             born: self.server.born,
             held: self.held.clone(),
@@ -118,36 +118,36 @@
     }
 
     /// An order is on its way.
-    pub(super) fn sent(&mut self, now: Instant) {
+    pub(super) fn sent(&mut self, now: clock::Instant) {
         self.ordering = true;
         self.rest = now;
     }
 
     /// An order is being carried out, or was at once. `takes` is how long it should take.
-    pub(super) fn accepted(&mut self, now: Instant, step: &Step, takes: Duration) {
+    pub(super) fn accepted(&mut self, now: clock::Instant, step: &plan::Step, takes: Duration) {
         self.ordering = false;
         self.orders += 1;
         self.changed = now;
         match step {
-            Step::Load { model, tier, .. } => {
+            plan::Step::Load { model, tier, .. } => {
                 self.held.busy = true;
                 self.busy_since = Some(now);
                 self.loading = Some(Loading {
                     model: model.clone(),
-                    fetch: *tier == Tier::Store,
+                    fetch: *tier == plan::Tier::Store,
                 });
                 self.report_at = Some(now.after(takes));
             }
-            Step::Unload { model, .. } => {
+            plan::Step::Unload { model, .. } => {
                 self.held.models.remove(model);
                 self.forget(model);
             }
-            Step::LoadAdapter { model, adapter, .. } => {
+            plan::Step::LoadAdapter { model, adapter, .. } => {
                 self.held.coming.insert((model.clone(), adapter.clone()));
                 let at = now.after(ADAPTER_TIME + REPORT_LAG);
                 self.report_at = Some(self.report_at.map_or(at, |before| before.min(at)));
             }
-            Step::UnloadAdapter { model, adapter, .. } => {
+            plan::Step::UnloadAdapter { model, adapter, .. } => {
                 if let Some(adapters) = self.held.models.get_mut(model) {
                     adapters.remove(adapter);
                 }
@@ -157,14 +157,14 @@
     }
 
     /// An order came while another was carried out, or the engine has accepted more orders than known.
-    pub(super) fn conflicted(&mut self, now: Instant) {
+    pub(super) fn conflicted(&mut self, now: clock::Instant) {
         self.ordering = false;
         self.rest = now.after(ORDER_PAUSE);
         self.report_at.get_or_insert(now.after(REPORT_LAG));
     }
 
     /// It isn't known whether an order arrived.
-    pub(super) fn unanswered(&mut self, now: Instant) {
+    pub(super) fn unanswered(&mut self, now: clock::Instant) {
         self.ordering = false;
         self.doubt = true;
         self.changed = now;
@@ -172,21 +172,26 @@
     }
 
     /// It didn't hold what it was thought to hold.
-    pub(super) fn denied(&mut self, now: Instant) {
+    pub(super) fn denied(&mut self, now: clock::Instant) {
         self.report_at.get_or_insert(now);
     }
 
-    pub(super) fn needs_report(&self, now: Instant) -> bool {
+    pub(super) fn needs_report(&self, now: clock::Instant) -> bool {
         !self.asking && self.report_at.is_some_and(|at| now >= at)
     }
 
-    pub(super) fn asked(&mut self, now: Instant) {
+    pub(super) fn asked(&mut self, now: clock::Instant) {
         self.asking = true;
         self.report_at = Some(now.after(REPORT_PAUSE));
     }
 
     /// A report that was asked for at `asked`; whether what is known has changed.
-    pub(super) fn reported(&mut self, asked: Instant, now: Instant, report: Report) -> bool {
+    pub(super) fn reported(
+        &mut self,
+        asked: clock::Instant,
+        now: clock::Instant,
+        report: server::Report,
+    ) -> bool {
         self.asking = false;
         let stale = report.orders < self.orders || asked < self.changed.after(REPORT_LAG);
         if self.ordering || stale {
@@ -220,7 +225,7 @@
     }
 
     /// No report came.
-    pub(super) fn unreported(&mut self, now: Instant) {
+    pub(super) fn unreported(&mut self, now: clock::Instant) {
         self.asking = false;
         self.report_at = Some(now.after(REPORT_PAUSE * 3));
     }
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -4,18 +4,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::config::Kind;
-use fireflywheel::fleet::events::Cutter;
+use fireflywheel::clock;
+use fireflywheel::fleet::config;
+use fireflywheel::fleet::events;
 use http_body_util::BodyExt as _;
 use hyper::Response;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use tokio::time;
 
-use super::attempt::{self, Begun, Job, Outcome};
-use super::node::{InFlight, Node, Verdict};
-use super::platform::Platform;
+use super::attempt;
+use super::node;
+use super::platform;
 use super::{pool, relay};
 use crate::{backend, door};
 
@@ -31,21 +31,25 @@
 const SILENCE: Duration = Duration::from_millis(1500);
 
 /// Answers with a stream that has begun.
-pub fn answer<P>(node: &Arc<Node<P>>, job: Arc<Job>, begun: Begun<P>) -> Response<door::Body>
+pub fn answer<P>(
+    node: &Arc<node::Node<P>>,
+    job: Arc<attempt::Job>,
+    begun: attempt::Begun<P>,
+) -> Response<door::Body>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let (sender, body) = door::Body::stream(BUFFER);
     let mut response = Response::new(body);
     *response.status_mut() = begun.head.status;
     *response.headers_mut() = backend::passed_on(&begun.head.headers);
-    let resumable = job.route.kind == Kind::Resumable;
+    let resumable = job.route.kind == config::Kind::Resumable;
     let pump = Pump {
         node: Arc::clone(node),
         sender,
         source: Source::new(begun),
         tried: Vec::new(),
-        cutter: resumable.then(Cutter::default),
+        cutter: resumable.then(events::Cutter::default),
         job,
     };
     tokio::spawn(pump.run());
@@ -55,26 +59,26 @@
 /// One run's response.
 struct Source<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     body: Incoming,
     connection: pool::Connection,
     keep: Option<Duration>,
     server: SmolStr,
-    _in_flight: InFlight<P>,
+    _in_flight: node::InFlight<P>,
 }
 
 struct Pump<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
-    node: Arc<Node<P>>,
-    job: Arc<Job>,
+    node: Arc<node::Node<P>>,
+    job: Arc<attempt::Job>,
     sender: door::Sender,
     source: Source<P>,
     tried: Vec<SmolStr>,
     /// For streams that may go on elsewhere, which are handed on in whole events.
-    cutter: Option<Cutter>,
+    cutter: Option<events::Cutter>,
 }
 
 /// How a run's response ended.
@@ -90,9 +94,9 @@
 
 impl<P> Source<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
-    fn new(begun: Begun<P>) -> Self {
+    fn new(begun: attempt::Begun<P>) -> Self {
         Self {
             body: begun.body,
             connection: begun.connection,
@@ -105,14 +109,14 @@
 
 impl<P> Pump<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     async fn run(mut self) {
         loop {
             let end = self.copy().await;
             let verdict = match end {
-                End::Complete => Verdict::Good,
-                End::Broken(_) => Verdict::Failed,
+                End::Complete => node::Verdict::Good,
+                End::Broken(_) => node::Verdict::Failed,
                 End::Left | End::Late => break self.stop(end),
             };
             self.node.judge(&self.source.server, verdict);
@@ -150,7 +154,7 @@
         };
         log::info!(
             request = self.job.call.id.as_str(), server = self.source.server.as_str(), why = why,
-            events = self.cutter.as_ref().and_then(Cutter::last).unwrap_or_default();
+            events = self.cutter.as_ref().and_then(events::Cutter::last).unwrap_or_default();
             "stream ended early"
         );
         self.node.metrics.attempt_failed(&self.job.route.name, why);
@@ -194,7 +198,7 @@
 
     /// When a stream is cut that hasn't ended. A caller whose own time is over leaves by itself, and until then
     /// each event is worth handing on.
-    fn end(&self) -> Instant {
+    fn end(&self) -> clock::Instant {
         self.job.arrived.after(self.job.route.timeout + OVERTIME)
     }
 
@@ -213,7 +217,7 @@
     }
 
     fn is_between_events(&self) -> bool {
-        self.cutter.as_ref().is_none_or(Cutter::is_between)
+        self.cutter.as_ref().is_none_or(events::Cutter::is_between)
     }
 
     /// Another run that begins after the last event that was handed on.
@@ -244,7 +248,9 @@
             () = self.sender.gone() => return None,
         };
         match outcome {
-            Outcome::Begun(begun) if begun.head.status.is_success() => Some(Source::new(*begun)),
+            attempt::Outcome::Begun(begun) if begun.head.status.is_success() => {
+                Some(Source::new(*begun))
+            }
             _ => None,
         }
     }
@@ -252,7 +258,7 @@
 
 impl<P> Source<P>
 where
-    P: Platform,
+    P: platform::Platform,
 {
     /// Ends this run before another begins: two that go on at once would be two runs.
     fn close(&mut self) {
@@ -260,7 +266,7 @@
     }
 }
 
-fn longest_silence(job: &Job) -> Duration {
+fn longest_silence(job: &attempt::Job) -> Duration {
     let pause = job.route.pause.map_or(SILENCE, |pause| pause * PAUSES);
     pause.max(SILENCE)
 }
--- a/crates/fireflywheel_daemon/src/fleet/watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/watch.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fireflywheel::clock::Instant;
-use fireflywheel::fleet::config::Config;
+use fireflywheel::clock;
+use fireflywheel::fleet::config;
 use tokio::time;
 
-use super::node::Node;
-use super::platform::Platform;
+use super::node;
+use super::platform;
 
 /// Pause after a call that failed: the store may be overloaded, and each call costs.
 const PAUSE: Duration = Duration::from_millis(300);
@@ -31,8 +31,8 @@
 /// Tells when a dependency is lost and regained, once each.
 struct Contact {
     name: &'static str,
-    lost: Option<Instant>,
-    regained: Option<Instant>,
+    lost: Option<clock::Instant>,
+    regained: Option<clock::Instant>,
 }
 
 impl Contact {
@@ -44,7 +44,7 @@
         }
     }
 
-    fn good(&mut self, now: Instant) {
+    fn good(&mut self, now: clock::Instant) {
         if let Some(lost) = self.lost.take() {
             let away = u64::try_from(now.since(lost).as_millis()).unwrap_or(u64::MAX);
             log::info!(dependency = self.name, away_ms = away; "dependency regained");
@@ -52,7 +52,7 @@
         }
     }
 
-    fn bad(&mut self, now: Instant, why: &str) {
+    fn bad(&mut self, now: clock::Instant, why: &str) {
         if self.lost.is_none() {
             log::warn!(dependency = self.name, why = why; "dependency lost");
             self.lost = Some(now);
@@ -60,15 +60,15 @@
     }
 
     /// Whether it came back only a moment ago.
-    fn is_fresh(&self, now: Instant) -> bool {
+    fn is_fresh(&self, now: clock::Instant) -> bool {
         self.regained.is_some_and(|at| now.since(at) < LAPSED)
     }
 }
 
 /// Follows the configuration for ever.
-pub async fn configuration<P>(node: Arc<Node<P>>)
+pub async fn configuration<P>(node: Arc<node::Node<P>>)
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let mut cursor = P::ConfigCursor::default();
     let mut contact = Contact::new("configuration");
@@ -94,9 +94,9 @@
     }
 }
 
-fn take<P>(node: &Node<P>, config: Config)
+fn take<P>(node: &node::Node<P>, config: config::Config)
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let (version, routes) = (config.version, config.routes.len() as u64);
     let taken = node.configure(config);
@@ -107,9 +107,9 @@
 }
 
 /// Follows the directory for ever.
-pub async fn directory<P>(node: Arc<Node<P>>)
+pub async fn directory<P>(node: Arc<node::Node<P>>)
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let mut cursor = P::DirectoryCursor::default();
     let mut contact = Contact::new("directory");
@@ -146,9 +146,9 @@
 
 /// Waits as long as the steward's reads stand for this instance's own; with `config`, until it has heard of a
 /// configuration that this instance doesn't have. Returns how long the next read may wait for news.
-async fn until_needed<P>(node: &Node<P>, config: bool) -> Duration
+async fn until_needed<P>(node: &node::Node<P>, config: bool) -> Duration
 where
-    P: Platform,
+    P: platform::Platform,
 {
     let mut changes = node.relayed.subscribe();
     loop {
@@ -175,9 +175,9 @@
 }
 
 /// Closes unused connections for ever.
-pub async fn sweep<P>(node: Arc<Node<P>>)
+pub async fn sweep<P>(node: Arc<node::Node<P>>)
 where
-    P: Platform,
+    P: platform::Platform,
 {
     loop {
         time::sleep(SWEEP).await;
