--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 //! | [`budget`] | how many repeats all instances may send together |
 //! | [`events`] | events of a stream, cut at their ends |
 //! | [`settings`] | what one process is told at its start |
+//! | [`talk`] | when an instance talks to the steward, and how long the steward's word stands |
 //! | [`frame`] | what instance and steward tell each other |
 
 pub mod budget;
@@ -30,3 +31,4 @@
 pub mod routing;
 pub mod server;
 pub mod settings;
+pub mod talk;
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -8,6 +8,7 @@
 use fireflywheel::clock;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease;
+use fireflywheel::fleet::talk;
 use futures_util::{SinkExt as _, StreamExt as _};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
@@ -28,9 +29,6 @@
 const PAUSE: Duration = Duration::from_millis(200);
 /// Changes of demand that come together are told together.
 const GATHER: Duration = Duration::from_millis(6);
-/// What the steward has read stands for an instance's own reads until it is this share of the time old within
-/// which both must be obeyed; the rest is for the instance's own read after that.
-const RELAYED_SHARE: f64 = 0.75;
 /// Use of engines is told after this for each instance: 17 instances tell theirs within 10 ms, 125 within 75.
 const LAZY_AN_INSTANCE: Duration = Duration::from_micros(600);
 /// The largest frame, in bytes.
@@ -71,7 +69,8 @@
         if steward.acts() {
             let demand = steward.node.demand();
             steward.demand(&steward.node.settings.instance, demand);
-            Due::new(steward.node.now()).wait(&steward).await;
+            let mut due = talk::Due::new(steward.node.now(), steward::BEAT);
+            wait_until(&mut due, &steward).await;
             continue;
         }
         if let Some(holder) = steward.other() {
@@ -88,36 +87,22 @@
     }
 }
 
-/// When the next demand is due. Kept across all that comes meanwhile: a pause that begins anew with each frame
-/// would never end while the steward talks.
-struct Due(clock::Instant);
-
-impl Due {
-    fn new(now: clock::Instant) -> Self {
-        Self(now.after(steward::BEAT))
-    }
-
-    fn within(&mut self, now: clock::Instant, pause: Duration) {
-        self.0 = self.0.min(now.after(pause));
-    }
-
-    /// Waits until a demand is due; what is wanted is told soon, what is used when it is convenient.
-    async fn wait<P>(&mut self, steward: &steward::Steward<P>)
-    where
-        P: platform::Platform,
-    {
-        let node = &steward.node;
-        loop {
-            let left = self.0.since(node.now());
-            if left.is_zero() {
-                *self = Self::new(node.now());
-                return;
-            }
-            tokio::select! {
-                () = node.wanted.notified() => self.within(node.now(), GATHER),
-                () = node.used.notified() => self.within(node.now(), lazily(node.instances())),
-                () = time::sleep(left) => {}
-            }
+/// Waits until a demand is due; what is wanted is told soon, what is used when it is convenient.
+async fn wait_until<P>(due: &mut talk::Due, steward: &steward::Steward<P>)
+where
+    P: platform::Platform,
+{
+    let node = &steward.node;
+    loop {
+        let left = due.left(node.now());
+        if left.is_zero() {
+            *due = talk::Due::new(node.now(), steward::BEAT);
+            return;
+        }
+        tokio::select! {
+            () = node.wanted.notified() => due.within(node.now(), GATHER),
+            () = node.used.notified() => due.within(node.now(), lazily(node.instances())),
+            () = time::sleep(left) => {}
         }
     }
 }
@@ -209,7 +194,7 @@
     send(&mut socket, &hello).await?;
     send(&mut socket, &frame::Frame::Demand(steward.node.demand())).await?;
     let mut heard = steward.node.now();
-    let mut due = Due::new(heard);
+    let mut due = talk::Due::new(heard, steward::BEAT);
     loop {
         let silence = heard.after(SILENCE).since(steward.node.now());
         tokio::select! {
@@ -218,7 +203,7 @@
                 heard = steward.node.now();
             }
             () = time::sleep(silence) => anyhow::bail!("silent"),
-            () = due.wait(steward) => {
+            () = wait_until(&mut due, steward) => {
                 send(&mut socket, &frame::Frame::Demand(steward.node.demand())).await?;
             }
         }
@@ -273,21 +258,19 @@
     Ok(())
 }
 
-/// Takes the steward's reads of the store for this instance's own, as long as they are young. The beat answers a
-/// demand of this instance, so it was made later than that; whatever held it up is counted.
+/// Takes the steward's reads of the store for this instance's own, as long as they are young.
 fn relayed<P>(steward: &steward::Steward<P>, version: u64, read_ms: u32, stamp_ms: u64)
 where
     P: platform::Platform,
 {
     let settings = &steward.node.settings;
-    let oldest = settings.obey.min(settings.apply).mul_f64(RELAYED_SHARE);
-    let fresh = oldest.saturating_sub(Duration::from_millis(read_ms.into()));
-    let until = clock::Instant(stamp_ms).after(fresh);
-    let young = stamp_ms > 0 && until > steward.node.now();
-    let relayed = node::Relayed {
-        until: young.then_some(until),
-        version,
-    };
+    let until = talk::stands_until(
+        steward.node.now(),
+        clock::Instant(stamp_ms),
+        Duration::from_millis(read_ms.into()),
+        settings.obey.min(settings.apply),
+    );
+    let relayed = node::Relayed { until, version };
     steward.node.relayed.send_replace(relayed);
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -360,12 +360,9 @@
 
 fn body_limits(limits: &config::Limits) -> settings::Limits {
     settings::Limits {
-        connections: 0,
-        header_bytes: limits.header_bytes,
         body_bytes: limits.body_bytes,
         idle: limits.idle,
-        stream_buffer_bytes: 0,
-        queue: 0,
+        ..settings::Limits::default()
     }
 }
 
