Don't let a reading undo a hand-over or the end of a holder

In the same way the proof that a holder's process had ended was forgotten with the next reading, so that after all processes were killed a term went by (35.6 to 38.0 s). Ruled out: the successor's renewal (never sent) and the links. Now what was told since the record was written stands until the record changes. Tests: reading_after_hand_over, reading_after_an_end, failing before.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -83,6 +83,8 @@
     end: u64,
     since: clock::Instant,
     holder: Option<Record>,
+    /// The holder was told of by others and isn't the one in the record.
+    told: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -159,16 +161,29 @@
             });
             return;
         }
+        if self.held.is_some_and(|held| held.end == reading.end) {
+            // Handed over, and not renewed yet: the record is still the predecessor's.
+            return;
+        }
         self.held = None;
-        let since = self
+        let unchanged = self
             .watched
-            .as_ref()
-            .filter(|watched| watched.end == reading.end)
-            .map_or(asked, |watched| watched.since);
-        self.watched = Some(Watched {
-            end: reading.end,
-            since,
-            holder: reading.record.map(|(_, record)| record),
+            .take()
+            .filter(|watched| watched.end == reading.end);
+        let record = reading.record.map(|(_, record)| record);
+        self.watched = Some(match unchanged {
+            // The record says less than what was told since it was written.
+            Some(watched) if watched.told => watched,
+            Some(watched) => Watched {
+                holder: record,
+                ..watched
+            },
+            None => Watched {
+                end: reading.end,
+                since: asked,
+                holder: record,
+                told: false,
+            },
         });
     }
 
@@ -178,16 +193,19 @@
         if self.held.is_some() {
             return;
         }
-        let holder = self
+        if self
             .watched
-            .take()
-            .map(|watched| (watched.end, watched.since, watched.holder));
-        let (since, holder) = match holder {
-            Some((known, since, holder)) if known == end => (since, holder),
-            Some((_, _, holder)) => (now, holder),
-            None => (now, None),
-        };
-        self.watched = Some(Watched { end, since, holder });
+            .as_ref()
+            .is_some_and(|watched| watched.end == end)
+        {
+            return;
+        }
+        self.watched = Some(Watched {
+            end,
+            since: now,
+            holder: self.watched.take().and_then(|watched| watched.holder),
+            told: false,
+        });
     }
 
     /// The end of the record that this instance holds.
@@ -291,12 +309,13 @@
     /// therefore ended. Where engines refuse orders of an earlier holder, the lease is free at once: only orders
     /// that it sent before may still be on their way.
     pub fn ended(&mut self, incarnation: u64) {
-        let holder = self
-            .watched
-            .as_mut()
-            .and_then(|watched| watched.holder.as_mut());
+        let Some(watched) = &mut self.watched else {
+            return;
+        };
+        let holder = watched.holder.as_mut();
         if let Some(holder) = holder.filter(|holder| holder.incarnation == incarnation) {
             holder.released = true;
+            watched.told = true;
         }
     }
 
@@ -310,6 +329,7 @@
             end,
             since: now,
             holder: Some(holder),
+            told: true,
         });
     }
 
--- a/crates/fireflywheel/tests/fleet/lease.rs
+++ b/crates/fireflywheel/tests/fleet/lease.rs
@@ -254,6 +254,44 @@
     assert_eq!(second.fencing(at(3500)), None);
 }
 
+fn readings_do_not_undo_what_was_told() {
+    let mut log = Log::default();
+    let mut first = held("a", true, &mut log, 0);
+    let mut second = lease("b", true);
+    second.receive(at(10), first.hand_over().expect("it holds it"));
+    second.observe(at(12), log.read());
+    assert!(
+        second.fencing(at(12)).is_some(),
+        "the record is still its predecessor's"
+    );
+    let mut third = lease("c", true);
+    third.observe(at(0), log.read());
+    third.moved(at(11), second.me().clone());
+    third.observe(at(13), log.read());
+    assert_eq!(
+        third.holder().map(|holder| holder.instance.as_str()),
+        Some("b")
+    );
+    act(&mut second, &mut log, 20);
+    assert!(second.fencing(at(2000)).is_some());
+    third.observe(at(30), log.read());
+    assert_eq!(
+        third.holder().map(|holder| holder.instance.as_str()),
+        Some("b")
+    );
+}
+
+fn ended_process_stays_ended() {
+    let mut log = Log::default();
+    let _dead = held("a", true, &mut log, 0);
+    let mut second = lease("b", true);
+    second.observe(at(100), log.read());
+    second.ended(1);
+    second.observe(at(150), log.read());
+    assert!(second.proposal(at(150)).is_some());
+    assert_eq!(second.holder(), None);
+}
+
 fn lease_of_an_ended_process_is_free_where_engines_check() {
     for fenced in [true, false] {
         let mut log = Log::default();
@@ -272,6 +310,11 @@
 }
 
 cases! {
+    /// A steward hands over, and its successor and the others read the record before the successor has renewed it.
+    /// Were the old holder believed again, nobody would be steward for a whole term.
+    reading_after_hand_over => readings_do_not_undo_what_was_told();
+    /// The same after a process was seen to have ended.
+    reading_after_an_end => ended_process_stays_ended();
     /// All processes were killed and are back, and the lease names one of before. If they waited a term, cold
     /// models would stay cold for as long after each such end.
     ended_process => lease_of_an_ended_process_is_free_where_engines_check();
