--- /dev/null
+++ b/crates/fireflywheel/src/fleet/plan/planner.rs
@@ -0,0 +1,397 @@
+//! A plan in the making.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use super::{Site, Step, Tier, View, has_copy, is_coming, tier};
+
+/// Requests in progress on one copy of a model from which another copy is wanted: beyond it, each further
+/// request makes all others of its batch slower.
+const REQUESTS_A_COPY: u32 = 8;
+/// A model stays this long after its load, so that requests that waited for it reach it before it goes.
+const SHORTEST_STAY: Duration = Duration::from_millis(600);
+/// An adapter stays this long after its load, for the same reason.
+const ADAPTER_STAY: Duration = Duration::from_millis(300);
+/// What is never asked for has this rate, so that larger models go before smaller ones.
+const LEAST_RATE: f64 = 0.001;
+/// How much more a second of waiting counts than a request a second that loses its copy.
+const WAIT_WEIGHT: f64 = 1.0;
+
+/// A way to bring a model in at one site.
+#[derive(Clone, Debug)]
+struct Way {
+    site: usize,
+    tier: Tier,
+    /// What has to go first; loaded at once when there is nothing.
+    victim: Option<SmolStr>,
+    cost: f64,
+}
+
+/// A plan in the making.
+pub(super) struct Planner<'a> {
+    pub(super) view: &'a View<'a>,
+    /// Sites that have a step in this plan already.
+    pub(super) taken: BTreeSet<usize>,
+    pub(super) fetching: usize,
+    pub(super) steps: Vec<Step>,
+}
+
+impl Planner<'_> {
+    /// Models that are wanted and nowhere in memory.
+    pub(super) fn bring_wanted(&mut self) {
+        let view = self.view;
+        let mut seen = BTreeSet::new();
+        for want in view.wants {
+            if !seen.insert(&want.model)
+                || self.copies(&want.model) > 0
+                || is_coming(view, &want.model)
+            {
+                continue;
+            }
+            let waited = view.now.since(want.since).as_secs_f64();
+            if let Some(way) = self.best_way(&want.model, waited, true) {
+                self.go(&want.model, way);
+            }
+        }
+    }
+
+    /// Adapters that are wanted where their model is.
+    pub(super) fn bring_adapters(&mut self) {
+        let view = self.view;
+        for want in view.wants {
+            let Some(adapter) = &want.adapter else {
+                continue;
+            };
+            let there = |site: &Site| {
+                site.held.holds(&want.model, Some(adapter))
+                    || site
+                        .held
+                        .coming
+                        .contains(&(want.model.clone(), adapter.clone()))
+            };
+            if view.sites.iter().any(|site| site.usable && there(site)) {
+                continue;
+            }
+            self.bring_adapter(&want.model, adapter);
+        }
+    }
+
+    fn bring_adapter(&mut self, model: &SmolStr, adapter: &SmolStr) {
+        let view = self.view;
+        let host = (0..view.sites.len())
+            .filter(|place| !self.taken.contains(place))
+            .filter(|place| {
+                let site = &view.sites[*place];
+                site.usable && !site.ordering && !site.held.busy && site.held.holds(model, None)
+            })
+            .min_by_key(|place| {
+                let site = &view.sites[*place];
+                (
+                    site.held.adapters() >= view.engine.adapter_places,
+                    site.held.adapters(),
+                )
+            });
+        let Some(place) = host else {
+            return;
+        };
+        let site = &view.sites[place];
+        let need = view
+            .engine
+            .models
+            .get(model)
+            .map_or(0.0, |model| model.adapter_mb);
+        let fits = site.held.adapters() < view.engine.adapter_places && self.free(place) >= need;
+        if fits {
+            self.push(Step::LoadAdapter {
+                site: place,
+                model: model.clone(),
+                adapter: adapter.clone(),
+            });
+        } else if let Some((model, adapter)) = self.idle_adapter(place) {
+            self.push(Step::UnloadAdapter {
+                site: place,
+                model,
+                adapter,
+            });
+        }
+    }
+
+    /// The adapter of a site that was loaded longest ago, among those that nothing uses.
+    fn idle_adapter(&self, place: usize) -> Option<(SmolStr, SmolStr)> {
+        let site = &self.view.sites[place];
+        let wanted = |model: &SmolStr, adapter: &SmolStr| {
+            let mut wants = self.view.wants.iter();
+            wants.any(|want| want.model == *model && want.adapter.as_ref() == Some(adapter))
+        };
+        site.held
+            .models
+            .iter()
+            .flat_map(|(model, adapters)| adapters.iter().map(move |adapter| (model, adapter)))
+            .filter(|(model, adapter)| !wanted(model, adapter))
+            .map(|(model, adapter)| {
+                let key = (model.clone(), Some(adapter.clone()));
+                (site.since.get(&key).copied().unwrap_or_default(), key)
+            })
+            .filter(|(since, _)| self.view.now.since(*since) >= ADAPTER_STAY)
+            .filter(|(_, key)| site.running.get(key).copied().unwrap_or_default() == 0)
+            .min_by_key(|(since, _)| *since)
+            .and_then(|(_, (model, adapter))| Some((model, adapter?)))
+    }
+
+    /// More copies of models whose requests crowd on those there are.
+    pub(super) fn spread_busy(&mut self) {
+        let view = self.view;
+        let mut crowded: Vec<(u32, &SmolStr)> = view
+            .engine
+            .models
+            .keys()
+            .filter(|model| !is_coming(view, model))
+            .filter_map(|model| {
+                let copies = u32::try_from(self.copies(model)).unwrap_or(u32::MAX);
+                let requests = self.requests(model);
+                let crowded = copies > 0 && requests > copies * REQUESTS_A_COPY;
+                crowded.then(|| (requests / copies, model))
+            })
+            .collect();
+        crowded.sort_by(|a, b| b.cmp(a));
+        for (_, model) in crowded {
+            let spare = self.homeless().next().is_none();
+            if let Some(way) = self.best_way(model, 0.0, spare) {
+                self.go(model, way);
+            }
+        }
+    }
+
+    /// Models without a copy anywhere, while the weight store has nothing else to do.
+    pub(super) fn fetch_ahead(&mut self) {
+        let view = self.view;
+        let mut homeless: Vec<SmolStr> = self.homeless().cloned().collect();
+        homeless.sort_by(|a, b| self.rate(b).total_cmp(&self.rate(a)));
+        for model in homeless {
+            if self.fetching >= view.fetches {
+                return;
+            }
+            if let Some(way) = self.best_way(&model, 0.0, true) {
+                self.go(&model, way);
+            }
+        }
+    }
+
+    fn homeless(&self) -> impl Iterator<Item = &SmolStr> {
+        let view = self.view;
+        let models = view.engine.models.keys();
+        models.filter(move |model| !has_copy(view, model) && !is_coming(view, model))
+    }
+
+    fn go(&mut self, model: &SmolStr, way: Way) {
+        if way.tier == Tier::Store {
+            self.fetching += 1;
+        }
+        let step = match way.victim {
+            Some(victim) => Step::Unload {
+                site: way.site,
+                model: victim,
+            },
+            None => Step::Load {
+                site: way.site,
+                model: model.clone(),
+                tier: way.tier,
+            },
+        };
+        self.push(step);
+    }
+
+    fn push(&mut self, step: Step) {
+        self.taken.insert(step.site());
+        self.steps.push(step);
+    }
+
+    /// The cheapest way to bring a model in, among engines that can take an order now.
+    fn best_way(&self, model: &SmolStr, waited: f64, fetch: bool) -> Option<Way> {
+        let fetch = fetch && self.fetching < self.view.fetches;
+        let elsewhere = has_copy(self.view, model) && self.copies(model) == 0;
+        (0..self.view.sites.len())
+            .filter(|place| !self.taken.contains(place))
+            .filter_map(|place| self.way(place, model))
+            // What has a copy on some server comes from there, even if that one must be waited for.
+            .filter(|way| way.tier != Tier::Store || (fetch && !elsewhere))
+            .map(|way| Way {
+                cost: way.cost - waited * WAIT_WEIGHT,
+                ..way
+            })
+            .min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    fn way(&self, place: usize, name: &SmolStr) -> Option<Way> {
+        let site = &self.view.sites[place];
+        if !site.usable || site.ordering || site.held.busy || site.held.models.contains_key(name) {
+            return None;
+        }
+        let model = self.view.engine.models.get(name)?;
+        let tier = tier(site, name);
+        let time = match tier {
+            Tier::Host => model.from_host,
+            Tier::Disk => model.from_disk,
+            Tier::Store => model.fetch,
+        };
+        let victims = self.victims(place, name, model.memory_mb)?;
+        let loss: f64 = victims.iter().map(|victim| self.loss(place, victim)).sum();
+        // While a load runs here, whatever is swapped at this site has to wait.
+        let held_up = self.swapped_rate(place) * time.as_secs_f64();
+        Some(Way {
+            site: place,
+            tier,
+            victim: victims.into_iter().next(),
+            cost: time.as_secs_f64() + loss + held_up,
+        })
+    }
+
+    /// What must go to make room, the least loss first; none when there is no way.
+    fn victims(&self, place: usize, wanted: &SmolStr, need: f64) -> Option<Vec<SmolStr>> {
+        let mut free = self.free(place);
+        let mut victims = Vec::new();
+        if free >= need {
+            return Some(victims);
+        }
+        let site = &self.view.sites[place];
+        let mut idle: Vec<(f64, &SmolStr, f64)> = site
+            .held
+            .models
+            .keys()
+            .filter(|model| *model != wanted && self.may_go(place, model))
+            .filter_map(|model| {
+                let size = self.view.engine.models.get(model)?.memory_mb;
+                Some((self.loss(place, model) / size, model, size))
+            })
+            .collect();
+        idle.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, model, size) in idle {
+            free += size;
+            victims.push(model.clone());
+            if free >= need {
+                return Some(victims);
+            }
+        }
+        None
+    }
+
+    fn may_go(&self, place: usize, model: &SmolStr) -> bool {
+        let site = &self.view.sites[place];
+        let running: u32 = site
+            .running
+            .iter()
+            .filter(|((running, _), _)| running == model)
+            .map(|(_, count)| count)
+            .sum();
+        let since = site
+            .since
+            .get(&(model.clone(), None))
+            .copied()
+            .unwrap_or_default();
+        let copies = u32::try_from(self.copies(model)).unwrap_or(u32::MAX);
+        let wanted = self.view.wants.iter().any(|want| want.model == *model);
+        let needed = copies <= 1 && wanted;
+        let crowded =
+            copies > 0 && self.requests(model) > copies.saturating_sub(1) * REQUESTS_A_COPY;
+        let spare = copies > 1 && !crowded;
+        let stayed = self.view.now.since(since) >= SHORTEST_STAY;
+        running == 0 && stayed && !needed && (spare || self.requests(model) == 0)
+    }
+
+    /// Requests a second that will find this copy gone.
+    fn loss(&self, place: usize, model: &SmolStr) -> f64 {
+        let site = &self.view.sites[place];
+        let copies = self.copies(model).max(1) as f64;
+        let again =
+            self.view
+                .engine
+                .models
+                .get(model)
+                .map_or(0.0, |known| match tier(site, model) {
+                    Tier::Host => known.from_host.as_secs_f64(),
+                    Tier::Disk => known.from_disk.as_secs_f64(),
+                    Tier::Store => known.fetch.as_secs_f64(),
+                });
+        self.rate(model) / copies * (1.0 + again)
+    }
+
+    /// Requests a second for models with a copy here that aren't in any memory.
+    fn swapped_rate(&self, place: usize) -> f64 {
+        let held = &self.view.sites[place].held;
+        held.on_disk
+            .union(&held.in_host)
+            .filter(|model| self.copies(model) == 0)
+            .map(|model| self.rate(model))
+            .sum()
+    }
+
+    fn rate(&self, model: &SmolStr) -> f64 {
+        self.view
+            .rates
+            .get(model)
+            .copied()
+            .unwrap_or_default()
+            .max(LEAST_RATE)
+    }
+
+    fn copies(&self, model: &SmolStr) -> usize {
+        let sites = self.view.sites.iter().filter(|site| site.usable);
+        sites
+            .filter(|site| site.held.models.contains_key(model))
+            .count()
+    }
+
+    /// Requests in progress and waiting, over all copies.
+    fn requests(&self, model: &SmolStr) -> u32 {
+        let running: u32 = self
+            .view
+            .sites
+            .iter()
+            .flat_map(|site| &site.running)
+            .filter(|((running, _), _)| running == model)
+            .map(|(_, count)| count)
+            .sum();
+        let waiting: u32 = self
+            .view
+            .wants
+            .iter()
+            .filter(|want| want.model == *model)
+            .map(|want| want.waiting)
+            .sum();
+        running + waiting
+    }
+
+    fn free(&self, place: usize) -> f64 {
+        let site = &self.view.sites[place];
+        let size = |model: &SmolStr| {
+            let known = self.view.engine.models.get(model);
+            // A model that the configuration doesn't name has an unknown size: nothing is put beside it.
+            known.map_or(self.view.engine.memory_mb, |known| known.memory_mb)
+        };
+        let adapter_size = |model: &SmolStr| {
+            let known = self.view.engine.models.get(model);
+            known.map_or(0.0, |known| known.adapter_mb)
+        };
+        let models: f64 = site.held.models.keys().map(size).sum();
+        let loading = site
+            .loading
+            .iter()
+            .filter(|model| !site.held.models.contains_key(*model));
+        let loading: f64 = loading.map(size).sum();
+        let adapters: f64 = site
+            .held
+            .models
+            .iter()
+            .map(|(model, adapters)| adapter_size(model) * adapters.len() as f64)
+            .sum();
+        let coming: f64 = site
+            .held
+            .coming
+            .iter()
+            .map(|(model, _)| adapter_size(model))
+            .sum();
+        self.view.engine.memory_mb - models - loading - adapters - coming
+    }
+}
--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -18,7 +18,7 @@
 //! assert_eq!(settings.instance, "a1");
 //! ```
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
@@ -56,6 +56,10 @@
 const RATIO: RangeInclusive<f64> = 0.0..=10.0;
 const EXTRA: RangeInclusive<f64> = 0.0..=1_000_000.0;
 
+/// Stands in for an address that has a fault.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+/// An instance with fewer could not serve at all.
+const LEAST_CONNECTIONS: usize = 16;
 /// Descriptors that aren't for connections.
 const OTHER_DESCRIPTORS: u64 = 250;
 
@@ -119,68 +123,98 @@
 }
 
 fn read(sections: &[ini_text::Section], faults: &mut fault::List) -> Settings {
-    let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-    let section = ini_text::find(sections, "instance");
-    let mut reader = field::Reader::new(&section, faults);
-    let instance = reader.name("name");
+    let find = |name| ini_text::find(sections, name);
+    let (instance, domain, cpu_share) = read_instance(&find("instance"), faults);
+    let [callers, ready, peers] = read_listen(&find("listen"), faults);
+    let (store, apply) = read_platform(&find("platform"), faults);
+    let (lease, fenced) = read_steward(&find("steward"), faults);
+    let repeats = read_repeats(&find("repeats"), faults);
+    let obey = read_span(&find("backend"), "obey_ms", OBEY_MS, faults);
+    let grace = read_span(&find("stop"), "grace_ms", GRACE_MS, faults);
+    Settings {
+        instance,
+        domain,
+        cpu_share,
+        callers,
+        ready,
+        peers,
+        store,
+        apply,
+        lease,
+        fenced,
+        repeats,
+        obey: obey.unwrap_or(Duration::from_secs(2)),
+        grace: grace.unwrap_or(Duration::from_secs(8)),
+        connections: read_connections(&find("limits"), faults),
+        level: read_level(&find("log"), faults),
+    }
+}
+
+fn read_instance(section: &ini_text::Section, faults: &mut fault::List) -> (SmolStr, SmolStr, f64) {
+    let mut reader = field::Reader::new(section, faults);
+    let name = reader.name("name");
     let domain = reader.name("failure_domain");
     let cpu_share = reader.optional_number("cpu_share", CPU_SHARE);
     reader.finish();
-    let section = ini_text::find(sections, "listen");
-    let mut reader = field::Reader::new(&section, faults);
-    let callers = reader.required("callers", ADDRESS_RULE, nowhere, field::parsed);
-    let ready = reader.required("ready", ADDRESS_RULE, nowhere, field::parsed);
-    let peers = reader.required("peers", ADDRESS_RULE, nowhere, field::parsed);
+    (name, domain, cpu_share.unwrap_or(1.0))
+}
+
+/// The addresses for callers, for those who ask whether the instance is ready, and for peers.
+fn read_listen(section: &ini_text::Section, faults: &mut fault::List) -> [SocketAddr; 3] {
+    let mut reader = field::Reader::new(section, faults);
+    let addresses = ["callers", "ready", "peers"]
+        .map(|key| reader.required(key, ADDRESS_RULE, NOWHERE, field::parsed));
     reader.finish();
-    let section = ini_text::find(sections, "platform");
-    let mut reader = field::Reader::new(&section, faults);
-    let store = reader.required("store", ADDRESS_RULE, nowhere, field::parsed);
+    addresses
+}
+
+fn read_platform(section: &ini_text::Section, faults: &mut fault::List) -> (SocketAddr, Duration) {
+    let mut reader = field::Reader::new(section, faults);
+    let store = reader.required("store", ADDRESS_RULE, NOWHERE, field::parsed);
     let apply = reader.optional_millis("apply_ms", OBEY_MS);
     reader.finish();
-    let section = ini_text::find(sections, "steward");
-    let mut reader = field::Reader::new(&section, faults);
+    (store, apply.unwrap_or(Duration::from_secs(2)))
+}
+
+fn read_steward(section: &ini_text::Section, faults: &mut fault::List) -> (lease::Options, bool) {
+    let mut reader = field::Reader::new(section, faults);
     let term = reader.optional_millis("lease_ms", LEASE_MS);
-    let fenced = reader.optional_word("fenced", &YES_NO).unwrap_or(false);
+    let fenced = reader.optional_word("fenced", &YES_NO);
     reader.finish();
-    let repeats = read_repeats(&ini_text::find(sections, "repeats"), faults);
-    let section = ini_text::find(sections, "backend");
-    let mut reader = field::Reader::new(&section, faults);
-    let obey = reader.optional_millis("obey_ms", OBEY_MS);
-    reader.finish();
-    let section = ini_text::find(sections, "stop");
-    let mut reader = field::Reader::new(&section, faults);
-    let grace = reader.optional_millis("grace_ms", GRACE_MS);
+    let term = term.unwrap_or(Duration::from_secs(3));
+    (lease::Options::new(term), fenced.unwrap_or(false))
+}
+
+/// A section with one span of time.
+fn read_span(
+    section: &ini_text::Section,
+    key: &'static str,
+    range: RangeInclusive<u64>,
+    faults: &mut fault::List,
+) -> Option<Duration> {
+    let mut reader = field::Reader::new(section, faults);
+    let span = reader.optional_millis(key, range);
     reader.finish();
-    let section = ini_text::find(sections, "limits");
-    let mut reader = field::Reader::new(&section, faults);
+    span
+}
+
+fn read_connections(section: &ini_text::Section, faults: &mut fault::List) -> usize {
+    let mut reader = field::Reader::new(section, faults);
     let descriptors = reader.optional_whole("descriptors", DESCRIPTORS);
-    let descriptors: u64 = descriptors.unwrap_or(1024);
     reader.finish();
-    let section = ini_text::find(sections, "log");
-    let mut reader = field::Reader::new(&section, faults);
+    let descriptors: u64 = descriptors.unwrap_or(1024);
+    // Each request needs a connection on both sides.
+    let connections = descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2;
+    usize::try_from(connections)
+        .unwrap_or(usize::MAX)
+        .max(LEAST_CONNECTIONS)
+}
+
+fn read_level(section: &ini_text::Section, faults: &mut fault::List) -> log::LevelFilter {
+    let mut reader = field::Reader::new(section, faults);
     let level = reader.optional_word("level", &LEVELS);
-    let level = level.unwrap_or(log::LevelFilter::Info);
     reader.finish();
-    Settings {
-        instance,
-        domain,
-        cpu_share: cpu_share.unwrap_or(1.0),
-        callers,
-        ready,
-        peers,
-        store,
-        apply: apply.unwrap_or(Duration::from_secs(2)),
-        lease: lease::Options::new(term.unwrap_or(Duration::from_secs(3))),
-        fenced,
-        repeats,
-        obey: obey.unwrap_or(Duration::from_secs(2)),
-        grace: grace.unwrap_or(Duration::from_secs(8)),
-        // Each request needs a connection on both sides.
-        connections: usize::try_from(descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2)
-            .unwrap_or(usize::MAX)
-            .max(16),
-        level,
-    }
+    level.unwrap_or(log::LevelFilter::Info)
 }
 
 fn read_repeats(section: &ini_text::Section, faults: &mut fault::List) -> budget::Options {
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -145,21 +145,10 @@
             } else if !self.node.may_repeat(&job.lane.group) {
                 return Err(failure);
             }
-            log::info!(
-                request = job.call.id.as_str(), server = chosen.server.as_str(), sending = sending as u64,
-                waited_ms = millis(self.node.now().since(job.arrived));
-                "request sent"
-            );
             tried.push(chosen.server.clone());
-            let outcome = attempt::send(&self.node, &job, &chosen, job.call.last_event).await;
-            let outcome = match outcome {
-                attempt::Outcome::Begun(begun) => {
-                    match self.finish(&job, *begun, may_have_run).await {
-                        Ok(response) => return Ok(response),
-                        Err(outcome) => outcome,
-                    }
-                }
-                other => other,
+            let outcome = match self.send(&job, &chosen, sending, may_have_run).await {
+                Ok(response) => return Ok(response),
+                Err(outcome) => outcome,
             };
             match outcome {
                 attempt::Outcome::NotRun(why) => {
@@ -190,6 +179,25 @@
         Err(failure)
     }
 
+    /// Sends a request to one server, and hands its response on or says what is known instead.
+    async fn send(
+        &self,
+        job: &Arc<attempt::Job>,
+        chosen: &node::Chosen,
+        sending: usize,
+        may_have_run: u32,
+    ) -> Result<Response<door::Body>, attempt::Outcome<P>> {
+        log::info!(
+            request = job.call.id.as_str(), server = chosen.server.as_str(), sending = sending as u64,
+            waited_ms = millis(self.node.now().since(job.arrived));
+            "request sent"
+        );
+        match attempt::send(&self.node, job, chosen, job.call.last_event).await {
+            attempt::Outcome::Begun(begun) => self.finish(job, *begun, may_have_run).await,
+            other => Err(other),
+        }
+    }
+
     /// Hands a response on, or says why another attempt is needed.
     async fn finish(
         &self,
