--- a/crates/fireflywheel/src/clock.rs
+++ b/crates/fireflywheel/src/clock.rs
@@ -11,15 +11,13 @@
     /// The reading `wait` later; saturates at the end of time.
     #[must_use]
     pub fn after(self, wait: Duration) -> Self {
-        let millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        Self(self.0.saturating_add(millis))
+        Self(self.0.saturating_add(millis(wait)))
     }
 
     /// The reading `wait` earlier; not before the origin.
     #[must_use]
     pub fn before(self, wait: Duration) -> Self {
-        let millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        Self(self.0.saturating_sub(millis))
+        Self(self.0.saturating_sub(millis(wait)))
     }
 
     /// How long ago `earlier` was; zero when it lies ahead.
@@ -28,3 +26,9 @@
         Duration::from_millis(self.0.saturating_sub(earlier.0))
     }
 }
+
+/// A span in whole milliseconds, for logs and links; the most there is when it is longer.
+#[must_use]
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/fireflywheel_daemon/src/fleet/daemon.rs
+++ b/crates/fireflywheel_daemon/src/fleet/daemon.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use fireflywheel::clock;
 use fireflywheel::fleet::config;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -135,7 +136,7 @@
     pub async fn stop(mut self) {
         let begun = self.node.now();
         let grace = self.node.settings.grace.saturating_sub(END_MARGIN);
-        log::info!(grace_ms = u64::try_from(grace.as_millis()).unwrap_or(u64::MAX); "planned stop");
+        log::info!(grace_ms = clock::millis(grace); "planned stop");
         self.node.drain(grace);
         self.steward.release().await;
         time::sleep(NOTICE.min(grace / 2)).await;
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -189,7 +189,7 @@
     ) -> Result<Response<door::Body>, attempt::Outcome<P>> {
         log::info!(
             request = job.call.id.as_str(), server = chosen.server.as_str(), sending = sending as u64,
-            waited_ms = millis(self.node.now().since(job.arrived));
+            waited_ms = clock::millis(self.node.now().since(job.arrived));
             "request sent"
         );
         match attempt::send(&self.node, job, chosen, job.call.last_event).await {
@@ -231,7 +231,7 @@
         log::info!(
             request = job.call.id.as_str(), route = job.route.name.as_str(), server = server,
             model = job.lane.model.as_deref().unwrap_or_default(), status = u64::from(status.as_u16()),
-            took_ms = millis(took);
+            took_ms = clock::millis(took);
             "answered"
         );
     }
@@ -241,7 +241,7 @@
         log::info!(
             request = job.call.id.as_str(), server = chosen.server.as_str(), verdict = verdict, why = why,
             model = job.lane.model.as_deref().unwrap_or_default(),
-            waited_ms = millis(self.node.now().since(job.arrived));
+            waited_ms = clock::millis(self.node.now().since(job.arrived));
             "attempt failed"
         );
     }
@@ -259,9 +259,9 @@
             .refused(problem.code, problem.status.as_u16());
         log::info!(
             request = call.id.as_str(), status = u64::from(problem.status.as_u16()), code = problem.code,
-            why = problem.message.as_str(), verdict = problem.verdict.as_str(), took_ms = millis(took),
+            why = problem.message.as_str(), verdict = problem.verdict.as_str(), took_ms = clock::millis(took),
             model = call.model.as_deref().unwrap_or_default(),
-            retry_after_ms = problem.retry_after.map_or(0, millis);
+            retry_after_ms = problem.retry_after.map_or(0, clock::millis);
             "refused"
         );
         let mut response = problem.answer();
@@ -373,7 +373,3 @@
         ..settings::Limits::default()
     }
 }
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -71,7 +71,7 @@
         self.acting = acting;
         self.tracks.clear();
         self.forecasts.clear();
-        // Loads of the steward before may have begun a moment ago: the window starts as if it were half full.
+        // Loads of the steward before may have begun a moment ago: as many count as may run at once.
         self.fetches.clear();
         self.fetches.extend(std::iter::repeat_n(now, plan::FETCHES));
         self.beat = None;
@@ -282,7 +282,7 @@
         logged.insert(want.model.clone(), view.now);
         log::info!(
             model = want.model.as_str(), waiting = want.waiting,
-            waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+            waited_ms = clock::millis(waited),
             why = plan::obstacle(view, &want.model);
             "model waited for"
         );
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -140,7 +140,7 @@
         let took = self.node.now().since(self.job.arrived);
         log::info!(
             request = self.job.call.id.as_str(), server = self.source.server.as_str(),
-            runs = self.tried.len() as u64 + 1, took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+            runs = self.tried.len() as u64 + 1, took_ms = clock::millis(took);
             "stream complete"
         );
     }
--- a/crates/fireflywheel_daemon/src/fleet/watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/watch.rs
@@ -46,7 +46,7 @@
 
     fn good(&mut self, now: clock::Instant) {
         if let Some(lost) = self.lost.take() {
-            let away = u64::try_from(now.since(lost).as_millis()).unwrap_or(u64::MAX);
+            let away = clock::millis(now.since(lost));
             log::info!(dependency = self.name, away_ms = away; "dependency regained");
             self.regained = Some(now);
         }
