Believe a smaller fleet only after a whole window of the repeats' budget

Cause: the steward tells its number of links as the number of instances, and each instance takes its part of the repeats by the newest count. A steward that has just taken over has a few links, so the first instances took a third or a tenth of the whole each, while the others went on with their old parts. Ruled out: budgets of one instance in its window (the property test holds); late links alone, since an instance without a link keeps its old count. Before: 125 instances, 20 of them linked to the new steward: 882 repeats where 314 are allowed (size::new_steward fails).

--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 //! | [`routing`] | which backend server a request goes to |
 //! | [`patience`] | how long a request is worth keeping, and when it should come back |
 //! | [`budget`] | how many repeats all instances may send together |
+//! | [`size`] | how many instances share such a limit |
 //! | [`events`] | events of a stream, cut at their ends |
 //! | [`settings`] | what one process is told at its start |
 //! | [`talk`] | when an instance talks to the steward, and how long the steward's word stands |
@@ -31,4 +32,5 @@
 pub mod routing;
 pub mod server;
 pub mod settings;
+pub mod size;
 pub mod talk;
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod plan;
 mod routing;
 mod settings;
+mod size;
 mod talk;
 
 /// Makes a test of each name and the check behind it.
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -76,10 +76,12 @@
     /// An instance that knows nothing yet.
     #[must_use]
     pub fn new(platform: P, settings: settings::Settings, metrics: metrics::Metrics) -> Self {
+        let clock = Clock::new();
+        let state = State::new(clock.now(), settings.repeats.window);
         Self {
             platform,
             settings,
-            clock: Clock::new(),
+            clock,
             pool: pool::Pool::default(),
             metrics,
             incarnation: rand::random(),
@@ -87,7 +89,7 @@
             wanted: Notify::new(),
             used: Notify::new(),
             relayed: watch::Sender::new(Relayed::default()),
-            state: Mutex::default(),
+            state: Mutex::new(state),
         }
     }
 
@@ -156,7 +158,7 @@
     /// Instances that share limits, as far as known.
     #[must_use]
     pub fn instances(&self) -> usize {
-        self.lock().instances()
+        self.lock().instances.count()
     }
 
     /// Whether callers should be sent here.
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -111,7 +111,7 @@
         Choice::Server(Chosen {
             server: servers[place].server.id.clone(),
             address: servers[place].server.address,
-            connections: (group.connections / state.instances()).max(1),
+            connections: (group.connections / state.instances.count()).max(1),
         })
     }
 
@@ -173,7 +173,7 @@
     pub fn may_repeat(&self, group: &SmolStr) -> bool {
         let now = self.now();
         let mut state = self.lock();
-        let instances = state.instances();
+        let instances = state.instances.count();
         state.budget(group, &self.settings).repeat(now, instances)
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
@@ -114,9 +114,10 @@
         self.wake();
     }
 
-    /// How many instances share limits.
+    /// How many instances the steward counts.
     pub fn learn_instances(&self, instances: usize) {
-        self.lock().instances = Some(instances.max(1));
+        let now = self.now();
+        self.lock().instances.told(now, instances);
     }
 
     /// Remembers how a server did.
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -10,6 +10,7 @@
 use fireflywheel::fleet::routing;
 use fireflywheel::fleet::server;
 use fireflywheel::fleet::settings;
+use fireflywheel::fleet::size;
 use smol_str::SmolStr;
 
 use super::LaneKey;
@@ -24,7 +25,7 @@
 /// A server that says when it will be gone gets no request in its last moments.
 pub(super) const LEAVING_MARGIN: Duration = Duration::from_millis(300);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct State {
     pub(super) config: Option<Arc<config::Config>>,
     pub(super) servers: BTreeMap<SmolStr, Known>,
@@ -33,7 +34,7 @@
     pub(super) denied: BTreeSet<SmolStr>,
     pub(super) forecasts: BTreeMap<(SmolStr, SmolStr), clock::Instant>,
     pub(super) budgets: BTreeMap<SmolStr, budget::Budget>,
-    pub(super) instances: Option<usize>,
+    pub(super) instances: size::Size,
     pub(super) config_read: Option<clock::Instant>,
     pub(super) directory_read: Option<clock::Instant>,
     pub(super) relaying: bool,
@@ -77,6 +78,26 @@
 }
 
 impl State {
+    /// Nothing is known yet; repeats are counted over this window.
+    pub(super) fn new(now: clock::Instant, window: Duration) -> Self {
+        Self {
+            config: None,
+            servers: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            arrived: BTreeMap::new(),
+            denied: BTreeSet::new(),
+            forecasts: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            instances: size::Size::new(now, window, UNKNOWN_INSTANCES),
+            config_read: None,
+            directory_read: None,
+            relaying: false,
+            told_until: None,
+            next_waiting: 0,
+            stops: None,
+        }
+    }
+
     pub(super) fn enter(&mut self, server: server::Server) {
         let fresh = Known {
             server: server.clone(),
@@ -132,10 +153,6 @@
             .filter(in_time)
     }
 
-    pub(super) fn instances(&self) -> usize {
-        self.instances.unwrap_or(UNKNOWN_INSTANCES)
-    }
-
     pub(super) fn budget(
         &mut self,
         group: &SmolStr,
