--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -78,6 +78,9 @@
     pub ready: SocketAddr,
     /// `[listen] peers`: where other instances reach it.
     pub peers: SocketAddr,
+    /// `[listen] peers_advertised`, that of `peers` if left out: the address that other instances are told, where
+    /// something stands between that forwards to `peers`.
+    pub peers_advertised: SocketAddr,
     /// `[platform] store`.
     pub store: SocketAddr,
     /// `[platform] apply_ms`, 2,000 if left out: within this of its acceptance a configuration must be in force.
@@ -125,7 +128,7 @@
 fn read(sections: &[ini_text::Section], faults: &mut fault::List) -> Settings {
     let find = |name| ini_text::find(sections, name);
     let (instance, domain, cpu_share) = read_instance(&find("instance"), faults);
-    let [callers, ready, peers] = read_listen(&find("listen"), faults);
+    let ([callers, ready, peers], peers_advertised) = read_listen(&find("listen"), faults);
     let (store, apply) = read_platform(&find("platform"), faults);
     let (lease, fenced) = read_steward(&find("steward"), faults);
     let repeats = read_repeats(&find("repeats"), faults);
@@ -138,6 +141,7 @@
         callers,
         ready,
         peers,
+        peers_advertised,
         store,
         apply,
         lease,
@@ -159,13 +163,18 @@
     (name, domain, cpu_share.unwrap_or(1.0))
 }
 
-/// The addresses for callers, for those who ask whether the instance is ready, and for peers.
-fn read_listen(section: &ini_text::Section, faults: &mut fault::List) -> [SocketAddr; 3] {
+/// The addresses for callers, for those who ask whether the instance is ready, and for peers; and the one that
+/// peers are told.
+fn read_listen(
+    section: &ini_text::Section,
+    faults: &mut fault::List,
+) -> ([SocketAddr; 3], SocketAddr) {
     let mut reader = field::Reader::new(section, faults);
     let addresses = ["callers", "ready", "peers"]
         .map(|key| reader.required(key, ADDRESS_RULE, NOWHERE, field::parsed));
+    let advertised = reader.optional("peers_advertised", ADDRESS_RULE, field::parsed);
     reader.finish();
-    addresses
+    (addresses, advertised.unwrap_or(addresses[2]))
 }
 
 fn read_platform(section: &ini_text::Section, faults: &mut fault::List) -> (SocketAddr, Duration) {
--- a/crates/fireflywheel/tests/fleet/settings.rs
+++ b/crates/fireflywheel/tests/fleet/settings.rs
@@ -39,6 +39,14 @@
     assert_eq!(settings.connections, 1310);
 }
 
+fn advertised_address() {
+    let settings = Settings::parse(GOOD).expect("no faults");
+    assert_eq!(settings.peers_advertised, settings.peers);
+    let forwarded = GOOD.replace("[platform]", "peers_advertised = 10.0.0.7:99\n[platform]");
+    let settings = Settings::parse(&forwarded).expect("no faults");
+    assert_eq!(settings.peers_advertised.to_string(), "10.0.0.7:99");
+}
+
 /// The faults of the good settings with `from` in place of `to`.
 fn faults(from: &str, to: &str) -> String {
     assert!(GOOD.contains(from));
@@ -54,6 +62,8 @@
 cases! {
     /// What the page shows is read.
     good => good_settings();
+    /// Something forwards to an instance: the others must link to what forwards.
+    advertised => advertised_address();
     /// A template's field had no value.
     empty_value => fault("name = a1", "name =", "name");
     /// A field is missing.
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -188,7 +188,7 @@
     let hello = frame::Frame::Hello {
         instance: steward.node.settings.instance.clone(),
         incarnation: steward.node.incarnation,
-        address: steward.node.settings.peers.to_string().into(),
+        address: steward.node.settings.peers_advertised.to_string().into(),
         cpu_share: steward.node.settings.cpu_share,
     };
     send(&mut socket, &hello).await?;
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -60,7 +60,7 @@
     #[must_use]
     pub fn new(node: Arc<node::Node<P>>) -> Self {
         let settings = &node.settings;
-        let address = SmolStr::new(settings.peers.to_string());
+        let address = SmolStr::new(settings.peers_advertised.to_string());
         let lease = Lease::new(
             settings.lease,
             settings.instance.clone(),
--- a/crates/fireflywheel_standin/src/lib.rs
+++ b/crates/fireflywheel_standin/src/lib.rs
@@ -42,3 +42,4 @@
 pub mod service;
 pub mod site;
 pub mod store;
+pub mod trial;
--- a/crates/fireflywheel_standin/src/load/report.rs
+++ b/crates/fireflywheel_standin/src/load/report.rs
@@ -129,7 +129,11 @@
 }
 
 impl Latency {
-    fn new<I>(times: I) -> anyhow::Result<Self>
+    /// Sums up times.
+    ///
+    /// # Errors
+    /// When a histogram can't be made.
+    pub fn new<I>(times: I) -> anyhow::Result<Self>
     where
         I: Iterator<Item = time::Duration>,
     {
--- a/crates/fireflywheel_standin/src/process.rs
+++ b/crates/fireflywheel_standin/src/process.rs
@@ -2,6 +2,7 @@
 //!
 //! Only the test runner starts processes; the shipped ones never do.
 
+use std::ffi::OsString;
 use std::sync::atomic;
 use std::{env, fs, io, net, path, process, time};
 
@@ -10,77 +11,140 @@
 use smol_str::SmolStr;
 use tokio::io::{AsyncBufReadExt as _, BufReader};
 use tokio::process as children;
+use tokio::sync::mpsc::UnboundedSender;
 
 /// Guards a test against a process that never gets ready.
 const START_GUARD: time::Duration = time::Duration::from_secs(60);
 
+/// Where the times in `/proc/PID/stat` stand after the program's name, and their unit on Linux.
+const USER_TICKS: usize = 11;
+const SYSTEM_TICKS: usize = 12;
+const TICK: time::Duration = time::Duration::from_millis(10);
+
 /// Distinguishes the files of the children of one test process.
 static NEXT_FILE: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
-/// A process started by a test. Dropping it kills it by its id and removes its files.
+/// What to start, and how.
 #[derive(Debug)]
-pub struct Child {
-    inner: children::Child,
-    pid: signals::Pid,
-    ready: SmolStr,
-    stderr: path::PathBuf,
+pub struct Program {
+    name: SmolStr,
+    path: path::PathBuf,
+    args: Vec<OsString>,
+    variables: Vec<(&'static str, OsString)>,
+    marks: Vec<&'static str>,
+    lines: Option<UnboundedSender<String>>,
 }
 
-impl Child {
-    /// Starts the binary `name` of this workspace and waits until it says on stdout that it is
-    /// `listening` or `ready`. Needs a runtime with time and I/O.
-    ///
-    /// # Errors
-    /// When the process ends or stays silent; the error holds what it wrote to stderr.
+impl Program {
+    /// The binary `name` of this workspace. It says on stdout that it is `listening` or `ready`.
     ///
     /// # Panics
     /// When the binary isn't built.
-    pub async fn start<A>(name: &str, args: A) -> anyhow::Result<Self>
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self::at(binary(name))
+    }
+
+    /// The binary at this path.
+    #[must_use]
+    pub fn at(path: path::PathBuf) -> Self {
+        let name = path.file_name().unwrap_or_default().to_string_lossy();
+        Self {
+            name: name.into(),
+            path,
+            args: Vec::new(),
+            variables: Vec::new(),
+            marks: vec!["listening ", "ready "],
+            lines: None,
+        }
+    }
+
+    /// The same with arguments after those it has.
+    #[must_use]
+    pub fn with_args<A>(mut self, args: A) -> Self
     where
         A: IntoIterator,
-        A::Item: Into<std::ffi::OsString>,
+        A::Item: Into<OsString>,
     {
-        let stderr = scratch_file(name);
-        let args = args.into_iter().map(Into::into);
-        let mut inner = children::Command::new(binary(name))
-            .args(args)
+        self.args.extend(args.into_iter().map(Into::into));
+        self
+    }
+
+    /// The same with a variable in its environment.
+    #[must_use]
+    pub fn with_variable(mut self, name: &'static str, value: impl Into<OsString>) -> Self {
+        self.variables.push((name, value.into()));
+        self
+    }
+
+    /// The same, but it counts as ready at once, whatever it says.
+    #[must_use]
+    pub fn without_mark(mut self) -> Self {
+        self.marks.clear();
+        self
+    }
+
+    /// The same with a reader of all lines that it writes to stdout.
+    #[must_use]
+    pub fn with_lines(mut self, lines: UnboundedSender<String>) -> Self {
+        self.lines = Some(lines);
+        self
+    }
+
+    /// Starts it and waits until it is ready. Needs a runtime with time and I/O.
+    ///
+    /// # Errors
+    /// When the process ends or stays silent; the error holds what it wrote to stderr.
+    pub async fn start(self) -> anyhow::Result<Child> {
+        let stderr = scratch_file(&self.name);
+        let mut inner = children::Command::new(&self.path)
+            .args(&self.args)
+            .envs(self.variables.iter().map(|(name, value)| (name, value)))
             .stdin(process::Stdio::null())
             .stdout(process::Stdio::piped())
             .stderr(fs::File::create(&stderr)?)
             .kill_on_drop(true)
             .spawn()
-            .with_context(|| format!("start {name}"))?;
+            .with_context(|| format!("start {}", self.name))?;
         let pid = inner.id().and_then(pid_of).context("ended at once")?;
         let stdout = inner.stdout.take().context("stdout is piped")?;
-        let mut child = Self {
+        let mut child = Child {
             inner,
             pid,
             ready: SmolStr::default(),
             stderr,
         };
-        child.ready = child
-            .wait_until_ready(stdout)
+        child.ready = wait_until_ready(stdout, self.marks, self.lines)
             .await
-            .with_context(|| format!("{name}, which wrote: {}", child.stderr()))?;
+            .with_context(|| format!("{}, which wrote: {}", self.name, child.stderr()))?;
         Ok(child)
     }
+}
 
-    async fn wait_until_ready(&self, stdout: children::ChildStdout) -> anyhow::Result<SmolStr> {
-        let mut lines = BufReader::new(stdout).lines();
-        let first = async {
-            while let Some(line) = lines.next_line().await? {
-                if line.starts_with("listening ") || line.starts_with("ready ") {
-                    return Ok(SmolStr::from(line));
-                }
-            }
-            anyhow::bail!("stdout closed before it was ready")
-        };
-        let line = tokio::time::timeout(START_GUARD, first)
-            .await
-            .context("not ready in time")??;
-        // A full pipe would block the process at its next line.
-        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
-        Ok(line)
+/// A process started by a test. Dropping it kills it by its id and removes its files.
+#[derive(Debug)]
+pub struct Child {
+    inner: children::Child,
+    pid: signals::Pid,
+    ready: SmolStr,
+    stderr: path::PathBuf,
+}
+
+impl Child {
+    /// Starts the binary `name` of this workspace and waits until it says on stdout that it is
+    /// `listening` or `ready`. Needs a runtime with time and I/O.
+    ///
+    /// # Errors
+    /// When the process ends or stays silent; the error holds what it wrote to stderr.
+    ///
+    /// # Panics
+    /// When the binary isn't built.
+    pub async fn start<A>(name: &str, args: A) -> anyhow::Result<Self>
+    where
+        A: IntoIterator,
+        A::Item: Into<OsString>,
+    {
+        Program::new(name).with_args(args).start().await
     }
 
     /// The line by which it said that it was ready.
@@ -146,6 +210,36 @@
         self.signal(signals::Signal::CONT)
     }
 
+    /// Tells it that its settings changed (SIGHUP).
+    ///
+    /// # Errors
+    /// When it has ended.
+    pub fn reload(&self) -> anyhow::Result<()> {
+        self.signal(signals::Signal::HUP)
+    }
+
+    /// The time of a processor that it has used so far.
+    ///
+    /// # Errors
+    /// When the system can't be asked.
+    pub fn processor_time(&self) -> anyhow::Result<time::Duration> {
+        let text = fs::read_to_string(format!("/proc/{}/stat", self.id()))?;
+        // The name of the program stands in brackets and may hold anything.
+        let (_, rest) = text.rsplit_once(')').context("no name in it")?;
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        let ticks = |place: usize| -> anyhow::Result<u64> {
+            Ok(fields.get(place).context("too short")?.parse()?)
+        };
+        let ticks = ticks(USER_TICKS)? + ticks(SYSTEM_TICKS)?;
+        Ok(TICK * u32::try_from(ticks)?)
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        // One that can't be asked about is treated as ended: it was waited for before.
+        !matches!(self.inner.try_wait(), Ok(None))
+    }
+
     /// Ends the process at once (`SIGKILL`), without waiting for its end: [`Self::wait`] does.
     ///
     /// # Errors
@@ -193,6 +287,38 @@
     }
 }
 
+async fn wait_until_ready(
+    stdout: children::ChildStdout,
+    marks: Vec<&'static str>,
+    sink: Option<UnboundedSender<String>>,
+) -> anyhow::Result<SmolStr> {
+    let mut lines = BufReader::new(stdout).lines();
+    let first = async {
+        if marks.is_empty() {
+            return Ok(SmolStr::default());
+        }
+        while let Some(line) = lines.next_line().await? {
+            if marks.iter().any(|mark| line.starts_with(mark)) {
+                return Ok(SmolStr::from(line));
+            }
+        }
+        anyhow::bail!("stdout closed before it was ready")
+    };
+    let line = tokio::time::timeout(START_GUARD, first)
+        .await
+        .context("not ready in time")??;
+    // A full pipe would block the process at its next line.
+    tokio::spawn(async move {
+        while let Ok(Some(line)) = lines.next_line().await {
+            if let Some(sink) = &sink {
+                // Whoever wanted the lines may have gone.
+                let _ = sink.send(line);
+            }
+        }
+    });
+    Ok(line)
+}
+
 fn pid_of(id: u32) -> Option<signals::Pid> {
     signals::Pid::from_raw(i32::try_from(id).ok()?)
 }
--- a/crates/fireflywheel_standin/src/site/store.rs
+++ b/crates/fireflywheel_standin/src/site/store.rs
@@ -16,6 +16,13 @@
 use super::bare;
 use crate::{fault, http};
 
+/// The topic of the workers' entries.
+pub const SERVERS: &str = "keyed.servers";
+/// The topic and the key of the operator's configuration.
+pub const CONFIG: (&str, &str) = ("keyed.op", "config");
+/// How often it is looked for entries that have lapsed.
+const LAPSE_LOOK: Duration = Duration::from_millis(50);
+
 /// A handle to the store.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -46,6 +53,7 @@
 struct Record {
     key: String,
     value: Vec<u8>,
+    written: time::Instant,
 }
 
 impl Topic {
@@ -93,19 +101,8 @@
 
     /// Writes a record, as the operator and the workers do.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
-        let record = Record {
-            key: key.to_owned(),
-            value: value.to_vec(),
-        };
-        let mut state = self.lock();
-        state
-            .topics
-            .entry(topic.into())
-            .or_default()
-            .records
-            .push(record);
-        drop(state);
-        self.inner.changes.send_modify(|count| *count += 1);
+        // Without a condition it is always written.
+        let _ = self.put_at(topic, None, key, value);
     }
 
     /// Drops a key.
@@ -120,6 +117,24 @@
         topic.first = topic.end();
     }
 
+    /// Drops entries of workers that weren't written for this long, for ever; also while the store is out of order.
+    pub async fn lapse(self, patience: Duration) {
+        loop {
+            time::sleep(LAPSE_LOOK).await;
+            let state = self.lock();
+            let newest = state.topics.get(SERVERS).map(Topic::newest);
+            let newest = newest.unwrap_or_default().into_iter();
+            let lapsed: Vec<String> = newest
+                .filter(|(_, (_, record))| record.written.elapsed() > patience)
+                .map(|(key, _)| key.to_owned())
+                .collect();
+            drop(state);
+            for key in lapsed {
+                self.remove(SERVERS, &key);
+            }
+        }
+    }
+
     /// Changes the switches.
     pub fn set_faults(&self, change: &fault::Change) {
         self.inner.desk.apply(change);
@@ -180,24 +195,41 @@
         bytes.extend_from_slice(&topic.first.to_be_bytes());
         let skipped = usize::try_from(from).unwrap_or(usize::MAX);
         for record in topic.records.iter().skip(skipped) {
-            write_record(&mut bytes, record);
+            write_record(&mut bytes, &record.key, &record.value);
         }
         Response::new(http::Body::Full(bytes.into()))
     }
 
     fn append(&self, topic: &str, at: Option<u64>, body: &Bytes) -> http::Answer {
-        let end = self.end(topic);
-        if at.is_some_and(|at| at != end) {
-            return http::json(StatusCode::PRECONDITION_FAILED, &json!({"endOffset": end}));
-        }
-        let Some(record) = read_record(body) else {
+        let Some((key, value)) = read_record(body) else {
             return bare(StatusCode::BAD_REQUEST);
         };
-        self.put(topic, &record.key, &record.value);
-        http::json(
-            StatusCode::OK,
-            &json!({"offset": end, "endOffset": end + 1}),
-        )
+        match self.put_at(topic, at, &key, value) {
+            Ok(offset) => http::json(
+                StatusCode::OK,
+                &json!({"offset": offset, "endOffset": offset + 1}),
+            ),
+            Err(end) => http::json(StatusCode::PRECONDITION_FAILED, &json!({"endOffset": end})),
+        }
+    }
+
+    /// Writes a record, on condition that the topic ends at `at`. Gives its offset, or the end that is there.
+    fn put_at(&self, topic: &str, at: Option<u64>, key: &str, value: &[u8]) -> Result<u64, u64> {
+        let record = Record {
+            key: key.to_owned(),
+            value: value.to_vec(),
+            written: time::Instant::now(),
+        };
+        let mut state = self.lock();
+        let topic = state.topics.entry(topic.into()).or_default();
+        let end = topic.end();
+        if at.is_some_and(|at| at != end) {
+            return Err(end);
+        }
+        topic.records.push(record);
+        drop(state);
+        self.inner.changes.send_modify(|count| *count += 1);
+        Ok(end)
     }
 
     fn end(&self, topic: &str) -> u64 {
@@ -248,19 +280,25 @@
         .map(|(_, value)| value)
 }
 
-fn write_record(bytes: &mut Vec<u8>, record: &Record) {
-    let length = 1 + record.key.len() + record.value.len();
+/// A record as it is appended and read.
+#[must_use]
+pub fn record(key: &str, value: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    write_record(&mut bytes, key, value);
+    bytes
+}
+
+fn write_record(bytes: &mut Vec<u8>, key: &str, value: &[u8]) {
+    let length = 1 + key.len() + value.len();
     bytes.extend_from_slice(&u32::try_from(length).expect("small records").to_be_bytes());
-    bytes.push(u8::try_from(record.key.len()).expect("short keys"));
-    bytes.extend_from_slice(record.key.as_bytes());
-    bytes.extend_from_slice(&record.value);
+    bytes.push(u8::try_from(key.len()).expect("short keys"));
+    bytes.extend_from_slice(key.as_bytes());
+    bytes.extend_from_slice(value);
 }
 
-fn read_record(body: &[u8]) -> Option<Record> {
+/// Key and value of a record.
+fn read_record(body: &[u8]) -> Option<(String, &[u8])> {
     let (key_length, rest) = body.get(4..)?.split_first()?;
     let (key, value) = rest.split_at_checked((*key_length).into())?;
-    Some(Record {
-        key: String::from_utf8(key.to_vec()).ok()?,
-        value: value.to_vec(),
-    })
+    Some((String::from_utf8(key.to_vec()).ok()?, value))
 }
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -1,7 +1,9 @@
 //! A worker of the users' platform: a model engine or a plain service.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -11,16 +13,112 @@
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time;
 
+use super::store::{SERVERS, record};
 use super::{bare, set};
-use crate::{fault, http};
+use crate::{client, clock, fault, http};
 
 /// Time between two events of a stream.
 const STEP: Duration = Duration::from_millis(5);
 /// Events of a stream.
 pub const EVENTS: u64 = 6;
+/// Requests that run at once, as entries say.
+const SLOTS: usize = 8;
+
+/// How a worker is made.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How long a load from the weight store takes.
+    pub load: Duration,
+    /// How long a load from its own disk takes.
+    pub disk_load: Duration,
+    /// From the start of a run to its first event, or to the end of a plain one.
+    pub run: Duration,
+    /// Time between two events of a stream.
+    pub step: Duration,
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Requests that wait beyond these; more are refused.
+    pub queue: usize,
+    /// The size of each model, in MB; 0 for a worker without a limit.
+    pub model_mb: u64,
+    /// Memory for weights, in MB.
+    pub weights_mb: u64,
+    /// Writes what it does to standard output, a line each; see [`Line`].
+    pub tells: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            load: Duration::ZERO,
+            disk_load: Duration::ZERO,
+            run: Duration::ZERO,
+            step: STEP,
+            slots: SLOTS,
+            queue: usize::MAX,
+            model_mb: 0,
+            weights_mb: 0,
+            tells: false,
+        }
+    }
+}
+
+/// What a worker does, as a line of text. It outlives the worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Line {
+    /// A request runs.
+    Run(SmolStr),
+    /// An order was accepted from this holder with this fencing token.
+    Order(SmolStr, u64),
+    /// A load from the weight store begins.
+    Fetch,
+    /// An order asked for more than its memory holds.
+    Overcommitted,
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Run(id) => write!(f, "run {id}"),
+            Self::Order(holder, fence) => write!(f, "order {holder} {fence}"),
+            Self::Fetch => f.write_str("fetch"),
+            Self::Overcommitted => f.write_str("overcommitted"),
+        }
+    }
+}
+
+impl FromStr for Line {
+    type Err = UnknownLine;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let words: Vec<&str> = text.split(' ').collect();
+        match words[..] {
+            ["run", id] => Ok(Self::Run(id.into())),
+            ["order", holder, fence] => {
+                let fence = fence.parse().map_err(|_| UnknownLine)?;
+                Ok(Self::Order(holder.into(), fence))
+            }
+            ["fetch"] => Ok(Self::Fetch),
+            ["overcommitted"] => Ok(Self::Overcommitted),
+            _ => Err(UnknownLine),
+        }
+    }
+}
+
+/// A line that no worker writes.
+#[derive(Clone, Copy, Debug)]
+pub struct UnknownLine;
+
+impl fmt::Display for UnknownLine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("not a line of a worker")
+    }
+}
+
+impl std::error::Error for UnknownLine {}
 
 /// A handle to a worker.
 #[derive(Clone, Debug)]
@@ -33,7 +131,9 @@
     id: SmolStr,
     service: SmolStr,
     desk: fault::Desk,
-    load: Duration,
+    options: Options,
+    born_ms: u64,
+    slots: Semaphore,
     state: Mutex<State>,
 }
 
@@ -42,6 +142,9 @@
     orders: u64,
     fence: u64,
     busy: bool,
+    entries: u64,
+    running: usize,
+    waiting: usize,
     models: BTreeMap<SmolStr, BTreeSet<SmolStr>>,
     on_disk: BTreeSet<SmolStr>,
     runs: BTreeMap<SmolStr, u64>,
@@ -80,6 +183,7 @@
     operation: SmolStr,
     model: SmolStr,
     adapter: Option<SmolStr>,
+    holder: SmolStr,
     precondition: Option<u64>,
     #[serde(rename = "fencingToken")]
     fence: u64,
@@ -89,11 +193,24 @@
     /// A worker of `service` that takes `load` for each load of a model.
     #[must_use]
     pub fn new(id: &str, service: &str, load: Duration) -> Self {
+        let options = Options {
+            load,
+            disk_load: load,
+            ..Options::default()
+        };
+        Self::with_options(id, service, options)
+    }
+
+    /// A worker of `service` that was born now.
+    #[must_use]
+    pub fn with_options(id: &str, service: &str, options: Options) -> Self {
         let inner = Inner {
             id: id.into(),
             service: service.into(),
             desk: fault::Desk::new(fault::Switches::default()),
-            load,
+            slots: Semaphore::new(options.slots),
+            born_ms: clock::unix_ms(),
+            options,
             state: Mutex::default(),
         };
         Self {
@@ -136,9 +253,15 @@
     #[must_use]
     pub fn entry(&self, address: SocketAddr, state: &str) -> Vec<u8> {
         let mut entry = self.report();
+        let count = {
+            let mut state = self.lock();
+            state.entries += 1;
+            state.entries
+        };
         let fields = json!({
-            "service": self.inner.service, "address": address, "zone": "z1", "version": "v1", "slots": 8,
-            "state": state, "coldLeftMs": 0, "seq": 1, "born": 1000,
+            "service": self.inner.service, "address": address, "zone": "z1", "version": "v1",
+            "slots": self.inner.options.slots, "state": state, "coldLeftMs": 0, "seq": count,
+            "born": self.inner.born_ms,
         });
         if let (Value::Object(entry), Value::Object(fields)) = (&mut entry, fields) {
             entry.extend(fields);
@@ -146,6 +269,21 @@
         entry.to_string().into_bytes()
     }
 
+    /// Writes its entry into the store every `pause`, for ever. It says that it leaves while the switch for that
+    /// is on.
+    pub async fn beat(self, store: SocketAddr, reached_at: SocketAddr, pause: Duration) {
+        let client = client::Client::new();
+        let url = format!("http://{store}/v1/log-append?topic={SERVERS}&part=0");
+        loop {
+            let leaves = self.inner.desk.switches().leaving;
+            let state = if leaves { "draining" } else { "ready" };
+            let entry = self.entry(reached_at, state);
+            // A store that is away is asked again at the next beat.
+            let _ = time::timeout(pause, client.post(&url, record(self.id(), &entry))).await;
+            time::sleep(pause).await;
+        }
+    }
+
     /// Changes what it does wrong.
     pub fn set_switches(&self, switches: Switches) {
         self.lock().switches = switches;
@@ -184,6 +322,12 @@
         self.inner.state.lock().expect("no panic under the lock")
     }
 
+    fn tell(&self, line: &Line) {
+        if self.inner.options.tells {
+            println!("{line}");
+        }
+    }
+
     fn report(&self) -> Value {
         let state = self.lock();
         let models: Vec<_> = state
@@ -193,7 +337,8 @@
             .collect();
         json!({
             "stage": "both", "models": models, "busy": state.busy, "seq": state.orders, "pending": [],
-            "available": {"inMemory": [], "onDisk": state.on_disk}, "queued": 0, "running": 0,
+            "available": {"inMemory": [], "onDisk": state.on_disk}, "queued": state.waiting,
+            "running": state.running,
         })
     }
 
@@ -210,10 +355,17 @@
             return StatusCode::CONFLICT;
         }
         state.orders += 1;
+        self.tell(&Line::Order(order.holder.clone(), order.fence));
         match (order.operation.as_str(), &order.adapter) {
             ("load", None) => {
+                let options = &self.inner.options;
+                let models = state.models.len() as u64 + 1;
+                if options.model_mb * models > options.weights_mb {
+                    self.tell(&Line::Overcommitted);
+                }
                 state.busy = true;
-                tokio::spawn(self.clone().load(order.model.clone()));
+                let on_disk = state.on_disk.contains(&order.model);
+                tokio::spawn(self.clone().load(order.model.clone(), on_disk));
             }
             ("load", Some(adapter)) => {
                 let Some(adapters) = state.models.get_mut(&order.model) else {
@@ -235,8 +387,13 @@
         StatusCode::ACCEPTED
     }
 
-    async fn load(self, model: SmolStr) {
-        time::sleep(self.inner.load).await;
+    async fn load(self, model: SmolStr, on_disk: bool) {
+        if on_disk {
+            time::sleep(self.inner.options.disk_load).await;
+        } else {
+            self.tell(&Line::Fetch);
+            time::sleep(self.inner.options.load).await;
+        }
         let mut state = self.lock();
         state.busy = false;
         state.on_disk.insert(model.clone());
@@ -253,9 +410,7 @@
         }
         let mut state = self.lock();
         if take(&mut state.switches.refuse) {
-            let mut answer = bare(StatusCode::SERVICE_UNAVAILABLE);
-            set(&mut answer, "x-not-executed", "1");
-            return Some(answer);
+            return Some(not_run());
         }
         let model = request.header("x-model")?;
         let (model, adapter) = model
@@ -267,24 +422,28 @@
         (!there).then(|| bare(StatusCode::MISDIRECTED_REQUEST))
     }
 
-    fn run(&self, request: &http::Request) -> http::Answer {
-        let id = request.header("x-attempt-id").unwrap_or_default();
-        let mut state = self.lock();
-        *state.runs.entry(id.into()).or_default() += 1;
-        state.taken.push(Taken {
-            target: format!("{}?{}", request.path, request.query),
-            headers: request.headers.clone(),
-            body: request.body.clone(),
-        });
-        let mut answer = if take(&mut state.switches.fail) {
+    /// Runs a request once there is a slot; none when too many wait.
+    async fn run(&self, request: &http::Request) -> Option<http::Answer> {
+        let waiting = self.wait()?;
+        let slot = self.inner.slots.acquire().await.ok()?;
+        drop(waiting);
+        let running = Running::new(self.clone());
+        let id: SmolStr = request.header("x-attempt-id").unwrap_or_default().into();
+        self.tell(&Line::Run(id.clone()));
+        let switches = self.begin(&id, request);
+        time::sleep(self.inner.options.run).await;
+        let mut answer = if switches.fail > 0 {
             bare(StatusCode::INTERNAL_SERVER_ERROR)
         } else if request.header("x-model").is_some() {
             let after = request
                 .header("last-event-id")
                 .and_then(|id| id.parse().ok());
+            slot.forget();
             stream(
                 after.unwrap_or_default(),
-                take(&mut state.switches.cut_streams),
+                switches.cut_streams > 0,
+                self.inner.options.step,
+                running,
             )
         } else {
             http::json(
@@ -292,21 +451,77 @@
                 &json!({"by": self.inner.id, "body": request.body.len()}),
             )
         };
-        let crossed = take(&mut state.switches.cross);
-        set(
-            &mut answer,
-            "x-attempt-id",
-            if crossed { "another" } else { id },
-        );
-        if !take(&mut state.switches.unsealed) {
-            set(
-                &mut answer,
-                "x-server-seal",
-                &format!("seal-of-{}", self.inner.id),
-            );
+        let echoed = if switches.cross > 0 { "another" } else { &id };
+        set(&mut answer, "x-attempt-id", echoed);
+        if switches.unsealed == 0 {
+            let seal = format!("seal-of-{}", self.inner.id);
+            set(&mut answer, "x-server-seal", &seal);
         }
         set(&mut answer, "x-server-load", "1,0,8");
-        answer
+        Some(answer)
+    }
+
+    fn wait(&self) -> Option<Waiting> {
+        let mut state = self.lock();
+        if state.waiting > self.inner.options.queue {
+            return None;
+        }
+        state.waiting += 1;
+        Some(Waiting(self.clone()))
+    }
+
+    /// Notes that a request runs, and takes what goes wrong with it.
+    fn begin(&self, id: &SmolStr, request: &http::Request) -> Switches {
+        let mut state = self.lock();
+        *state.runs.entry(id.clone()).or_default() += 1;
+        state.taken.push(Taken {
+            target: format!("{}?{}", request.path, request.query),
+            headers: request.headers.clone(),
+            body: request.body.clone(),
+        });
+        let fail = take(&mut state.switches.fail);
+        let streams = request.header("x-model").is_some() && !fail;
+        Switches {
+            cut_streams: u32::from(streams && take(&mut state.switches.cut_streams)),
+            refuse: 0,
+            fail: u32::from(fail),
+            cross: u32::from(take(&mut state.switches.cross)),
+            unsealed: u32::from(take(&mut state.switches.unsealed)),
+        }
+    }
+}
+
+/// Counts a request that waits for a slot.
+struct Waiting(Worker);
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.lock().waiting -= 1;
+    }
+}
+
+/// Counts a request that runs, and gives a stream's slot back at its end.
+struct Running {
+    worker: Worker,
+    keeps_slot: bool,
+}
+
+impl Running {
+    fn new(worker: Worker) -> Self {
+        worker.lock().running += 1;
+        Self {
+            worker,
+            keeps_slot: false,
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.worker.lock().running -= 1;
+        if self.keeps_slot {
+            self.worker.inner.slots.add_permits(1);
+        }
     }
 }
 
@@ -337,35 +552,47 @@
             }
             _ => {}
         }
-        Ok(self.refusal(&request).unwrap_or_else(|| self.run(&request)))
+        if let Some(refusal) = self.refusal(&request) {
+            return Ok(refusal);
+        }
+        Ok(self.run(&request).await.unwrap_or_else(not_run))
     }
 }
 
 /// Events after `after`; a cut one ends within the third.
-fn stream(after: u64, cut: bool) -> http::Answer {
+fn stream(after: u64, cut: bool, step: Duration, mut running: Running) -> http::Answer {
+    running.keeps_slot = true;
     let (sender, parts) = mpsc::channel(1);
     tokio::spawn(async move {
         for id in after + 1..=EVENTS {
-            time::sleep(STEP).await;
+            time::sleep(step).await;
             let event = format!("id: {id}\ndata: t{id}\n\n");
             let broken = cut && id == after + 3;
             let part = if broken { event[..5].to_owned() } else { event };
             if sender.send(Ok(part.into())).await.is_err() {
-                return;
+                break;
             }
             if broken {
-                time::sleep(STEP).await;
+                time::sleep(step).await;
                 // The reader may have gone already.
                 let _ = sender.send(Err(http::Lost)).await;
-                return;
+                break;
             }
         }
+        drop(running);
     });
     let mut answer = Response::new(http::Body::Parts(parts));
     set(&mut answer, "content-type", "text/event-stream");
     answer
 }
 
+/// The refusal of a worker that is full.
+fn not_run() -> http::Answer {
+    let mut answer = bare(StatusCode::SERVICE_UNAVAILABLE);
+    set(&mut answer, "x-not-executed", "1");
+    answer
+}
+
 fn take(count: &mut u32) -> bool {
     let there = *count > 0;
     *count = count.saturating_sub(1);
