--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 //! | [`budget`] | how many repeats all instances may send together |
 //! | [`size`] | how many instances share such a limit |
 //! | [`events`] | events of a stream, cut at their ends |
+//! | [`rate`] | how often something may be done |
 //! | [`settings`] | what one process is told at its start |
 //! | [`talk`] | when an instance talks to the steward, and how long the steward's word stands |
 //! | [`frame`] | what instance and steward tell each other |
@@ -29,6 +30,7 @@
 pub mod lease;
 pub mod patience;
 pub mod plan;
+pub mod rate;
 pub mod routing;
 pub mod server;
 pub mod settings;
--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -52,6 +52,7 @@
 const GRACE_MS: RangeInclusive<u64> = 500..=600_000;
 const WINDOW_MS: RangeInclusive<u64> = 100..=600_000;
 const DESCRIPTORS: RangeInclusive<u64> = 64..=10_000_000;
+const LINES: RangeInclusive<u64> = 1..=1_000_000;
 const CPU_SHARE: RangeInclusive<f64> = 0.001..=1024.0;
 const RATIO: RangeInclusive<f64> = 0.0..=10.0;
 const EXTRA: RangeInclusive<f64> = 0.0..=1_000_000.0;
@@ -98,8 +99,18 @@
     pub grace: Duration,
     /// Connections of callers at once, from `[limits] descriptors`.
     pub connections: usize,
-    /// `[log] level`, `info` if left out.
+    /// `[log]`: what is written to the log.
+    pub log: Log,
+}
+
+/// What is written to the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Log {
+    /// `level`, `info` if left out.
     pub level: log::LevelFilter,
+    /// `lines_per_second`, 1,000 if left out: more are dropped and counted, but for warnings and errors. A fifth of
+    /// a processor serves some 200 requests in a second, with three lines each.
+    pub lines_per_second: u32,
 }
 
 impl Settings {
@@ -150,7 +161,7 @@
         obey: obey.unwrap_or(Duration::from_secs(2)),
         grace: grace.unwrap_or(Duration::from_secs(8)),
         connections: read_connections(&find("limits"), faults),
-        level: read_level(&find("log"), faults),
+        log: read_log(&find("log"), faults),
     }
 }
 
@@ -219,11 +230,15 @@
         .max(LEAST_CONNECTIONS)
 }
 
-fn read_level(section: &ini_text::Section, faults: &mut fault::List) -> log::LevelFilter {
+fn read_log(section: &ini_text::Section, faults: &mut fault::List) -> Log {
     let mut reader = field::Reader::new(section, faults);
     let level = reader.optional_word("level", &LEVELS);
+    let lines_per_second = reader.optional_whole("lines_per_second", LINES);
     reader.finish();
-    level.unwrap_or(log::LevelFilter::Info)
+    Log {
+        level: level.unwrap_or(log::LevelFilter::Info),
+        lines_per_second: lines_per_second.unwrap_or(1000),
+    }
 }
 
 fn read_repeats(section: &ini_text::Section, faults: &mut fault::List) -> budget::Options {
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod patience;
 mod plan;
+mod rate;
 mod routing;
 mod settings;
 mod size;
