--- a/crates/fireflywheel/src/fleet/plan/planner.rs
+++ b/crates/fireflywheel/src/fleet/plan/planner.rs
@@ -9,7 +9,7 @@
 
 /// Requests in progress on one copy of a model from which another copy is wanted: beyond it, each further
 /// request makes all others of its batch slower.
-const REQUESTS_A_COPY: u32 = 12;
+const REQUESTS_A_COPY: u32 = 8;
 /// A model stays this long after its load, so that requests that waited for it reach it before it goes.
 const SHORTEST_STAY: Duration = Duration::from_millis(600);
 /// An adapter stays this long after its load, for the same reason.
