--- a/crates/fireflywheel_standin/src/trial/book.rs
+++ b/crates/fireflywheel_standin/src/trial/book.rs
@@ -7,9 +7,9 @@
 use tokio::time::Instant;
 
 use super::caller::{Kind, Outcome, Seen};
-use super::deployment::{ATTEMPTS, LOADS_PER_SECOND};
+use super::configuration::{ATTEMPTS, LOADS_PER_SECOND};
 use super::script::Faults;
-use crate::site::worker::Line;
+use crate::site::line::Line;
 
 /// A request that has used so much of its time may be given up.
 const USED_UP: f64 = 0.7;
--- a/crates/fireflywheel_standin/src/trial/deployment.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment.rs
@@ -1,6 +1,8 @@
 //! A store, workers and instances as processes, with a proxy on each link.
 
-use std::net::{SocketAddr, TcpListener};
+mod launch;
+
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -8,25 +10,18 @@
 use std::{env, fs, process};
 
 use anyhow::Context as _;
-use smol_str::{SmolStr, format_smolstr};
-use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use smol_str::SmolStr;
 use tokio::task::JoinSet;
 use tokio::time;
 
 use super::book::Book;
+use super::configuration;
 use super::proxy::{Flow, Proxy};
 use super::script::{Action, Place, Trouble};
-use crate::process::{Child, Program};
+use crate::process::Child;
 use crate::site::store::{CONFIG, record};
 use crate::{client, fault};
 
-/// The variable that names an instance's settings file.
-const SETTINGS: &str = "FIREFLYWHEEL_NODE_FILE";
-/// A plain request takes so long that faults come in the middle of it.
-const SERVICE_RUN_MS: &str = "30";
-/// How often a start is tried: another process may have taken a port in between.
-const STARTS: usize = 5;
 /// Guards a trial against an instance that never ends.
 const STOP_GUARD: Duration = Duration::from_secs(60);
 /// Guards a trial against an instance that never gets ready.
@@ -364,7 +359,10 @@
     async fn configure(&mut self) -> anyhow::Result<()> {
         self.drawn += 1;
         let version = self.drawn;
-        let config = record(CONFIG.1, configuration(&self.options, version).as_bytes());
+        let config = record(
+            CONFIG.1,
+            configuration::text(self.options.models, version).as_bytes(),
+        );
         let url = format!(
             "http://{}/v1/log-append?topic={}&part=0",
             self.store_address, CONFIG.0
@@ -393,192 +391,6 @@
             Place::Worker(worker) => &self.workers[worker].link,
         }
     }
-
-    // ---- Instances ----
-
-    async fn add_instance(&mut self) -> anyhow::Result<()> {
-        let store = Proxy::new().await?;
-        store.change(|link| link.target = Some(self.store_address));
-        self.instances.push(Instance {
-            child: None,
-            callers: Proxy::new().await?,
-            peers: Proxy::new().await?,
-            store,
-            ready: None,
-            lives: 0,
-            ends: false,
-        });
-        self.start_instance(self.instances.len() - 1).await
-    }
-
-    async fn start_instance(&mut self, place: usize) -> anyhow::Result<()> {
-        if self.instances[place].child.is_some() {
-            return Ok(());
-        }
-        let mut last = None;
-        for _ in 0..STARTS {
-            match self.try_start(place).await {
-                Ok(()) => return Ok(()),
-                Err(error) => last = Some(error),
-            }
-        }
-        Err(last.context("it was tried")?)
-    }
-
-    async fn try_start(&mut self, place: usize) -> anyhow::Result<()> {
-        let [callers, ready, peers] = free_addresses()?;
-        let instance = &self.instances[place];
-        let settings = format!(
-            "[instance]\nname = i{place}\nfailure_domain = z1\n[listen]\ncallers = {callers}\nready = {ready}\n\
-             peers = {peers}\npeers_advertised = {}\n[platform]\nstore = {}\napply_ms = 1000\n[steward]\n\
-             lease_ms = 1200\nfenced = yes\n[repeats]\nratio = 0.2\nextra = 100\n[backend]\nobey_ms = 600\n\
-             [stop]\ngrace_ms = 2000\n[log]\nlevel = {}\n",
-            instance.peers.address(),
-            instance.store.address(),
-            self.options.log_level,
-        );
-        let path = self.folder.0.join(format!("i{place}.ini"));
-        fs::write(&path, settings)?;
-        let (sender, lines) = mpsc::unbounded_channel();
-        let mut child = Program::at(self.options.program.clone())
-            .with_variable(SETTINGS, path)
-            .without_mark()
-            .with_lines(sender)
-            .start()
-            .await?;
-        // The last of its addresses that it listens on.
-        while TcpStream::connect(peers).await.is_err() {
-            anyhow::ensure!(!child.has_ended(), "it ended: {}", child.stderr());
-            time::sleep(LOOK).await;
-        }
-        self.keep_log(place, lines)?;
-        let instance = &mut self.instances[place];
-        instance.child = Some(child);
-        instance.ready = Some(ready);
-        instance.callers.change(|link| link.target = Some(callers));
-        instance.peers.change(|link| link.target = Some(peers));
-        instance.lives += 1;
-        instance.ends = false;
-        Ok(())
-    }
-
-    fn keep_log(
-        &mut self,
-        place: usize,
-        mut lines: mpsc::UnboundedReceiver<String>,
-    ) -> anyhow::Result<()> {
-        let mut file = None;
-        if let Some(folder) = &self.options.logs {
-            fs::create_dir_all(folder)?;
-            let path = folder.join(format!("i{place}.log"));
-            file = Some(fs::File::options().create(true).append(true).open(path)?);
-        }
-        let log_lines = Arc::clone(&self.log_lines);
-        let log_bytes = Arc::clone(&self.log_bytes);
-        self.readers.spawn(async move {
-            while let Some(line) = lines.recv().await {
-                log_lines.fetch_add(1, Ordering::Relaxed);
-                log_bytes.fetch_add(line.len() as u64 + 1, Ordering::Relaxed);
-                if let Some(file) = &mut file {
-                    use std::io::Write as _;
-                    // A full disk must not end the trial.
-                    let _ = writeln!(file, "{line}");
-                }
-            }
-        });
-        Ok(())
-    }
-
-    async fn end_instance(&mut self, place: usize) -> anyhow::Result<()> {
-        let instance = &mut self.instances[place];
-        instance.ready = None;
-        if let Some(mut child) = instance.child.take() {
-            child.kill().await?;
-        }
-        Ok(())
-    }
-
-    fn signal(&self, place: usize, signal: fn(&Child) -> anyhow::Result<()>) {
-        if let Some(child) = &self.instances[place].child {
-            attempt(signal(child));
-        }
-    }
-
-    // ---- Workers ----
-
-    async fn add_worker(&mut self, place: usize) -> anyhow::Result<()> {
-        self.workers.push(Worker {
-            child: None,
-            link: Proxy::new().await?,
-            engine: place < self.options.engines,
-            lives: 0,
-            id: SmolStr::default(),
-        });
-        self.start_worker(place, false).await
-    }
-
-    async fn start_worker(&mut self, place: usize, same: bool) -> anyhow::Result<()> {
-        let worker = &mut self.workers[place];
-        if worker.child.is_some() {
-            return Ok(());
-        }
-        worker.lives += 1;
-        if !same || worker.id.is_empty() {
-            worker.id = format_smolstr!("w{place}-{}", worker.lives);
-        }
-        let (sender, mut lines) = mpsc::unbounded_channel::<String>();
-        let mut program = Program::new("fireflywheel_standin")
-            .with_args(["site-worker", "--id", &worker.id])
-            .with_args(["--service", if worker.engine { "llm" } else { "app" }])
-            .with_args(["--store", &self.store_address.to_string()])
-            .with_args(["--reached-at", &worker.link.address().to_string()])
-            .with_lines(sender);
-        if worker.engine {
-            program = program.with_args(&self.options.engine_args);
-            // The first copy of each model is on one engine's disk.
-            let models = 0..self.options.models;
-            for model in models.filter(|model| model % self.options.engines == place) {
-                program = program.with_args(["--on-disk", &format!("m{}", model + 1)]);
-            }
-        } else {
-            program = program.with_args(["--run-ms", SERVICE_RUN_MS]);
-        }
-        let child = program.start().await?;
-        let address = child.address("listening");
-        worker.link.change(|link| link.target = Some(address));
-        worker.child = Some(child);
-        let name = format_smolstr!("{} life {}", worker.id, worker.lives);
-        let book = Arc::clone(&self.book);
-        self.readers.spawn(async move {
-            while let Some(line) = lines.recv().await {
-                let mut book = book.lock().expect("no panic under the lock");
-                book.worker_wrote(&name, &line);
-            }
-        });
-        Ok(())
-    }
-
-    async fn end_worker(&mut self, place: usize) -> anyhow::Result<()> {
-        if let Some(mut child) = self.workers[place].child.take() {
-            child.kill().await?;
-        }
-        Ok(())
-    }
-
-    fn signal_worker(&self, place: usize, signal: fn(&Child) -> anyhow::Result<()>) {
-        if let Some(child) = &self.workers[place].child {
-            attempt(signal(child));
-        }
-    }
-
-    async fn fault_worker(&self, place: usize, change: &fault::Change) {
-        if let Some(child) = &self.workers[place].child {
-            let base = child.base("listening");
-            // A worker that is paused takes it later, or never.
-            let call = self.client.set_faults(&base, change);
-            let _ = time::timeout(LOOK_PATIENCE, call).await;
-        }
-    }
 }
 
 impl Proxy {
@@ -603,57 +415,3 @@
         eprintln!("signal not sent: {error:#}");
     }
 }
-
-/// Addresses that were free a moment ago.
-fn free_addresses() -> anyhow::Result<[SocketAddr; 3]> {
-    let bind = || TcpListener::bind("127.0.0.1:0");
-    let sockets = [bind()?, bind()?, bind()?];
-    let addresses = [&sockets[0], &sockets[1], &sockets[2]].map(TcpListener::local_addr);
-    let [callers, ready, peers] = addresses;
-    Ok([callers?, ready?, peers?])
-}
-
-/// A configuration. Each version adds a route `/vN/`, by which it is seen where it is in force.
-fn configuration(options: &Options, version: u64) -> String {
-    let models: Vec<String> = (1..=options.models)
-        .map(|model| {
-            format!(
-                r#"{{"name":"m{model}","weightsMb":40,"loadS":0.2,"adapters":2,"adapterMb":1,"warmS":0.05,"diskLoadS":0.05}}"#
-            )
-        })
-        .collect();
-    let added: Vec<String> = (1..=version)
-        .map(|version| plain(&format!("v{version}"), "safe"))
-        .collect();
-    format!(
-        r#"{{"version":{version},"routes":[{},{},{},{},{}],
-        "services":[{{"name":"llm","maxConns":200,"engine":{{"slots":8,"models":[{}],"weightsMb":83,
-        "adapterSlots":4,"loadsPerS":{LOADS_PER_SECOND}}}}},{{"name":"app","maxConns":200}}],
-        "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
-        streaming("ask", 2, true),
-        streaming("once", 1, false),
-        plain("book", "unsafe"),
-        plain("look", "safe"),
-        added.join(","),
-        models.join(",")
-    )
-}
-
-/// Loads that the weight store allows in a second.
-pub const LOADS_PER_SECOND: f64 = 5.0;
-/// Servers that a request may run on, by the configuration.
-pub const ATTEMPTS: usize = 2;
-
-fn streaming(name: &str, attempts: usize, resumable: bool) -> String {
-    format!(
-        r#"{{"name":"{name}","host":"h","pathPrefix":"/{name}/","kind":"streaming","timeoutMs":8000,"goalMs":1000,
-        "priority":0,"service":"llm","attempts":{attempts},"resumable":{resumable},"gapTargetMs":400}}"#
-    )
-}
-
-fn plain(name: &str, kind: &str) -> String {
-    format!(
-        r#"{{"name":"{name}","host":"h","pathPrefix":"/{name}/","kind":"{kind}","timeoutMs":3000,"goalMs":100,
-        "priority":2,"service":"app","attempts":{ATTEMPTS}}}"#
-    )
-}
