--- a/crates/fireflywheel_standin/src/site/store.rs
+++ b/crates/fireflywheel_standin/src/site/store.rs
@@ -40,6 +40,7 @@
 struct State {
     topics: BTreeMap<SmolStr, Topic>,
     calls: u64,
+    longest_wait: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -146,6 +147,12 @@
         self.lock().calls
     }
 
+    /// The longest time for which a read asked to wait for records.
+    #[must_use]
+    pub fn longest_wait(&self) -> Duration {
+        self.lock().longest_wait
+    }
+
     /// The newest value of a key.
     #[must_use]
     pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
@@ -232,6 +239,11 @@
         Ok(end)
     }
 
+    fn note_wait(&self, wait: Duration) {
+        let mut state = self.lock();
+        state.longest_wait = state.longest_wait.max(wait);
+    }
+
     fn end(&self, topic: &str) -> u64 {
         self.lock().topics.get(topic).map_or(0, Topic::end)
     }
@@ -259,6 +271,7 @@
             "/v1/log-newest" => self.read_newest(topic),
             "/v1/log-read" => {
                 let wait = Duration::from_millis(request.number("waitMs").unwrap_or_default());
+                self.note_wait(wait);
                 self.read(topic, request.number("from").unwrap_or_default(), wait)
                     .await
             }
--- a/crates/fireflywheel_standin/src/trial/soak.rs
+++ b/crates/fireflywheel_standin/src/trial/soak.rs
@@ -104,7 +104,7 @@
         instances: options.instances,
         engines: options.engines,
         services: 2,
-        models: options.engines * 3,
+        models: models(options),
         engine_args: Vec::new(),
         log_level: "info",
         logs: options.logs.clone(),
@@ -118,30 +118,7 @@
     wait_until_served(&deployment, models, &book, "start").await;
     let stop = watch::Sender::new(false);
     let lives = watch::Sender::new(lives(&deployment, sizes.instances));
-    let mut tasks = JoinSet::new();
-    for (instance, address) in deployment.callers().into_iter().enumerate() {
-        for caller in 0..CALLERS {
-            let name = format!("s{}-i{instance}c{caller}", options.seed);
-            let draw =
-                StdRng::seed_from_u64(options.seed ^ ((instance * CALLERS + caller) as u64) << 32);
-            let caller = Caller::new(instance, address);
-            tasks.spawn(keep_calling(
-                name,
-                caller,
-                draw,
-                models,
-                stop.subscribe(),
-                Arc::clone(&book),
-            ));
-        }
-        tasks.spawn(keep_probing(
-            instance,
-            address,
-            lives.subscribe(),
-            stop.subscribe(),
-            Arc::clone(&book),
-        ));
-    }
+    let mut tasks = keep_asking(options, &deployment, &stop, &lives, &book);
     let begun = time::Instant::now();
     let mut actions = 0;
     for step in script::steps(options.seed, options.faults, options.time, sizes) {
@@ -169,6 +146,47 @@
     })
 }
 
+/// Callers of each instance, and one that asks for its configuration.
+fn keep_asking(
+    options: &Options,
+    deployment: &Deployment,
+    stop: &watch::Sender<bool>,
+    lives: &watch::Sender<Lives>,
+    book: &Arc<Mutex<Book>>,
+) -> JoinSet<()> {
+    let models = models(options);
+    let mut tasks = JoinSet::new();
+    for (instance, address) in deployment.callers().into_iter().enumerate() {
+        for caller in 0..CALLERS {
+            let name = format!("s{}-i{instance}c{caller}", options.seed);
+            let draw =
+                StdRng::seed_from_u64(options.seed ^ ((instance * CALLERS + caller) as u64) << 32);
+            let caller = Caller::new(instance, address);
+            tasks.spawn(keep_calling(
+                name,
+                caller,
+                draw,
+                models,
+                stop.subscribe(),
+                Arc::clone(book),
+            ));
+        }
+        tasks.spawn(keep_probing(
+            instance,
+            address,
+            lives.subscribe(),
+            stop.subscribe(),
+            Arc::clone(book),
+        ));
+    }
+    tasks
+}
+
+/// Three for each engine, which has memory for two.
+fn models(options: &Options) -> usize {
+    options.engines * 3
+}
+
 /// The newest accepted version, and each instance's life.
 type Lives = (u64, Vec<u64>);
 
