--- a/crates/fireflywheel_standin/src/trial/deployment.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment.rs
@@ -17,7 +17,7 @@
 use super::book::Book;
 use super::configuration;
 use super::proxy::{Flow, Proxy};
-use super::script::{Action, Place, Trouble};
+use super::script::{Action, LEAVE, Place, Trouble};
 use crate::process::Child;
 use crate::site::store::{CONFIG, record};
 use crate::{client, fault};
@@ -115,6 +115,8 @@
     engine: bool,
     lives: u64,
     id: SmolStr,
+    /// Since when it says that it leaves.
+    leaves: Option<time::Instant>,
 }
 
 #[derive(Debug)]
@@ -267,9 +269,19 @@
             Action::PauseWorker(place) => self.signal_worker(place, Child::pause),
             Action::ResumeWorker(place) => self.signal_worker(place, Child::resume),
             Action::LeaveWorker(place) => {
+                self.workers[place]
+                    .leaves
+                    .get_or_insert_with(time::Instant::now);
                 let change = fault::Change::new().with_leaving(true);
                 self.fault_worker(place, &change).await;
             }
+            Action::ReplaceWorker(place) => {
+                let leaves = self.workers[place].leaves;
+                if leaves.is_some_and(|since| since.elapsed() >= LEAVE) {
+                    self.end_worker(place).await?;
+                    self.start_worker(place, false).await?;
+                }
+            }
             Action::WorkerLoses(place, count) => {
                 let change = fault::Change::new().with_lose_answers(count);
                 self.fault_worker(place, &change).await;
@@ -300,6 +312,9 @@
         let change = fault::Change::new().with_outage(false).with_slow_ms(0);
         self.fault(&change.with_lose_answers(0)).await?;
         for place in 0..self.workers.len() {
+            if self.workers[place].leaves.is_some() {
+                self.end_worker(place).await?;
+            }
             self.workers[place].link.heal();
             self.signal_worker(place, Child::resume);
             self.start_worker(place, true).await?;
--- a/crates/fireflywheel_standin/src/trial/deployment/launch.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment/launch.rs
@@ -143,6 +143,7 @@
             engine: place < self.options.engines,
             lives: 0,
             id: SmolStr::default(),
+            leaves: None,
         });
         self.start_worker(place, false).await
     }
@@ -153,6 +154,7 @@
             return Ok(());
         }
         worker.lives += 1;
+        worker.leaves = None;
         if !same || worker.id.is_empty() {
             worker.id = format_smolstr!("w{place}-{}", worker.lives);
         }
--- a/crates/fireflywheel_standin/src/trial/script.rs
+++ b/crates/fireflywheel_standin/src/trial/script.rs
@@ -26,7 +26,7 @@
 }
 
 /// A worker goes on serving for so long after it said that it leaves.
-const LEAVE: Duration = Duration::from_secs(3);
+pub const LEAVE: Duration = Duration::from_secs(3);
 
 /// What there is.
 #[derive(Clone, Copy, Debug)]
@@ -94,6 +94,9 @@
     ResumeWorker(usize),
     /// A worker says that it leaves.
     LeaveWorker(usize),
+    /// Ends a worker that has been leaving for long enough, and starts another. Without the condition, the second
+    /// of two departures that overlap would end the worker that has just come.
+    ReplaceWorker(usize),
     /// A worker runs the next so many requests, or takes orders, and their answers are lost.
     WorkerLoses(usize, u64),
     /// Something goes wrong on a link.
@@ -240,8 +243,7 @@
         4 => vec![(now, Action::Configure)],
         _ => vec![
             (now, Action::LeaveWorker(worker)),
-            (LEAVE, Action::KillWorker(worker)),
-            (LEAVE, Action::StartWorker(worker, false)),
+            (LEAVE, Action::ReplaceWorker(worker)),
         ],
     }
 }
