The soak lets a worker leave to the end before it ends it

departures_again failed once in five runs of the tests. The log of a run that failed too: the stream broke 15 ms before the soak's first look at its end, at a worker that still had its entry. Healing ended workers that had said only a moment ago that they leave; they get their whole time now. The soak's fault again; ruled out: a request sent to a worker after its departure had to be obeyed.

--- a/crates/fireflywheel_standin/src/trial/deployment.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment.rs
@@ -312,7 +312,9 @@
         let change = fault::Change::new().with_outage(false).with_slow_ms(0);
         self.fault(&change.with_lose_answers(0)).await?;
         for place in 0..self.workers.len() {
-            if self.workers[place].leaves.is_some() {
+            if let Some(since) = self.workers[place].leaves {
+                // Requests may be on their way to one that has just said that it leaves.
+                time::sleep_until(since + LEAVE).await;
                 self.end_worker(place).await?;
             }
             self.workers[place].link.heal();
