--- a/crates/fireflywheel_daemon/tests/faults_requests.rs
+++ b/crates/fireflywheel_daemon/tests/faults_requests.rs
@@ -389,17 +389,23 @@
     Ok(())
 }
 
-/// The engine dies in the middle of a stream. The caller hears that its answer is not whole, and nothing is
-/// sent to it twice.
-#[tokio::test(flavor = "multi_thread")]
-async fn engine_killed_in_mid_stream() -> anyhow::Result<()> {
-    let mut site = Site::start(Plan {
+/// One engine whose streams last long enough to break, with its model loaded.
+async fn one_slow_engine() -> anyhow::Result<Site> {
+    let site = Site::start(Plan {
         engines: 1,
         token_us: 20_000,
         ..Plan::default()
     })
     .await?;
     assert_eq!(site.ask(0, "m0", "warm").await, Ok(()));
+    Ok(site)
+}
+
+/// The engine dies in the middle of a stream. The caller hears that its answer is not whole, and nothing is
+/// sent to it twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_killed_in_mid_stream() -> anyhow::Result<()> {
+    let mut site = one_slow_engine().await?;
     let (events, whole) = stream_until_killed(&site, &site.engines[0]).await?;
     site.engines[0].wait().await?;
     assert!(!whole, "a dead engine can't have ended its stream");
@@ -412,13 +418,7 @@
 /// A caller goes away in the middle of its stream. The engine must not go on working for nobody.
 #[tokio::test(flavor = "multi_thread")]
 async fn vanished_caller_frees_its_place() -> anyhow::Result<()> {
-    let site = Site::start(Plan {
-        engines: 1,
-        token_us: 20_000,
-        ..Plan::default()
-    })
-    .await?;
-    assert_eq!(site.ask(0, "m0", "warm").await, Ok(()));
+    let site = one_slow_engine().await?;
     let url = format!("{}/v1/chat/completions", site.caller(0));
     let body = json!({
         "model": "m0", "max_tokens": 100_000, "stream": true,
@@ -674,13 +674,7 @@
 /// that looks whole; the engine doesn't go on for nobody, and another instance serves the caller.
 #[tokio::test(flavor = "multi_thread")]
 async fn router_killed_in_mid_stream() -> anyhow::Result<()> {
-    let mut site = Site::start(Plan {
-        engines: 1,
-        token_us: 20_000,
-        ..Plan::default()
-    })
-    .await?;
-    assert_eq!(site.ask(0, "m0", "warm").await, Ok(()));
+    let mut site = one_slow_engine().await?;
     let (events, whole) = stream_until_killed(&site, &site.daemons[0]).await?;
     site.daemons[0].wait().await?;
     assert!(!whole && in_order(&events), "{:?}", events.last());
--- a/crates/fireflywheel_standin/src/lib.rs
+++ b/crates/fireflywheel_standin/src/lib.rs
@@ -30,6 +30,20 @@
 //! The binary of this crate serves each of them as a process. [`load`] sends a bounded load to
 //! daemons and judges the answers; [`process`] starts and stops processes from tests.
 
+/// Makes a test of each name and the check behind it.
+#[macro_export]
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $check:expr;)+) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                $check;
+            }
+        )+
+    };
+}
+
 pub mod client;
 pub mod clock;
 pub mod engine;
--- a/crates/fireflywheel_standin/src/trial/configuration.rs
+++ b/crates/fireflywheel_standin/src/site/configuration.rs
@@ -1,13 +1,12 @@
-//! The operator's configuration in a trial.
+//! The operator's configuration, for stand-ins of a store and workers.
 
-/// Loads that the weight store allows in a second.
-pub const LOADS_PER_SECOND: f64 = 5.0;
 /// Servers that a request may run on, by the configuration.
 pub const ATTEMPTS: usize = 2;
 
-/// Its text. Each version adds a route `/vN/`, by which it is seen where it is in force.
+/// Its text, with a group `llm` of engines with room for two models each, and a group `app` of plain services. Each
+/// version adds a route `/vN/`, by which it is seen where it is in force.
 #[must_use]
-pub fn text(models: usize, version: u64) -> String {
+pub fn text(models: usize, loads_per_second: f64, version: u64) -> String {
     let models: Vec<String> = (1..=models)
         .map(|model| {
             format!(
@@ -21,7 +20,7 @@
     format!(
         r#"{{"version":{version},"routes":[{},{},{},{},{}],
         "services":[{{"name":"llm","maxConns":200,"engine":{{"slots":8,"models":[{}],"weightsMb":83,
-        "adapterSlots":4,"loadsPerS":{LOADS_PER_SECOND}}}}},{{"name":"app","maxConns":200}}],
+        "adapterSlots":4,"loadsPerS":{loads_per_second}}}}},{{"name":"app","maxConns":200}}],
         "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
         streaming("ask", 2, true),
         streaming("once", 1, false),
--- a/crates/fireflywheel_standin/src/site/mod.rs
+++ b/crates/fireflywheel_standin/src/site/mod.rs
@@ -3,6 +3,7 @@
 //! They are small fakes with switches, for tests in one process. Each is a handle that can be cloned: the test
 //! keeps one to look at and change what happens, and serves with another.
 
+pub mod configuration;
 pub mod line;
 pub mod store;
 pub mod worker;
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time;
 
 use super::line::Line;
@@ -78,7 +78,7 @@
     desk: fault::Desk,
     options: Options,
     born_ms: u64,
-    slots: Semaphore,
+    slots: Arc<Semaphore>,
     state: Mutex<State>,
 }
 
@@ -153,7 +153,7 @@
             id: id.into(),
             service: service.into(),
             desk: fault::Desk::new(fault::Switches::default()),
-            slots: Semaphore::new(options.slots),
+            slots: Arc::new(Semaphore::new(options.slots)),
             born_ms: clock::unix_ms(),
             options,
             state: Mutex::default(),
@@ -370,9 +370,9 @@
     /// Runs a request once there is a slot; none when too many wait.
     async fn run(&self, request: &http::Request) -> Option<http::Answer> {
         let waiting = self.wait()?;
-        let slot = self.inner.slots.acquire().await.ok()?;
+        let slot = Arc::clone(&self.inner.slots).acquire_owned().await.ok()?;
         drop(waiting);
-        let running = Running::new(self.clone());
+        let running = Running::new(self.clone(), slot);
         let id: SmolStr = request.header("x-attempt-id").unwrap_or_default().into();
         self.tell(&Line::Run(id.clone()));
         let switches = self.begin(&id, request);
@@ -383,7 +383,6 @@
             let after = request
                 .header("last-event-id")
                 .and_then(|id| id.parse().ok());
-            slot.forget();
             stream(
                 after.unwrap_or_default(),
                 switches.cut_streams > 0,
@@ -445,18 +444,18 @@
     }
 }
 
-/// Counts a request that runs, and gives a stream's slot back at its end.
+/// Counts a request that runs, and keeps its slot.
 struct Running {
     worker: Worker,
-    keeps_slot: bool,
+    _slot: OwnedSemaphorePermit,
 }
 
 impl Running {
-    fn new(worker: Worker) -> Self {
+    fn new(worker: Worker, slot: OwnedSemaphorePermit) -> Self {
         worker.lock().running += 1;
         Self {
             worker,
-            keeps_slot: false,
+            _slot: slot,
         }
     }
 }
@@ -464,9 +463,6 @@
 impl Drop for Running {
     fn drop(&mut self) {
         self.worker.lock().running -= 1;
-        if self.keeps_slot {
-            self.worker.inner.slots.add_permits(1);
-        }
     }
 }
 
@@ -505,8 +501,7 @@
 }
 
 /// Events after `after`; a cut one ends within the third.
-fn stream(after: u64, cut: bool, step: Duration, mut running: Running) -> http::Answer {
-    running.keeps_slot = true;
+fn stream(after: u64, cut: bool, step: Duration, running: Running) -> http::Answer {
     let (sender, parts) = mpsc::channel(1);
     tokio::spawn(async move {
         for id in after + 1..=EVENTS {
--- a/crates/fireflywheel_standin/src/trial/book.rs
+++ b/crates/fireflywheel_standin/src/trial/book.rs
@@ -7,8 +7,9 @@
 use tokio::time::Instant;
 
 use super::caller::{Kind, Outcome, Seen};
-use super::configuration::{ATTEMPTS, LOADS_PER_SECOND};
+use super::deployment::LOADS_PER_SECOND;
 use super::script::Faults;
+use crate::site::configuration::ATTEMPTS;
 use crate::site::line::Line;
 
 /// A request that has used so much of its time may be given up.
--- a/crates/fireflywheel_standin/src/trial/deployment.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment.rs
@@ -15,13 +15,15 @@
 use tokio::time;
 
 use super::book::Book;
-use super::configuration;
 use super::proxy::{Flow, Proxy};
 use super::script::{Action, LEAVE, Place, Trouble};
 use crate::process::Child;
+use crate::site::configuration;
 use crate::site::store::{CONFIG, record};
 use crate::{client, fault};
 
+/// Loads that the weight store allows in a second.
+pub const LOADS_PER_SECOND: f64 = 5.0;
 /// Guards a trial against an instance that never ends.
 const STOP_GUARD: Duration = Duration::from_secs(60);
 /// Guards a trial against an instance that never gets ready.
@@ -240,10 +242,8 @@
             Action::Kill(place) => self.end_instance(place).await?,
             Action::Stop(place) => {
                 let instance = &mut self.instances[place];
-                if let Some(child) = &instance.child {
-                    instance.ends = true;
-                    attempt(child.terminate());
-                }
+                instance.ends |= instance.child.is_some();
+                signal(&instance.child, Child::terminate);
             }
             Action::Start(place) => {
                 self.end_instance(place).await?;
@@ -258,16 +258,16 @@
                 self.end_instance(place).await?;
                 self.start_instance(place).await?;
             }
-            Action::Pause(place) => self.signal(place, Child::pause),
-            Action::Resume(place) => self.signal(place, Child::resume),
-            Action::Reload(place) => self.signal(place, Child::reload),
+            Action::Pause(place) => signal(&self.instances[place].child, Child::pause),
+            Action::Resume(place) => signal(&self.instances[place].child, Child::resume),
+            Action::Reload(place) => signal(&self.instances[place].child, Child::reload),
             Action::KillWorker(place) => self.end_worker(place).await?,
             Action::StartWorker(place, same) => {
                 self.end_worker(place).await?;
                 self.start_worker(place, same).await?;
             }
-            Action::PauseWorker(place) => self.signal_worker(place, Child::pause),
-            Action::ResumeWorker(place) => self.signal_worker(place, Child::resume),
+            Action::PauseWorker(place) => signal(&self.workers[place].child, Child::pause),
+            Action::ResumeWorker(place) => signal(&self.workers[place].child, Child::resume),
             Action::LeaveWorker(place) => {
                 self.workers[place]
                     .leaves
@@ -318,7 +318,7 @@
                 self.end_worker(place).await?;
             }
             self.workers[place].link.heal();
-            self.signal_worker(place, Child::resume);
+            signal(&self.workers[place].child, Child::resume);
             self.start_worker(place, true).await?;
         }
         for place in 0..self.instances.len() {
@@ -329,7 +329,7 @@
             ] {
                 self.link(link).heal();
             }
-            self.signal(place, Child::resume);
+            signal(&self.instances[place].child, Child::resume);
             if self.instances[place].ends {
                 self.end_instance(place).await?;
             }
@@ -378,7 +378,7 @@
         let version = self.drawn;
         let config = record(
             CONFIG.1,
-            configuration::text(self.options.models, version).as_bytes(),
+            configuration::text(self.options.models, LOADS_PER_SECOND, version).as_bytes(),
         );
         let url = format!(
             "http://{}/v1/log-append?topic={}&part=0",
@@ -426,9 +426,10 @@
     }
 }
 
-/// A signal to a process that has just ended finds nobody, which is no fault of the trial.
-fn attempt(signal: anyhow::Result<()>) {
-    if let Err(error) = signal {
+/// Sends a signal to a process, if there is one.
+fn signal(child: &Option<Child>, send: fn(&Child) -> anyhow::Result<()>) {
+    // One that has just ended finds nobody, which is no fault of the trial.
+    if let Some(Err(error)) = child.as_ref().map(send) {
         eprintln!("signal not sent: {error:#}");
     }
 }
--- a/crates/fireflywheel_standin/src/trial/deployment/launch.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment/launch.rs
@@ -11,9 +11,9 @@
 use tokio::sync::mpsc;
 use tokio::time;
 
-use super::{Deployment, Instance, LOOK, LOOK_PATIENCE, Worker, attempt};
+use super::{Deployment, Instance, LOOK, LOOK_PATIENCE, Worker};
 use crate::fault;
-use crate::process::{Child, Program};
+use crate::process::Program;
 use crate::trial::proxy::Proxy;
 
 /// The variable that names an instance's settings file.
@@ -128,12 +128,6 @@
         Ok(())
     }
 
-    pub(super) fn signal(&self, place: usize, signal: fn(&Child) -> anyhow::Result<()>) {
-        if let Some(child) = &self.instances[place].child {
-            attempt(signal(child));
-        }
-    }
-
     // ---- Workers ----
 
     pub(super) async fn add_worker(&mut self, place: usize) -> anyhow::Result<()> {
@@ -197,12 +191,6 @@
         Ok(())
     }
 
-    pub(super) fn signal_worker(&self, place: usize, signal: fn(&Child) -> anyhow::Result<()>) {
-        if let Some(child) = &self.workers[place].child {
-            attempt(signal(child));
-        }
-    }
-
     pub(super) async fn fault_worker(&self, place: usize, change: &fault::Change) {
         if let Some(child) = &self.workers[place].child {
             let base = child.base("listening");
--- a/crates/fireflywheel_standin/src/trial/mod.rs
+++ b/crates/fireflywheel_standin/src/trial/mod.rs
@@ -9,12 +9,10 @@
 //! | [`replay`] | a load pattern without faults, to compare two builds |
 //! | [`script`] | from a seed to faults and their times |
 //! | [`caller`] | one caller with a kept connection, and what it saw |
-//! | [`configuration`] | what the operator publishes |
 //! | [`book`] | all that was seen, and which promises it breaks |
 
 pub mod book;
 pub mod caller;
-pub mod configuration;
 pub mod deployment;
 pub mod proxy;
 pub mod replay;
--- a/crates/fireflywheel_standin/tests/trial.rs
+++ b/crates/fireflywheel_standin/tests/trial.rs
@@ -13,18 +13,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 
-macro_rules! cases {
-    ($($(#[$doc:meta])* $name:ident => $check:expr;)+) => {
-        $(
-            $(#[$doc])*
-            #[test]
-            fn $name() {
-                $check;
-            }
-        )+
-    };
-}
-
 const SIZES: Sizes = Sizes {
     instances: 3,
     workers: 5,
@@ -150,7 +138,7 @@
     });
 }
 
-cases! {
+fireflywheel_standin::cases! {
     /// What a caller wants to see.
     served => judged(Kind::Booking, 1, answer(200), 0);
     /// A booking ran twice.
