Instances of a trial listen at a loopback address of their own

Cause: a port was looked for and let go before its instance listened there. Each deployment has its own address in 127/8 now, where nobody else takes a port. Ruled out: an end of the product's own; its message is 'Address already in use'.

--- a/crates/fireflywheel_standin/src/trial/deployment.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment.rs
@@ -2,7 +2,7 @@
 
 mod launch;
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -85,6 +85,8 @@
     options: Options,
     store: Child,
     store_address: SocketAddr,
+    /// Where its instances listen.
+    host: Ipv4Addr,
     client: client::Client,
     folder: Folder,
     instances: Vec<Instance>,
@@ -146,6 +148,7 @@
         fs::create_dir_all(&folder.0)?;
         let mut deployment = Self {
             store_address: store.address("listening"),
+            host: launch::own_host(store.id()),
             store,
             client: client::Client::new(),
             folder,
@@ -178,6 +181,12 @@
             .collect()
     }
 
+    /// Where its instances listen: an address of its own, at which no other process takes a port.
+    #[must_use]
+    pub fn host(&self) -> Ipv4Addr {
+        self.host
+    }
+
     /// How often an instance was started.
     #[must_use]
     pub fn lives(&self, instance: usize) -> u64 {
--- a/crates/fireflywheel_standin/src/trial/deployment/launch.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment/launch.rs
@@ -1,11 +1,10 @@
 //! Starting and ending the processes of a deployment.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use anyhow::Context as _;
 use smol_str::{SmolStr, format_smolstr};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -20,8 +19,9 @@
 const SETTINGS: &str = "FIREFLYWHEEL_NODE_FILE";
 /// A plain request takes so long that faults come in the middle of it.
 const SERVICE_RUN_MS: &str = "30";
-/// How often a start is tried: another process may have taken a port in between.
-const STARTS: usize = 5;
+/// Ids of processes have 22 bits at most on Linux; hosts from 127.64.0.0 on have room for them.
+const OWN_HOSTS: u32 = 1 << 22;
+const FIRST_OWN_HOST: u8 = 64;
 
 impl Deployment {
     // ---- Instances ----
@@ -45,18 +45,7 @@
         if self.instances[place].child.is_some() {
             return Ok(());
         }
-        let mut last = None;
-        for _ in 0..STARTS {
-            match self.try_start(place).await {
-                Ok(()) => return Ok(()),
-                Err(error) => last = Some(error),
-            }
-        }
-        Err(last.context("it was tried")?)
-    }
-
-    pub(super) async fn try_start(&mut self, place: usize) -> anyhow::Result<()> {
-        let [callers, ready, peers] = free_addresses()?;
+        let [callers, ready, peers] = free_addresses(self.host)?;
         let instance = &self.instances[place];
         let settings = format!(
             "[instance]\nname = i{place}\nfailure_domain = z1\n[listen]\ncallers = {callers}\nready = {ready}\n\
@@ -201,9 +190,17 @@
     }
 }
 
-/// Addresses that were free a moment ago.
-fn free_addresses() -> anyhow::Result<[SocketAddr; 3]> {
-    let bind = || TcpListener::bind("127.0.0.1:0");
+/// A loopback address of a deployment's own, by the id of one of its processes. At the usual one any process may
+/// take a port between the look for it and the start of the instance that is to listen there. That instance then
+/// ends at once, and whoever connects to its port reaches a stranger. Linux lets all of 127/8 be used.
+pub(super) fn own_host(process: u32) -> Ipv4Addr {
+    let [_, high, middle, low] = (process % OWN_HOSTS).to_be_bytes();
+    Ipv4Addr::new(127, FIRST_OWN_HOST + high, middle, low)
+}
+
+/// Addresses at `host` that nobody listens at.
+fn free_addresses(host: Ipv4Addr) -> anyhow::Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind((host, 0));
     let sockets = [bind()?, bind()?, bind()?];
     let addresses = [&sockets[0], &sockets[1], &sockets[2]].map(TcpListener::local_addr);
     let [callers, ready, peers] = addresses;
