Read the directory whole after a link has told of entries

Cause: an instance that reads changes of the directory and has a link to a steward whose word is too old takes the steward's entries in. If the steward tells of a server that is gone and then dies, the instance's own reads never speak of that server again, so the entry stays for good.

Ruled out: the entry being dropped by a later reading of changes (it names only what changed after the cursor).

--- a/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
@@ -73,9 +73,15 @@
                     .collect(),
             )
         };
+        self.lock().entries_told = true;
         self.learn(news, Duration::ZERO);
     }
 
+    /// Whether the steward has told of entries since this was asked last: they may be older than own reads.
+    pub fn take_entries_told(&self) -> bool {
+        std::mem::take(&mut self.lock().entries_told)
+    }
+
     /// The steward says what an engine holds.
     pub fn learn_held(&self, holding: frame::Holding) {
         let mut state = self.lock();
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -37,6 +37,8 @@
     pub(super) instances: size::Size,
     pub(super) config_read: Option<clock::Instant>,
     pub(super) directory_read: Option<clock::Instant>,
+    /// The steward has told of entries since the directory was last read whole.
+    pub(super) entries_told: bool,
     pub(super) relaying: bool,
     /// Until when the steward's word goes before the directory's; none while there is a link to it.
     pub(super) told_until: Option<clock::Instant>,
@@ -91,6 +93,7 @@
             instances: size::Size::new(now, window, UNKNOWN_INSTANCES),
             config_read: None,
             directory_read: None,
+            entries_told: false,
             relaying: false,
             told_until: None,
             next_waiting: 0,
--- a/crates/fireflywheel_daemon/src/fleet/watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/watch.rs
@@ -115,9 +115,14 @@
     let mut contact = Contact::new("directory");
     let interval = node.settings.obey / READS;
     loop {
-        if node.is_relayed() {
+        let relayed = node.is_relayed();
+        if relayed {
             until_needed(&node, false).await;
-            // What was missed meanwhile is more than what there is.
+        }
+        // After a relayed span more was missed than there is. And a link may have told of entries that are older
+        // than what was read here: reads of changes would never say again that such a server is gone, and callers
+        // of its models would be sent there for good.
+        if node.take_entries_told() || relayed {
             cursor = P::DirectoryCursor::default();
         }
         let asked = node.now();
