Send prompts to the engine that keeps all their shared parts

Cause: requests preferred the engine that rendezvous hashing gives for the first part of their prompt. On the further customer's sites a model's prompts share one to three first parts and 34 second ones, so all instances agreed on the same one to three engines, the others stayed idle, and the second part was read again.

Change: the key is the names of all parts but the last, which is the request's own.

--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -185,5 +185,5 @@
         return None;
     }
     let ids = servers.iter().map(|known| known.server.id.as_str());
-    rendezvous::first(&shared.part, ids).map(SmolStr::new)
+    rendezvous::first(&shared.parts, ids).map(SmolStr::new)
 }
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -27,18 +27,18 @@
     pub model: Option<SmolStr>,
     /// The adapter on it.
     pub adapter: Option<SmolStr>,
-    /// The first part of its prompt, which other requests may share.
+    /// The parts of its prompt that other requests may share.
     pub shared: Option<Shared>,
     /// The last event that the caller has of an earlier attempt.
     pub last_event: Option<u64>,
 }
 
-/// A part of a prompt.
+/// The start of a prompt. A server that keeps all parts of it need not read them again.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Shared {
-    /// Its name.
-    pub part: SmolStr,
-    /// Its length.
+    /// Names of its parts, in order.
+    pub parts: SmolStr,
+    /// Their length together.
     pub tokens: u32,
 }
 
