Tell what an engine holds with its first report, also when that brings nothing new

Cause: entries are told without what engines hold, and what they hold was told only when it changed. An instance that has its first entries from the steward took such an engine for empty: callers waited up to 9 s for a model that was there, until an order to that engine told everyone by chance.

Ruled out: lost frames, full links, refusals of the engine (no order or refusal at the engine for 9 s, then eight callers at eight instances are served within 0.3 s of the next order).

Tried first: telling what the directory says as soon as there is an entry. A new steward then replaced what its predecessor knew by entries that are older.

--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -166,7 +166,9 @@
         let report = match report {
             Ok(report) => report,
             Err(why) => {
-                track.unreported(now);
+                if track.unreported(now) {
+                    state.tell_held(&id);
+                }
                 drop(state);
                 log::info!(server = id.as_str(), why = why.as_str(); "no report");
                 return;
--- a/crates/fireflywheel_daemon/src/fleet/steward/track.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/track.rs
@@ -34,6 +34,9 @@
     ordering: bool,
     /// What it holds isn't known for certain: a report must tell.
     doubt: bool,
+    /// Instances were told what it holds. Entries are told without that, so it is told of each new engine, also when
+    /// its first report brings nothing new: callers would wait elsewhere for models that are there.
+    told: bool,
     loading: Option<Loading>,
     /// No order before this.
     rest: clock::Instant,
@@ -62,6 +65,7 @@
             server,
             ordering: false,
             doubt: true,
+            told: false,
             loading: None,
             rest: clock::Instant::default(),
             asking: false,
@@ -185,7 +189,7 @@
         self.report_at = Some(now.after(REPORT_PAUSE));
     }
 
-    /// A report that was asked for at `asked`; whether what is known has changed.
+    /// A report that was asked for at `asked`; whether there is something to tell.
     pub(super) fn reported(
         &mut self,
         asked: clock::Instant,
@@ -221,13 +225,15 @@
         if settled {
             self.report_at = None;
         }
-        before != self.held
+        let first = !std::mem::replace(&mut self.told, true);
+        first || before != self.held
     }
 
-    /// No report came.
-    pub(super) fn unreported(&mut self, now: clock::Instant) {
+    /// No report came; whether what the directory says of it should be told instead.
+    pub(super) fn unreported(&mut self, now: clock::Instant) -> bool {
         self.asking = false;
         self.report_at = Some(now.after(REPORT_PAUSE * 3));
+        !std::mem::replace(&mut self.told, true)
     }
 
     fn forget(&mut self, model: &SmolStr) {
