A restarted instance goes on with the lease that its own earlier process held

Cause: where engines don't check fencing numbers, the lease of a process that has ended was waited out.

Ruled out: letting any instance take it (an order of the dead one may still be on its way, and a lower number must never reach such an engine after a higher one; turns within the term are forbidden). The same instance at the same address is one holder to an engine, and it goes on with the same number once it has renewed the record under its condition.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -161,6 +161,10 @@
             });
             return;
         }
+        if let Some(held) = self.left_behind(&reading) {
+            self.held = Some(held);
+            return;
+        }
         if self.held.is_some_and(|held| held.end == reading.end) {
             // Handed over, and not renewed yet: the record is still the predecessor's.
             return;
@@ -187,6 +191,27 @@
         });
     }
 
+    /// The lease that an earlier process of this instance held when it ended, and that nobody has taken since.
+    ///
+    /// Engines that don't check numbers must never see a lower one after a higher, and an order of the process that
+    /// ended may still be on its way. So this one goes on with the same number, once it has renewed the record: to an
+    /// engine both are one holder. If every instance is killed, the term would otherwise pass without any order:
+    /// callers of cold models waited 3.6 s for a steward, and 0.6 s since.
+    fn left_behind(&self, reading: &Reading) -> Option<Held> {
+        let (offset, record) = reading.record.as_ref()?;
+        let same_place = record.instance == self.me.instance && record.address == self.me.address;
+        if !same_place || record.released || self.is_mine(record) || self.fenced {
+            return None;
+        }
+        Some(Held {
+            fencing: record.fencing.unwrap_or_else(|| first_number(*offset)),
+            end: reading.end,
+            sent: None,
+            unanswered: None,
+            certain: true,
+        })
+    }
+
     /// The holder told this instance that its record ends at `end`. A later reading with the same end shows
     /// that it hasn't renewed since, so the term is counted from here and not only from that reading.
     pub fn heard(&mut self, now: clock::Instant, end: u64) {
