Standbys: who takes over first, and who knows the steward when the store doesn't answer

Ruled out: shorter pauses of the back-off (more calls; the cut-off instances still can't read).

Change: the steward names its five strongest instances as standbys. They take a lapsed lease at once, the others leave them half a term. An instance without a steward asks a standby, which says whom it has a link to; that moves no term. What the steward told last goes before the directory until that was read anew, since a store that is away leaves an instance with entries from before most swaps.

--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -63,6 +63,10 @@
     HandOver(lease::HandOver),
     /// Another instance is steward from now on, from the one before.
     Moved(lease::Record),
+    /// The sender isn't steward, and has a link to this one.
+    Steward(lease::Record),
+    /// Instances that take over if the sender dies, and that know who did; from the steward.
+    Standbys(Vec<lease::Record>),
 }
 
 /// What an engine holds.
--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -8,6 +8,10 @@
 //! other's work; no harm can come of a holder that is replaced without knowing it. There it goes on past its
 //! term while the store can't be reached: nobody can take over through a store that is away, and all models
 //! that aren't in memory would otherwise stay where they are for as long.
+//!
+//! The holder names a few strong instances as standbys. Only these watch for the end of its term at once; the others
+//! leave them some time before they try too. If all tried, a takeover in a fleet of 136 would cost 800 calls to the
+//! store, and the weakest might win and be too slow for so many links.
 
 use std::time::Duration;
 
@@ -20,6 +24,9 @@
 /// offset and so above all numbers before; each hand-over adds one.
 const HAND_OVER_BITS: u32 = 10;
 
+/// Instances that aren't standbys leave standbys this part of a term to take a lapsed lease.
+const STANDBY_SHARE: f64 = 0.5;
+
 /// What stands in the lease's record.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
@@ -76,6 +83,8 @@
     fenced: bool,
     watched: Option<Watched>,
     held: Option<Held>,
+    /// Whether the last holder that was heard named this instance a standby; none if none was heard.
+    standby: Option<bool>,
 }
 
 #[derive(Clone, Debug)]
@@ -131,6 +140,7 @@
             fenced: false,
             watched: None,
             held: None,
+            standby: None,
         }
     }
 
@@ -264,7 +274,7 @@
             .holder
             .as_ref()
             .is_some_and(|holder| holder.released);
-        let lapsed = now >= watched.since.after(self.options.term);
+        let lapsed = now >= watched.since.after(self.lapse());
         (never_written || lapsed || (released && self.fenced))
             .then(|| (watched.end, self.me.clone()))
     }
@@ -358,6 +368,43 @@
         });
     }
 
+    /// Another instance has a link to this holder. It says nothing of the record, so the term is counted as before.
+    pub fn pointed_to(&mut self, now: clock::Instant, holder: Record) {
+        if self.held.is_some() {
+            return;
+        }
+        let before = self.watched.take();
+        self.watched = Some(Watched {
+            end: before.as_ref().map_or(0, |watched| watched.end),
+            since: before.as_ref().map_or(now, |watched| watched.since),
+            holder: Some(holder),
+            told: true,
+        });
+    }
+
+    /// The holder names its standbys.
+    pub fn name_standbys(&mut self, standbys: &[Record]) {
+        self.standby = Some(standbys.iter().any(|standby| self.is_mine(standby)));
+    }
+
+    /// Whether the lease is left to others for now, so that there is no use in reading it.
+    #[must_use]
+    pub fn leaves_it_to_standbys(&self, now: clock::Instant) -> bool {
+        let watched = self.watched.as_ref();
+        self.held.is_none()
+            && self.standby == Some(false)
+            && watched.is_some_and(|watched| now < watched.since.after(self.lapse()))
+    }
+
+    /// After so long without a change of the record this instance may take the lease.
+    fn lapse(&self) -> Duration {
+        let term = self.options.term;
+        match self.standby {
+            Some(false) => term.mul_f64(1.0 + STANDBY_SHARE),
+            Some(true) | None => term,
+        }
+    }
+
     /// This instance's name in the record.
     #[must_use]
     pub fn me(&self) -> &Record {
@@ -381,7 +428,7 @@
     pub fn due(&self, now: clock::Instant) -> Option<Duration> {
         let at = match (self.held, &self.watched) {
             (Some(held), _) => held.sent.unwrap_or_default().after(self.options.renewal),
-            (None, Some(watched)) => watched.since.after(self.options.term),
+            (None, Some(watched)) => watched.since.after(self.lapse()),
             (None, None) => return None,
         };
         Some(at.since(now))
--- a/crates/fireflywheel/tests/fleet/lease.rs
+++ b/crates/fireflywheel/tests/fleet/lease.rs
@@ -180,6 +180,35 @@
     assert_eq!(after.fencing(at(3100)), None);
 }
 
+fn standbys_go_first() {
+    let mut log = Log::default();
+    let _dead = held("a", false, &mut log, 0);
+    let [mut standby, mut other] = ["b", "c"].map(|name| lease(name, false));
+    let named = [standby.me().clone()];
+    for lease in [&mut standby, &mut other] {
+        lease.observe(at(0), log.read());
+        lease.name_standbys(&named);
+    }
+    let tries = |lease: &Lease| (0..20_000).find(|now| lease.proposal(at(*now)).is_some());
+    assert_eq!(tries(&standby), Some(3000));
+    assert_eq!(tries(&other), Some(4500));
+    assert!(!standby.leaves_it_to_standbys(at(100)));
+    assert!(other.leaves_it_to_standbys(at(4499)));
+    assert!(!other.leaves_it_to_standbys(at(4500)));
+}
+
+fn gossip_leaves_the_term_as_it_is() {
+    let mut log = Log::default();
+    let dead = held("a", false, &mut log, 0);
+    let mut second = lease("b", false);
+    second.observe(at(0), log.read());
+    for now in (0..3000).step_by(100) {
+        second.pointed_to(at(now), dead.me().clone());
+        assert_eq!(second.proposal(at(now)), None);
+    }
+    assert!(second.proposal(at(3000)).is_some());
+}
+
 fn instance_at_another_address_waits() {
     let mut log = Log::default();
     let _before = held("a", false, &mut log, 0);
@@ -214,7 +243,19 @@
             now += u.int_in_range(0..=1500)?;
             let place = u.choose_index(leases.len())?;
             let lease = &mut leases[place];
-            match u.int_in_range(0..=5)? {
+            match u.int_in_range(0..=7)? {
+                6 => {
+                    let other = restarted(names[u.choose_index(3)?], 1, ADDRESS);
+                    lease.pointed_to(at(now), other.me().clone());
+                }
+                7 => {
+                    let named = u.arbitrary()?;
+                    let standbys: Vec<Record> = Some(lease.me().clone())
+                        .filter(|_| named)
+                        .into_iter()
+                        .collect();
+                    lease.name_standbys(&standbys);
+                }
                 5 => {
                     incarnation += 1;
                     *lease = restarted(names[place], incarnation, ADDRESS);
@@ -387,6 +428,12 @@
     killed_and_back => restarted_instance_goes_on_with_its_old_number();
     /// The same, but another instance has taken the lease since its record was read.
     killed_and_replaced => restarted_instance_finds_another_holder();
+    /// The steward of a large fleet dies. If all instances went for its lease, the store would get hundreds of calls
+    /// at once, and an instance too weak for so many links might win.
+    standbys_first => standbys_go_first();
+    /// Instances that haven't noticed yet that the steward is dead still name it. If that began the term anew, cold
+    /// models would wait for longer.
+    stale_gossip => gossip_leaves_the_term_as_it_is();
     /// A machine was replaced by one of the same name elsewhere: nothing shows that the one before has ended.
     same_name_elsewhere => instance_at_another_address_waits();
     /// A link to the steward ends. Counting the term only from then on would leave models cold for a second more.
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -27,6 +27,10 @@
 const OPEN: Duration = Duration::from_millis(600);
 /// Time between two tries to open a link.
 const PAUSE: Duration = Duration::from_millis(200);
+/// The same for each instance, if that is longer: a steward that comes to many gets some 250 links a second.
+const PAUSE_AN_INSTANCE: Duration = Duration::from_millis(4);
+/// It is no longer than this.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Changes of demand that come together are told together.
 const GATHER: Duration = Duration::from_millis(6);
 /// Use of engines is told after this for each instance: 17 instances tell theirs within 10 ms, 125 within 75.
@@ -78,15 +82,34 @@
             let why = result
                 .err()
                 .map_or_else(|| "ended".to_owned(), |error| error.to_string());
-            steward.set_linked(false);
-            steward.node.set_told(false);
-            steward.node.relayed.send_replace(node::Relayed::default());
+            lose(&steward);
             log::info!(steward = holder.instance.as_str(), why = why.as_str(); "no link to the steward");
         }
-        time::sleep(PAUSE).await;
+        // One that can't read the lease from the store would otherwise have no steward as long as that lasts.
+        if let Some(standby) = steward.standby() {
+            let result = connect(&steward, &standby).await;
+            let why = result.err().map(|error| error.to_string());
+            log::debug!(standby = standby.instance.as_str(), why = why.unwrap_or_default().as_str(); "standby asked");
+            lose(&steward);
+        }
+        time::sleep(pause(steward.node.instances())).await;
     }
 }
 
+fn lose<P>(steward: &steward::Steward<P>)
+where
+    P: platform::Platform,
+{
+    steward.set_linked(false);
+    steward.node.set_told(false);
+    steward.node.relayed.send_replace(node::Relayed::default());
+}
+
+fn pause(instances: usize) -> Duration {
+    let pause = PAUSE_AN_INSTANCE * u32::try_from(instances).unwrap_or(u32::MAX);
+    pause.clamp(PAUSE, LONGEST_PAUSE)
+}
+
 /// Waits until a demand is due; what is wanted is told soon, what is used when it is convenient.
 async fn wait_until<P>(due: &mut talk::Due, steward: &steward::Steward<P>)
 where
@@ -232,6 +255,7 @@
             stamp_ms,
             ..
         } => {
+            steward.found(holder);
             steward.heard(lease_end);
             relayed(steward, config_version, read_ms, stamp_ms);
             steward.node.learn_instances(instances as usize);
@@ -253,6 +277,11 @@
             steward.moved(holder);
             anyhow::bail!("another instance is steward");
         }
+        frame::Frame::Steward(holder) => {
+            steward.pointed_to(holder);
+            anyhow::bail!("another instance is steward");
+        }
+        frame::Frame::Standbys(standbys) => steward.name_standbys(standbys),
         frame::Frame::Directory(changes) => steward.node.learn_entries(changes),
         frame::Frame::Hello { .. } | frame::Frame::Demand(_) => {}
     }
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -86,10 +86,10 @@
             return Choice::Nobody;
         }
         if let (Some(_), Some(model)) = (&group.engine, &lane.model) {
+            let told_stands = state.told_stands(now);
             servers.retain(|known| {
-                known
-                    .held(now, state.told_until)
-                    .holds(model, lane.adapter.as_deref())
+                let held = known.held(told_stands);
+                held.holds(model, lane.adapter.as_deref())
             });
             if servers.is_empty() {
                 let key = (lane.group.clone(), model.clone());
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -44,7 +44,7 @@
     /// The steward has told of entries since the directory was last read whole.
     pub(super) entries_told: bool,
     pub(super) relaying: bool,
-    /// Until when the steward's word goes before the directory's; none while there is a link to it.
+    /// When the directory has become as new as the steward's last word; none while there is a link to it.
     pub(super) told_until: Option<clock::Instant>,
     pub(super) next_waiting: u64,
     /// When a planned stop will be over, once one has begun.
@@ -86,16 +86,11 @@
         }
     }
 
-    /// What it holds: the steward knows more than the directory, as long as it can be heard.
-    pub(super) fn held(
-        &self,
-        now: clock::Instant,
-        told_until: Option<clock::Instant>,
-    ) -> &server::Held {
-        let fresh = told_until.is_none_or(|until| now < until);
+    /// What it holds; `told_stands` says whether the steward's word goes before the directory's.
+    pub(super) fn held(&self, told_stands: bool) -> &server::Held {
         self.told
             .as_ref()
-            .filter(|_| fresh)
+            .filter(|_| told_stands)
             .unwrap_or(&self.server.held)
     }
 }
@@ -180,6 +175,13 @@
             .filter(in_time)
     }
 
+    /// Whether the steward's word goes before the directory's. Without a link it does until the directory was read
+    /// after it has become newer: a store that is away would leave an instance with entries from before most swaps.
+    pub(super) fn told_stands(&self, now: clock::Instant) -> bool {
+        self.told_until
+            .is_none_or(|until| now < until || self.directory_read.is_none_or(|read| read < until))
+    }
+
     pub(super) fn budget(
         &mut self,
         group: &SmolStr,
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -37,6 +37,10 @@
 /// Time between two beats to the instances that are linked.
 pub(super) const BEAT: Duration = Duration::from_millis(300);
 
+/// Instances that are named as standbys: some may be dead or cut off with the steward, and each more costs calls to the
+/// store at each takeover.
+const STANDBYS: usize = 5;
+
 /// Frames that may wait for one instance. One that doesn't read loses its link, and reads all anew.
 const QUEUE: usize = 256;
 
@@ -76,6 +80,7 @@
             tracks: BTreeMap::new(),
             links: BTreeMap::new(),
             fetches: VecDeque::new(),
+            standbys: Vec::new(),
             acting: None,
             beat: None,
             told_version: 0,
@@ -151,6 +156,8 @@
         // Last: from its first beat on, an instance relies on what it was told. One that isn't steward knows no
         // more than the other, and must not take its knowledge away.
         let mut frames = if word.acts { state.all() } else { Vec::new() };
+        let known = state.lease.holder().filter(|_| state.linked);
+        frames.extend(known.cloned().map(frame::Frame::Steward));
         frames.push(word.frame(0));
         for frame in frames {
             // The queue was made large enough.
@@ -202,6 +209,38 @@
         self.lock().lease.moved(now, holder);
     }
 
+    /// Another instance has a link to this steward.
+    pub fn pointed_to(&self, holder: Record) {
+        let now = self.node.now();
+        self.lock().lease.pointed_to(now, holder);
+    }
+
+    /// This instance has a link to a steward, which may be another than it knew of.
+    pub fn found(&self, holder: &Record) {
+        let known = self.other().map(|known| known.incarnation);
+        if known != Some(holder.incarnation) {
+            self.pointed_to(holder.clone());
+        }
+    }
+
+    /// The steward names its standbys.
+    pub fn name_standbys(&self, standbys: Vec<Record>) {
+        let mut state = self.lock();
+        state.lease.name_standbys(&standbys);
+        state.standbys = standbys;
+    }
+
+    /// One of the standbys that were named last, at random.
+    #[must_use]
+    pub fn standby(&self) -> Option<Record> {
+        let me = &self.node.settings.instance;
+        let state = self.lock();
+        let others = state.standbys.iter();
+        let others: Vec<&Record> = others.filter(|other| other.instance != *me).collect();
+        let place = rand::random_range(0..others.len().max(1));
+        others.get(place).map(|standby| (*standby).clone())
+    }
+
     /// An instance's link has ended.
     pub fn unlink(&self, number: u64, instance: &str) {
         let mut state = self.lock();
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -110,7 +110,8 @@
         let state = self.lock();
         let known = state.lease_known;
         let holds = state.lease.release().is_some();
-        if self.node.is_draining() || (state.linked && !holds) {
+        let left = state.lease.leaves_it_to_standbys(now);
+        if self.node.is_draining() || (state.linked && !holds) || left {
             return Task::Nothing;
         }
         match state.lease.proposal(now) {
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -13,9 +13,9 @@
 use fireflywheel::fleet::work;
 use smol_str::SmolStr;
 
-use super::BEAT;
 use super::link;
 use super::track;
+use super::{BEAT, STANDBYS};
 
 /// Forecasts are sent again after this, since the wait that they tell of goes on.
 pub(super) const FORECAST: Duration = Duration::from_millis(500);
@@ -57,6 +57,8 @@
     pub(super) tracks: BTreeMap<SmolStr, track::Track>,
     pub(super) links: BTreeMap<u64, link::Link>,
     pub(super) fetches: VecDeque<clock::Instant>,
+    /// Standbys as they were told last, by this instance or by the steward.
+    pub(super) standbys: Vec<lease::Record>,
     pub(super) acting: Option<u64>,
     pub(super) beat: Option<clock::Instant>,
     pub(super) told_version: u64,
@@ -239,6 +241,9 @@
         self.beat = Some(now);
         self.told_version = word.config_version;
         self.tell_all_held();
+        if word.acts {
+            self.tell_standbys();
+        }
         self.links.retain(|_, link| {
             let frame = word.frame(link.stamp_ms);
             link.sender.try_send(frame).is_ok()
@@ -259,9 +264,29 @@
         let holdings = tracks.map(|(server, track)| track.holding(server));
         frames.push(frame::Frame::Held(holdings.collect()));
         frames.push(frame::Frame::Forecast(self.forecasts.clone()));
+        frames.push(frame::Frame::Standbys(self.standbys.clone()));
         frames
     }
 
+    /// Names the strongest instances that stay as standbys.
+    fn tell_standbys(&mut self) {
+        let mut staying: Vec<&link::Link> =
+            self.links.values().filter(|link| !link.leaving).collect();
+        staying.sort_by(|a, b| {
+            let strength = b.cpu_share.total_cmp(&a.cpu_share);
+            strength.then_with(|| a.peer.instance.cmp(&b.peer.instance))
+        });
+        let standbys: Vec<lease::Record> = staying
+            .iter()
+            .take(STANDBYS)
+            .map(|link| link.peer.clone())
+            .collect();
+        if standbys != self.standbys {
+            self.standbys = standbys;
+            self.broadcast(&frame::Frame::Standbys(self.standbys.clone()));
+        }
+    }
+
     pub(super) fn tell_directory(&mut self, entries: BTreeMap<SmolStr, frame::Entry>) {
         let changes = frame::Changes::between(&self.entries, &entries);
         self.entries = entries;
