Another copy of a model by what waits to be read at its engines

Eight requests a copy were a crowd, whatever their prompts, so the copy came late, and from the store only after all models that nobody asked for: ordered 10.4 s after the demand, there 10.2 s later. The engine had 5.6 times the mean, 508 requests refused there and 239 answered with 504.

Ruled out: routing (no other copy), lost requests, the steward's knowledge (it counted them).

Change: the steward follows how long what waits at each engine takes to read, smoothed over a second. Over 0.4 s at each copy another is wanted; over 1.2 s it comes from the store before models without demand. A pressed engine is a costly place for a load.

Tests: copies_for_long_prompts, store_for_the_overwhelmed.

--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -34,6 +34,8 @@
     pub fetching: bool,
     /// Requests in progress, by model and adapter.
     pub running: BTreeMap<(SmolStr, Option<SmolStr>), u32>,
+    /// How long what waits there takes to read, over the last moments.
+    pub pressure: Duration,
     /// Since when it has held models and adapters.
     pub since: BTreeMap<(SmolStr, Option<SmolStr>), clock::Instant>,
 }
--- a/crates/fireflywheel/src/fleet/plan/planner.rs
+++ b/crates/fireflywheel/src/fleet/plan/planner.rs
@@ -11,6 +11,11 @@
 /// Requests in progress on one copy of a model from which another copy is wanted: beyond it, each further
 /// request makes all others of its batch slower.
 const REQUESTS_A_COPY: u32 = 8;
+/// When a request waits this long at each copy of its model before its prompt is read, another copy is wanted: half of
+/// the shortest time within which first events are expected here.
+const CROWDED: Duration = Duration::from_millis(400);
+/// When it waits this long, another copy is even brought from the weight store before models that nobody asks for.
+const OVERWHELMED: Duration = Duration::from_millis(1200);
 /// A model stays this long after its load, so that requests that waited for it reach it before it goes.
 const SHORTEST_STAY: Duration = Duration::from_millis(600);
 /// An adapter stays this long after its load, for the same reason.
@@ -153,13 +158,15 @@
             .filter_map(|model| {
                 let copies = u32::try_from(self.survey.copies(model)).unwrap_or(u32::MAX);
                 let requests = self.survey.requests(model);
-                let crowded = copies > 0 && requests > copies * REQUESTS_A_COPY;
-                crowded.then(|| (requests / copies, model))
+                let many = requests > copies * REQUESTS_A_COPY;
+                let long = requests > 0 && self.survey.pressure(model) > CROWDED;
+                (copies > 0 && (many || long)).then(|| (requests / copies, model))
             })
             .collect();
         crowded.sort_by(|a, b| b.cmp(a));
         for (_, model) in crowded {
-            let spare = self.homeless().next().is_none();
+            let overwhelmed = self.survey.pressure(model) > OVERWHELMED;
+            let spare = overwhelmed || self.homeless().next().is_none();
             if let Some(way) = self.best_way(model, 0.0, spare) {
                 self.go(model, way);
             }
@@ -242,7 +249,7 @@
             site: place,
             tier,
             victim: victims.into_iter().next(),
-            cost: time.as_secs_f64() + loss + held_up,
+            cost: time.as_secs_f64() + loss + held_up + site.pressure.as_secs_f64(),
         })
     }
 
@@ -291,8 +298,8 @@
         let copies = u32::try_from(self.survey.copies(model)).unwrap_or(u32::MAX);
         let wanted = self.view.wants.iter().any(|want| want.model == *model);
         let needed = copies <= 1 && wanted;
-        let crowded =
-            copies > 0 && self.survey.requests(model) > copies.saturating_sub(1) * REQUESTS_A_COPY;
+        let many = self.survey.requests(model) > copies.saturating_sub(1) * REQUESTS_A_COPY;
+        let crowded = copies > 0 && (many || self.survey.pressure(model) > CROWDED);
         let spare = copies > 1 && !crowded;
         let stayed = self.view.now.since(since) >= SHORTEST_STAY;
         running == 0 && stayed && !needed && (spare || self.survey.requests(model) == 0)
--- a/crates/fireflywheel/src/fleet/plan/survey.rs
+++ b/crates/fireflywheel/src/fleet/plan/survey.rs
@@ -4,6 +4,7 @@
 //! 3.2 ms; with these counts it takes 0.9 ms (`cargo bench --bench plan`).
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use smol_str::SmolStr;
 
@@ -14,6 +15,8 @@
 pub(super) struct Survey<'a> {
     copies: BTreeMap<&'a SmolStr, usize>,
     requests: BTreeMap<&'a SmolStr, u32>,
+    /// The least pressure among the engines that hold a model.
+    pressure: BTreeMap<&'a SmolStr, Duration>,
     stored: BTreeSet<&'a SmolStr>,
     coming: BTreeSet<&'a SmolStr>,
 }
@@ -24,12 +27,15 @@
         let mut survey = Self {
             copies: BTreeMap::new(),
             requests: BTreeMap::new(),
+            pressure: BTreeMap::new(),
             stored: BTreeSet::new(),
             coming: BTreeSet::new(),
         };
         for site in view.sites.iter().filter(|site| site.usable) {
             for model in site.held.models.keys() {
                 *survey.copies.entry(model).or_default() += 1;
+                let least = survey.pressure.entry(model).or_insert(site.pressure);
+                *least = site.pressure.min(*least);
             }
             survey.stored.extend(&site.held.in_host);
             survey.stored.extend(&site.held.on_disk);
@@ -54,6 +60,11 @@
         self.requests.get(model).copied().unwrap_or_default()
     }
 
+    /// How long a request waits at the engine with the shortest wait, before its prompt is read.
+    pub(super) fn pressure(&self, model: &SmolStr) -> Duration {
+        self.pressure.get(model).copied().unwrap_or_default()
+    }
+
     /// Whether a usable engine has it in memory, in its host's memory or on disk.
     pub(super) fn has_copy(&self, model: &SmolStr) -> bool {
         self.stored.contains(model) || self.copies.contains_key(model)
--- a/crates/fireflywheel/src/fleet/work.rs
+++ b/crates/fireflywheel/src/fleet/work.rs
@@ -49,6 +49,29 @@
     told: clock::Instant,
 }
 
+/// How long what waits at an engine takes to read, over the last moments. Two long prompts that meet by chance are read
+/// in half a second; only what goes on for longer calls for another engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pressure {
+    seconds: f64,
+    updated: clock::Instant,
+}
+
+/// The pressure of before counts half after this: about as long as a swap takes.
+const PRESSURE_HALF_LIFE: Duration = Duration::from_secs(1);
+
+impl Pressure {
+    /// So many tokens wait there now; returns how long such take to read, over the last moments.
+    pub fn update(&mut self, now: clock::Instant, unread: u32) -> Duration {
+        let halves = now.since(self.updated).div_duration_f64(PRESSURE_HALF_LIFE);
+        let kept = 0.5_f64.powf(halves);
+        let waiting = reading_time(f64::from(unread)).as_secs_f64();
+        self.seconds = self.seconds * kept + waiting * (1.0 - kept);
+        self.updated = now;
+        Duration::from_secs_f64(self.seconds)
+    }
+}
+
 impl Prompt {
     /// Tokens that an engine must read; with `kept`, it has read the shared ones before.
     #[must_use]
--- a/crates/fireflywheel/tests/fleet/plan.rs
+++ b/crates/fireflywheel/tests/fleet/plan.rs
@@ -78,6 +78,11 @@
         self
     }
 
+    fn pressure(mut self, site: usize, millis: u64) -> Self {
+        self.sites[site].pressure = Duration::from_millis(millis);
+        self
+    }
+
     fn busy(mut self, site: usize) -> Self {
         self.sites[site].held.busy = true;
         self
@@ -207,6 +212,32 @@
     assert!(!world.steps().iter().any(loads_m0));
 }
 
+fn few_long_prompts_are_a_crowd_too() {
+    let world = |millis| {
+        let world = World::new(2).holding(0, "m1").all_on_disk(1);
+        world.running(0, "m1", 4).pressure(0, millis)
+    };
+    let copy = Step::Load {
+        site: 1,
+        model: "m1".into(),
+        tier: Tier::Disk,
+    };
+    assert!(!world(100).steps().contains(&copy));
+    assert!(world(600).steps().contains(&copy));
+}
+
+fn overwhelmed_engine_is_relieved_from_the_store() {
+    let relieved = |millis| {
+        let world = World::new(2).holding(0, "m1").running(0, "m1", 4);
+        let mut world = world.pressure(0, millis);
+        world.fetches = 1;
+        let mut steps = world.steps().into_iter();
+        steps.any(|step| matches!(step, Step::Load { site: 1, model, .. } if model == "m1"))
+    };
+    assert!(!relieved(600), "models without a copy go first");
+    assert!(relieved(2000));
+}
+
 fn crowded_model_is_copied_from_a_disk() {
     let world = World::new(2)
         .all_on_disk(0)
@@ -358,6 +389,12 @@
     store_for_the_homeless => no_second_copy_from_the_store_while_a_model_has_none();
     /// Requests crowd on one copy, and each makes all others of its batch slower.
     copies_for_crowds => crowded_model_is_copied_from_a_disk();
+    /// Demand moves to a model with one copy. A few long prompts keep its engine reading for as long as their callers
+    /// wait; counted as requests they are no crowd, and all of them would come late.
+    copies_for_long_prompts => few_long_prompts_are_a_crowd_too();
+    /// The same while other models have no copy, which nobody asks for. If these went first, the callers of the one
+    /// in demand would be late or refused for as long as that takes, which may be ten seconds and more.
+    store_for_the_overwhelmed => overwhelmed_engine_is_relieved_from_the_store();
     /// An engine refuses an order while it carries out another.
     one_order_at_a_time => one_order_for_each_engine();
     /// An engine that leaves would take a model with it.
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -119,10 +119,14 @@
             .filter(|(_, track)| track.group == *group)
             .map(|(id, _)| id.clone())
             .collect();
-        let sites: Vec<plan::Site> = ids
-            .iter()
-            .map(|id| self.tracks[id].site(now, self.board.running(id)))
-            .collect();
+        let unread = self.board.unread();
+        let mut sites = Vec::with_capacity(ids.len());
+        for (id, track) in &mut self.tracks {
+            if track.group == *group {
+                let unread = unread.get(id).copied().unwrap_or_default();
+                sites.push(track.site(now, self.board.running(id), unread));
+            }
+        }
         let wants = self.board.wants(group);
         let models = engine.models.keys();
         let rates = models
--- a/crates/fireflywheel_daemon/src/fleet/steward/track.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/track.rs
@@ -7,6 +7,7 @@
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::plan;
 use fireflywheel::fleet::server;
+use fireflywheel::fleet::work;
 use smol_str::SmolStr;
 
 /// Reports tell of this long ago.
@@ -45,6 +46,7 @@
     /// When the next report is of use.
     report_at: Option<clock::Instant>,
     since: BTreeMap<(SmolStr, Option<SmolStr>), clock::Instant>,
+    pressure: work::Pressure,
     /// When an order was last accepted: reports asked for before tell of the time before it.
     changed: clock::Instant,
     busy_since: Option<clock::Instant>,
@@ -71,6 +73,7 @@
             asking: false,
             report_at: Some(clock::Instant::default()),
             since: BTreeMap::new(),
+            pressure: work::Pressure::default(),
             changed: clock::Instant::default(),
             busy_since: None,
         }
@@ -87,9 +90,10 @@
 
     /// What a plan needs of it.
     pub(super) fn site(
-        &self,
+        &mut self,
         now: clock::Instant,
         running: BTreeMap<(SmolStr, Option<SmolStr>), u32>,
+        unread: u32,
     ) -> plan::Site {
         let staying = self.server.leaves.is_none_or(|at| at.since(now) > LEAVING);
         let unknown_fetch = self.held.busy
@@ -104,6 +108,7 @@
             loading: self.loading.as_ref().map(|loading| loading.model.clone()),
             fetching: unknown_fetch || self.loading.as_ref().is_some_and(|loading| loading.fetch),
             running,
+            pressure: self.pressure.update(now, unread),
             since: self.since.clone(),
         }
     }
