A read of the configuration doesn't wait for news while the store fails

Ruled out: the link to the steward (it knew, the instance had none yet).

Before: silent_store fails (a read 3,441 ms after the return where 2,500 are allowed); after: within the pause and the call's limit.

--- a/crates/fireflywheel/src/fleet/backoff.rs
+++ b/crates/fireflywheel/src/fleet/backoff.rs
@@ -44,6 +44,18 @@
         self.until = self.until.max(now.after(self.pause(most, draw)));
     }
 
+    /// How long a read may wait at the store for news that usually waits for `usual`. While the store fails it doesn't
+    /// wait: a store that is silent would hold it up for the wait besides the call's own limit, and a configuration
+    /// that is accepted as soon as the store is back would be in force too late.
+    #[must_use]
+    pub fn wait(&self, usual: Duration) -> Duration {
+        if self.failures == 0 {
+            usual
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// A call was answered; whether calls had failed before.
     pub fn succeeded(&mut self) -> bool {
         std::mem::take(&mut self.failures) > 0
--- a/crates/fireflywheel/tests/fleet/backoff.rs
+++ b/crates/fireflywheel/tests/fleet/backoff.rs
@@ -13,6 +13,9 @@
 const READERS: usize = 4;
 /// A refusal comes back this long after its call.
 const ANSWER: Duration = Duration::from_millis(5);
+/// How long a read waits for news, and beyond that for its answer.
+const USUAL_WAIT: Duration = Duration::from_millis(1500);
+const CALL_LIMIT: Duration = Duration::from_millis(1000);
 const OUTAGE: Duration = Duration::from_secs(8);
 /// Calls of one outage that the whole fleet may make, by the aim that was set for it.
 const ALLOWED: usize = 4000;
@@ -40,7 +43,40 @@
     }
 }
 
+/// How long after its return a store that was silent is read at the latest, by a reader whose reads usually wait.
+fn latest_read(draws: &[f64], silence: u64) -> u64 {
+    let mut backoff = Backoff::default();
+    let mut now = Instant(0);
+    for draw in draws.iter().cycle() {
+        now = now.after(backoff.claim(now, MOST, *draw));
+        if now.0 >= silence {
+            break;
+        }
+        // Nothing comes back until the call's own limit.
+        now = now.after(backoff.wait(USUAL_WAIT) + CALL_LIMIT);
+        backoff.failed(now, MOST, *draw);
+    }
+    now.0.saturating_sub(silence)
+}
+
 cases! {
+    /// The store answers nothing for some seconds, then takes a configuration at once. One instance still had the old one
+    /// 2.3 s later: its read had waited for news at the silent store before its pause began.
+    silent_store => {
+        arbtest(|u| {
+            let draws: Vec<f64> = (0..16)
+                .map(|_| Ok(f64::from(u.arbitrary::<u16>()?) / 65536.0))
+                .collect::<Result<_, arbitrary::Error>>()?;
+            // The first read may have begun before the silence, and waits as usual.
+            let silence = u.int_in_range(4000..=20_000)?;
+            let late = latest_read(&draws, silence);
+            let allowed = (MOST + CALL_LIMIT).as_millis() as u64;
+            assert!(late <= allowed, "{late} ms");
+            Ok(())
+        });
+    };
+
+
     /// The store refuses everybody for some seconds. With readers that each try again a few times a second, a fleet
     /// made 65,000 calls in such an outage, which cost it a third of what the day was worth.
     outage_seen_by_a_fleet => {
--- a/crates/fireflywheel_daemon/src/fleet/node/store.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/store.rs
@@ -34,6 +34,12 @@
         }
     }
 
+    /// How long a read may wait at the store for news that usually waits for `usual`.
+    #[must_use]
+    pub fn store_wait(&self, usual: Duration) -> Duration {
+        self.lock().store.wait(usual)
+    }
+
     /// The store answered a call, or there was no usable answer.
     pub fn store_called(&self, call: &str, answered: bool) {
         self.metrics.store_called(call, answered);
--- a/crates/fireflywheel_daemon/src/fleet/watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/watch.rs
@@ -73,6 +73,7 @@
     loop {
         let wait = until_needed(&node, true).await;
         node.store_turn().await;
+        let wait = node.store_wait(wait);
         let asked = node.now();
         let result = node.platform.configuration(&mut cursor, wait).await;
         node.store_called("configuration", result.is_ok());
