Learn how many loads the weight store bears at once, and tell when running loads end

Change: plan::pace learns the number from how long loads take, dares one more now and then, and the forecast names models that are being fetched, so that a caller who can't wait that long is refused at once with Retry-After.

Tests: fleet/pace.rs, forecast_of_a_running_load.

--- a/crates/fireflywheel/benches/plan.rs
+++ b/crates/fireflywheel/benches/plan.rs
@@ -87,7 +87,8 @@
             sites: &sites,
             wants: &wants,
             rates: &rates,
-            fetches: plan::FETCHES,
+            fetches: plan::pace::Pace::default().at_once(),
+            pace: plan::pace::Pace::default(),
         };
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| plan::steps(black_box(&view)));
--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -5,6 +5,7 @@
 //! disk comes back in under a second. So the store is used for what has no copy anywhere, a few loads at a
 //! time; and whatever was once fetched is swapped in where its copy lies.
 
+pub mod pace;
 mod planner;
 mod survey;
 
@@ -16,9 +17,6 @@
 use super::{config, demand, server};
 use crate::clock;
 
-/// Loads from the weight store at the same time, until it is known how many it bears.
-pub const FETCHES: usize = 4;
-
 /// One engine, as the steward sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Site {
@@ -32,6 +30,8 @@
     pub loading: Option<SmolStr>,
     /// That load is from the weight store.
     pub fetching: bool,
+    /// Since when it loads.
+    pub loading_since: Option<clock::Instant>,
     /// Requests in progress, by model and adapter.
     pub running: BTreeMap<(SmolStr, Option<SmolStr>), u32>,
     /// How long what waits there takes to read, over the last moments.
@@ -130,6 +130,8 @@
     pub rates: &'a BTreeMap<SmolStr, f64>,
     /// Loads from the weight store that may run at the same time.
     pub fetches: usize,
+    /// What is known of the weight store.
+    pub pace: pace::Pace,
 }
 
 /// The orders to send now, at most one for each engine.
@@ -150,13 +152,24 @@
     planner.steps
 }
 
-/// How long each wanted model that can't be used yet will take; models with a copy on a server are left out,
+/// How long each wanted model will take that comes from the weight store; models with a copy on a server are left out,
 /// since they come within a second or two.
 #[must_use]
 pub fn forecast(view: &View<'_>) -> Vec<(SmolStr, Duration)> {
     let survey = survey::Survey::new(view);
-    let mut ahead = view.sites.iter().filter(|site| site.fetching).count();
-    let mut waits = Vec::new();
+    let running = view.sites.iter().filter(|site| site.fetching).count();
+    let mut ahead = running;
+    let mut waits: Vec<(SmolStr, Duration)> = Vec::new();
+    let wanted = |model: &SmolStr| view.wants.iter().any(|want| want.model == *model);
+    for site in view.sites.iter().filter(|site| site.fetching) {
+        let loading = site.loading.as_ref().filter(|model| wanted(model));
+        let known = loading.and_then(|name| Some((name, view.engine.models.get(name)?)));
+        if let Some(((name, model), since)) = known.zip(site.loading_since) {
+            let time = view.pace.time(model.fetch, running);
+            let left = time.saturating_sub(view.now.since(since));
+            waits.push((name.clone(), left));
+        }
+    }
     let homeless = view
         .wants
         .iter()
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod demand;
 mod events;
 mod lease;
+mod pace;
 mod patience;
 mod plan;
 mod rate;
--- a/crates/fireflywheel/tests/fleet/plan.rs
+++ b/crates/fireflywheel/tests/fleet/plan.rs
@@ -7,7 +7,7 @@
 use fireflywheel::clock::Instant;
 use fireflywheel::fleet::config::{Engine, Model};
 use fireflywheel::fleet::demand::Want;
-use fireflywheel::fleet::plan::{self, Site, Step, Tier, View};
+use fireflywheel::fleet::plan::{self, Site, Step, Tier, View, pace};
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::cases;
@@ -51,7 +51,7 @@
             sites: vec![site; sites],
             wants: Vec::new(),
             rates: BTreeMap::new(),
-            fetches: plan::FETCHES,
+            fetches: pace::Pace::default().at_once(),
         }
     }
 
@@ -122,6 +122,7 @@
             wants: &self.wants,
             rates: &self.rates,
             fetches: self.fetches,
+            pace: pace::Pace::default(),
         }
     }
 
@@ -313,6 +314,13 @@
     assert_eq!(plan::forecast(&world.view()), expected);
 }
 
+fn forecast_tells_when_a_running_load_ends() {
+    let mut world = World::new(2).fetching(0, "m8").wanted("m8");
+    world.sites[0].loading_since = Some(Instant(NOW.0 - 2000));
+    let expected = [(SmolStr::new("m8"), Duration::from_secs(4))];
+    assert_eq!(plan::forecast(&world.view()), expected);
+}
+
 /// Any state of the engines, any wants. No order may put more into an engine than it holds, go to an engine
 /// that carries one out, unload what runs, or pass the weight store's limit.
 fn any_plan_is_safe() {
@@ -405,6 +413,9 @@
     adapter_room => idle_adapter_makes_room();
     /// A caller is told when to come back; a time that leaves out those ahead brings it back too early.
     forecast => forecast_counts_what_is_ahead_at_the_store();
+    /// A model comes from the weight store, which takes longer than its callers can wait. Not told, they would wait in
+    /// vain and be refused only when it is too late to ask elsewhere.
+    forecast_of_a_running_load => forecast_tells_when_a_running_load_ends();
     /// Any state of the engines.
     any_state => any_plan_is_safe();
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -15,6 +15,7 @@
 use fireflywheel::fleet::demand;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease::{HandOver, Lease, Record};
+use fireflywheel::fleet::plan;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, mpsc};
 use tokio::time;
@@ -80,6 +81,7 @@
             tracks: BTreeMap::new(),
             links: BTreeMap::new(),
             fetches: VecDeque::new(),
+            pace: plan::pace::Pace::default(),
             standbys: Vec::new(),
             acting: None,
             beat: None,
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -126,13 +126,14 @@
             self.lease_wake.notify_one();
             return;
         }
+        let at_once = state.fetching() + 1;
         let Some(track) = state.tracks.get_mut(&due.server) else {
             return;
         };
         match status {
-            Some(StatusCode::ACCEPTED) => track.accepted(now, &due.step, takes),
+            Some(StatusCode::ACCEPTED) => track.accepted(now, &due.step, takes, at_once),
             Some(StatusCode::OK) if matches!(due.step, plan::Step::UnloadAdapter { .. }) => {
-                track.accepted(now, &due.step, takes);
+                track.accepted(now, &due.step, takes, at_once);
             }
             Some(StatusCode::CONFLICT) => track.conflicted(now),
             _ => track.unanswered(now),
@@ -174,9 +175,17 @@
                 return;
             }
         };
-        if !track.reported(asked, now, report) {
+        let changed = track.reported(asked, now, report);
+        if let Some(fetched) = track.take_fetched() {
+            let alone = self.alone(&server.group, &fetched.model);
+            state.fetched(&fetched, alone);
+        }
+        if !changed {
             return;
         }
+        let Some(track) = state.tracks.get(&id) else {
+            return;
+        };
         let holding = track.holding(&id);
         state.tell_held(&id);
         drop(state);
@@ -213,6 +222,15 @@
         known.map_or(Duration::ZERO, |known| tier.load_time(&known))
     }
 
+    /// How long a load of a model from the weight store takes by itself.
+    fn alone(&self, group: &str, model: &str) -> Duration {
+        let config = self.node.config();
+        let group = config.as_ref().and_then(|config| config.groups.get(group));
+        let engine = group.and_then(|group| group.engine.as_ref());
+        let known = engine.and_then(|engine| engine.models.get(model));
+        known.map_or(Duration::ZERO, |known| known.fetch)
+    }
+
     async fn exchange(
         &self,
         server: &server::Server,
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -57,6 +57,7 @@
     pub(super) tracks: BTreeMap<SmolStr, track::Track>,
     pub(super) links: BTreeMap<u64, link::Link>,
     pub(super) fetches: VecDeque<clock::Instant>,
+    pub(super) pace: plan::pace::Pace,
     /// Standbys as they were told last, by this instance or by the steward.
     pub(super) standbys: Vec<lease::Record>,
     pub(super) acting: Option<u64>,
@@ -88,7 +89,8 @@
         self.forecasts.clear();
         // Loads of the steward before may have begun a moment ago: as many count as may run at once.
         self.fetches.clear();
-        self.fetches.extend(std::iter::repeat_n(now, plan::FETCHES));
+        let before = self.pace.at_once();
+        self.fetches.extend(std::iter::repeat_n(now, before));
         self.beat = None;
     }
 
@@ -139,6 +141,7 @@
             wants: &wants,
             rates: &rates,
             fetches: self.fetch_room(now, engine, &sites),
+            pace: self.pace,
         };
         let expected = plan::forecast(&view).into_iter();
         forecasts.extend(expected.map(|(model, wait)| frame::Forecast {
@@ -190,7 +193,27 @@
         let allowed = engine.loads_per_second * STORE_WINDOW.as_secs_f64() * STORE_SHARE;
         let left = (allowed - self.fetches.len() as f64).max(0.0) as usize;
         let running = sites.iter().filter(|site| site.fetching).count();
-        plan::FETCHES.min(running + left)
+        self.pace.at_once().min(running + left)
+    }
+
+    /// Loads from the weight store that run.
+    pub(super) fn fetching(&self) -> usize {
+        self.tracks
+            .values()
+            .filter(|track| track.is_fetching())
+            .count()
+    }
+
+    /// A load from the weight store has ended that takes `alone` by itself.
+    pub(super) fn fetched(&mut self, fetched: &track::Fetched, alone: Duration) {
+        // Half of those that run now have come or gone since it began.
+        let at_once = (fetched.at_once + self.fetching() + 1).div_ceil(2);
+        self.pace.ended(at_once, alone, fetched.took);
+        log::info!(
+            model = fetched.model.as_str(), took_ms = clock::millis(fetched.took), at_once = at_once as u64,
+            now_at_once = self.pace.at_once() as u64;
+            "load from the weight store ended"
+        );
     }
 
     pub(super) fn tell_forecasts(&mut self, now: clock::Instant, forecasts: Vec<frame::Forecast>) {
--- a/crates/fireflywheel_daemon/src/fleet/steward/track.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/track.rs
@@ -39,6 +39,7 @@
     /// its first report brings nothing new: callers would wait elsewhere for models that are there.
     told: bool,
     loading: Option<Loading>,
+    fetched: Option<Fetched>,
     /// No order before this.
     rest: clock::Instant,
     /// A report is on its way since.
@@ -56,6 +57,17 @@
 struct Loading {
     model: SmolStr,
     fetch: bool,
+    since: clock::Instant,
+    /// Loads from the weight store when it began, itself included.
+    at_once: usize,
+}
+
+/// A load from the weight store that has ended.
+#[derive(Clone, Debug)]
+pub(super) struct Fetched {
+    pub(super) model: SmolStr,
+    pub(super) at_once: usize,
+    pub(super) took: Duration,
 }
 
 impl Track {
@@ -69,6 +81,7 @@
             doubt: true,
             told: false,
             loading: None,
+            fetched: None,
             rest: clock::Instant::default(),
             asking: false,
             report_at: Some(clock::Instant::default()),
@@ -106,6 +119,7 @@
             usable: self.server.ready && staying,
             ordering: self.ordering || self.doubt || now < self.rest,
             loading: self.loading.as_ref().map(|loading| loading.model.clone()),
+            loading_since: self.loading.as_ref().map(|loading| loading.since),
             fetching: unknown_fetch || self.loading.as_ref().is_some_and(|loading| loading.fetch),
             running,
             pressure: self.pressure.update(now, unread),
@@ -132,8 +146,15 @@
         self.rest = now;
     }
 
-    /// An order is being carried out, or was at once. `takes` is how long it should take.
-    pub(super) fn accepted(&mut self, now: clock::Instant, step: &plan::Step, takes: Duration) {
+    /// An order is being carried out, or was at once. `takes` is how long it should take, `at_once` how many loads
+    /// from the weight store run with it.
+    pub(super) fn accepted(
+        &mut self,
+        now: clock::Instant,
+        step: &plan::Step,
+        takes: Duration,
+        at_once: usize,
+    ) {
         self.ordering = false;
         self.orders += 1;
         self.changed = now;
@@ -144,6 +165,8 @@
                 self.loading = Some(Loading {
                     model: model.clone(),
                     fetch: *tier == plan::Tier::Store,
+                    since: now,
+                    at_once,
                 });
                 self.report_at = Some(now.after(takes));
             }
@@ -221,7 +244,14 @@
         self.since
             .retain(|(model, adapter), _| held.holds(model, adapter.as_deref()));
         if !self.held.busy {
-            self.loading = None;
+            let fetched = self.loading.take().filter(|loading| loading.fetch);
+            self.fetched = fetched
+                .filter(|loading| self.held.holds(&loading.model, None))
+                .map(|loading| Fetched {
+                    model: loading.model,
+                    at_once: loading.at_once,
+                    took: now.since(loading.since),
+                });
             self.busy_since = None;
         } else {
             self.busy_since.get_or_insert(now);
@@ -234,6 +264,15 @@
         first || before != self.held
     }
 
+    /// The load from the weight store that the last report has shown to be over.
+    pub(super) fn take_fetched(&mut self) -> Option<Fetched> {
+        self.fetched.take()
+    }
+
+    pub(super) fn is_fetching(&self) -> bool {
+        self.loading.as_ref().is_some_and(|loading| loading.fetch)
+    }
+
     /// No report came; whether what the directory says of it should be told instead.
     pub(super) fn unreported(&mut self, now: clock::Instant) -> bool {
         self.asking = false;
