Wait for a model elsewhere when its only engine can't be reached

The steward went on counting the model as there until the entry lapsed.

Ruled out: more tries (they feed the budget, not the caller).

Change: such an engine is tried by one request each half second, the others wait for the model. The steward is told, asks the engine, and if it can't be reached has its models loaded elsewhere.

--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -16,6 +16,9 @@
 const DISTANCE: f64 = 0.02;
 /// A server that couldn't be reached isn't tried again for this long while another one is there.
 const DOWN: Duration = Duration::from_millis(1000);
+/// A server that couldn't be reached is tried by one request each time this has passed if there is no other: all that wait
+/// would use up their tries and the repeats' budget within milliseconds, and be refused before a copy elsewhere is there.
+const PROBE: Duration = Duration::from_millis(500);
 /// A server whose address another one has isn't tried again for this long: its entry goes within seconds.
 const REPLACED: Duration = Duration::from_secs(10);
 /// A server that had no room isn't tried again for this long.
@@ -41,6 +44,7 @@
     failing: f64,
     failed: clock::Instant,
     down_until: clock::Instant,
+    probed: clock::Instant,
     full_until: clock::Instant,
 }
 
@@ -81,6 +85,16 @@
     pub fn unreachable(&mut self, now: clock::Instant) {
         self.failed(now);
         self.down_until = now.after(DOWN);
+        self.probed = now;
+    }
+
+    /// Whether one request may try it although it couldn't be reached; counts as tried from then on.
+    pub fn probe(&mut self, now: clock::Instant) -> bool {
+        let due = now.since(self.probed) >= PROBE;
+        if due {
+            self.probed = now;
+        }
+        due
     }
 
     /// Another server answers at its address: its entry is old.
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -38,6 +38,8 @@
     Server(Chosen),
     /// Those that can run it have no room at this moment.
     Full,
+    /// Those that can run it couldn't be reached a moment ago.
+    Down,
     /// None holds its model; the wait is what the steward expects.
     Absent(Option<Duration>),
     /// The group has no server.
@@ -73,12 +75,11 @@
         tried: &[SmolStr],
     ) -> Choice {
         let now = self.now();
-        let state = self.lock();
-        let group = state
-            .config
-            .as_ref()
-            .and_then(|config| config.groups.get(&lane.group));
-        let Some(group) = group else {
+        let mut state = self.lock();
+        let Some(config) = state.config.clone() else {
+            return Choice::Nobody;
+        };
+        let Some(group) = config.groups.get(&lane.group) else {
             return Choice::Nobody;
         };
         let mut servers: Vec<&state::Known> = state.usable(now, lane).collect();
@@ -120,12 +121,19 @@
         let Some(place) = routing::pick(now, &candidates, rand::random()) else {
             return Choice::Full;
         };
-        Choice::Server(Chosen {
+        let down = lane.model.is_some() && servers[place].seen.is_down(now);
+        let unread = unread(servers[place]);
+        let chosen = Chosen {
             server: servers[place].server.id.clone(),
             address: servers[place].server.address,
             connections: (group.connections / state.instances.count()).max(1),
-            unread: unread(servers[place]),
-        })
+            unread,
+        };
+        let known = state.servers.get_mut(&chosen.server);
+        if down && known.is_some_and(|known| !known.seen.probe(now)) {
+            return Choice::Down;
+        }
+        Choice::Server(chosen)
     }
 
     /// Counts a request at a server from now on.
--- a/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
@@ -148,7 +148,13 @@
         match verdict {
             Verdict::Good => known.seen.succeeded(now),
             Verdict::Failed => known.seen.failed(now),
-            Verdict::Unreachable => known.seen.unreachable(now),
+            Verdict::Unreachable => {
+                known.seen.unreachable(now);
+                // The steward asks it, and has its models loaded elsewhere if it doesn't answer.
+                state.denied.insert(id.into());
+                drop(state);
+                self.wanted.notify_one();
+            }
             Verdict::Full => known.seen.full(now),
             Verdict::Replaced => known.seen.replaced(now),
         }
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -310,7 +310,7 @@
                 );
             }
             node::Choice::Absent(_) => give_up.since(now),
-            node::Choice::Full => LOOK_AGAIN,
+            node::Choice::Full | node::Choice::Down => LOOK_AGAIN,
         };
         if now >= give_up {
             let wait = patience::retry_after(NO_ROOM, left);
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -23,6 +23,25 @@
 /// Connections for orders and reports to one engine, beside those for requests.
 const CONNECTIONS: usize = usize::MAX;
 
+/// Why an order or a report has no answer.
+#[derive(Clone, Copy, Debug)]
+enum NoAnswer {
+    Fault(pool::Fault),
+    Broken,
+    /// The engine may be slow, or this instance itself.
+    Late,
+}
+
+impl NoAnswer {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Fault(fault) => fault.as_str(),
+            Self::Broken => "response broke off",
+            Self::Late => "no answer in time",
+        }
+    }
+}
+
 /// What an order asks for, for the engine and for the log.
 fn change(step: &plan::Step) -> platform::Change<'_> {
     match step {
@@ -150,6 +169,7 @@
         };
         let asked = self.node.now();
         let answer = self.exchange(&server, self.node.platform.report()).await;
+        let reached = !matches!(answer, Err(NoAnswer::Fault(pool::Fault::Unreachable)));
         let report = match answer {
             Ok((StatusCode::OK, body)) => self
                 .node
@@ -157,7 +177,7 @@
                 .read_report(&body)
                 .map_err(|error| error.to_string()),
             Ok((status, _)) => Err(status.to_string()),
-            Err(why) => Err(why.to_owned()),
+            Err(why) => Err(why.as_str().to_owned()),
         };
         let now = self.node.now();
         let mut state = self.lock();
@@ -167,7 +187,7 @@
         let report = match report {
             Ok(report) => report,
             Err(why) => {
-                if track.unreported(now) {
+                if track.unreported(now, reached) {
                     state.tell_held(&id);
                 }
                 drop(state);
@@ -235,22 +255,22 @@
         &self,
         server: &server::Server,
         request: Request<Full<Bytes>>,
-    ) -> Result<(StatusCode, Bytes), &'static str> {
+    ) -> Result<(StatusCode, Bytes), NoAnswer> {
         let whole = async {
             let sending =
                 self.node
                     .pool
                     .send(self.node.now(), server.address, CONNECTIONS, request);
-            let (response, connection) = sending.await.map_err(pool::Fault::as_str)?;
+            let (response, connection) = sending.await.map_err(NoAnswer::Fault)?;
             let (head, body) = response.into_parts();
             let keep = self.node.platform.read_reply(&head).keep;
             let body = Limited::new(body, REPORT_BYTES).collect().await;
-            let body = body.map_err(|_| "response broke off")?.to_bytes();
+            let body = body.map_err(|_| NoAnswer::Broken)?.to_bytes();
             self.node.pool.keep(self.node.now(), connection, keep);
             Ok((head.status, body))
         };
         time::timeout(ANSWER_LIMIT, whole)
             .await
-            .unwrap_or(Err("no answer in time"))
+            .unwrap_or(Err(NoAnswer::Late))
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward/track.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/track.rs
@@ -35,6 +35,9 @@
     ordering: bool,
     /// What it holds isn't known for certain: a report must tell.
     doubt: bool,
+    /// It couldn't be reached when it was last asked: until its entry goes, seconds later, its models would count as
+    /// there, and their callers would wait.
+    silent: bool,
     /// Instances were told what it holds. Entries are told without that, so it is told of each new engine, also when
     /// its first report brings nothing new: callers would wait elsewhere for models that are there.
     told: bool,
@@ -79,6 +82,7 @@
             server,
             ordering: false,
             doubt: true,
+            silent: false,
             told: false,
             loading: None,
             fetched: None,
@@ -116,7 +120,7 @@
                 .is_some_and(|since| now.since(since) > LONG_LOAD);
         plan::Site {
             held: self.held.clone(),
-            usable: self.server.ready && staying,
+            usable: self.server.ready && staying && !self.silent,
             ordering: self.ordering || self.doubt || now < self.rest,
             loading: self.loading.as_ref().map(|loading| loading.model.clone()),
             loading_since: self.loading.as_ref().map(|loading| loading.since),
@@ -225,6 +229,7 @@
         report: server::Report,
     ) -> bool {
         self.asking = false;
+        self.silent = false;
         let stale = report.orders < self.orders || asked < self.changed.after(REPORT_LAG);
         if self.ordering || stale {
             return false;
@@ -273,10 +278,11 @@
         self.loading.as_ref().is_some_and(|loading| loading.fetch)
     }
 
-    /// No report came; whether what the directory says of it should be told instead.
-    pub(super) fn unreported(&mut self, now: clock::Instant) -> bool {
+    /// No usable report came, or the engine can't be reached; whether what the directory says of it should be told instead.
+    pub(super) fn unreported(&mut self, now: clock::Instant, reached: bool) -> bool {
         self.asking = false;
         self.report_at = Some(now.after(REPORT_PAUSE * 3));
+        self.silent = !reached;
         !std::mem::replace(&mut self.told, true)
     }
 
