Name the busiest engines only, so that the word of them stays small

With hundreds of engines the word of what each has to read would take more of a link than control may (22 KB/s for each instance): 64 engines at most are named, some 7 KB/s at 1,100 instances by docs/CAPACITY.md. With 60 engines nothing changes. Test: many_engines.

--- a/crates/fireflywheel/src/fleet/work.rs
+++ b/crates/fireflywheel/src/fleet/work.rs
@@ -4,6 +4,8 @@
 //! read as a short question, and a quarter of that where its shared parts are kept. So instances count tokens that are
 //! still to be read. Each knows only its own requests; the steward adds them up and tells all.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -129,6 +131,21 @@
     rendezvous::first(parts, servers)
 }
 
+/// The engines with the most to read, `count` of them at most and none with less than `least` tokens, by id.
+#[must_use]
+pub fn largest(unread: BTreeMap<&SmolStr, u32>, least: u32, count: usize) -> Vec<Load> {
+    let mut loads: Vec<(&SmolStr, u32)> = unread.into_iter().collect();
+    loads.retain(|(_, unread)| *unread >= least);
+    loads.sort_by_key(|(_, unread)| Reverse(*unread));
+    loads.truncate(count);
+    loads.sort();
+    let named = loads.into_iter().map(|(server, unread)| Load {
+        server: server.clone(),
+        unread,
+    });
+    named.collect()
+}
+
 /// How long it takes to read so many tokens.
 #[must_use]
 pub fn reading_time(tokens: f64) -> Duration {
--- a/crates/fireflywheel/tests/fleet/work.rs
+++ b/crates/fireflywheel/tests/fleet/work.rs
@@ -8,6 +8,7 @@
 use fireflywheel::fleet::work::{self, Backlog, Prompt};
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
+use smol_str::SmolStr;
 
 use crate::cases;
 
@@ -208,7 +209,20 @@
     assert_eq!(backlog.tokens(Instant(1000)), 0.0);
 }
 
+fn busiest_are_named() {
+    let ids = ["e1", "e2", "e3", "e4"].map(SmolStr::new);
+    let unread = ids.iter().zip([50, 4000, 9000, 2000]).collect();
+    let named = work::largest(unread, 1000, 2);
+    let named: Vec<(&str, u32)> = named
+        .iter()
+        .map(|load| (load.server.as_str(), load.unread))
+        .collect();
+    assert_eq!(named, [("e2", 4000), ("e3", 9000)]);
+}
+
 cases! {
+    /// With hundreds of engines a word of all of them would take more of a link than control may.
+    many_engines => busiest_are_named();
     /// Each instance sends a prompt every few seconds and sees only its own. Were requests counted alike, or the others'
     /// unknown, several long prompts would queue at one engine while others idle, and users wait for their first word.
     busy_model => prompts_are_read_in_time();
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -43,6 +43,10 @@
 /// Less than so many tokens is nothing: they are read in some 40 ms, when the word of them has hardly arrived.
 pub(super) const LEAST_LOAD: u32 = 1000;
 
+/// So many engines are named at most, those with the most to read: some 2 KB, which each of 1,100 instances can hear
+/// three times a second.
+pub(super) const LOADS: usize = 64;
+
 /// It isn't told more often.
 pub(super) const SHORTEST_LOAD: Duration = Duration::from_millis(50);
 
@@ -243,14 +247,7 @@
         if now.since(told) < pause {
             return None;
         }
-        let unread = self.board.unread().into_iter();
-        let unread = unread.filter(|(_, unread)| *unread >= LEAST_LOAD);
-        let loads: Vec<work::Load> = unread
-            .map(|(server, unread)| work::Load {
-                server: server.clone(),
-                unread,
-            })
-            .collect();
+        let loads = work::largest(self.board.unread(), LEAST_LOAD, LOADS);
         self.load = (now, !loads.is_empty());
         if loads.is_empty() && !loaded {
             return None;
