--- a/crates/fireflywheel/src/fleet/work.rs
+++ b/crates/fireflywheel/src/fleet/work.rs
@@ -21,6 +21,9 @@
 /// again takes less time than the way to another server.
 const KEPT_TOKENS: u32 = 512;
 
+/// The pressure of before counts half after this: about as long as a swap takes.
+const PRESSURE_HALF_LIFE: Duration = Duration::from_secs(1);
+
 /// The prompt of a request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Prompt {
@@ -59,9 +62,6 @@
     updated: clock::Instant,
 }
 
-/// The pressure of before counts half after this: about as long as a swap takes.
-const PRESSURE_HALF_LIFE: Duration = Duration::from_secs(1);
-
 impl Pressure {
     /// So many tokens wait there now; returns how long such take to read, over the last moments.
     pub fn update(&mut self, now: clock::Instant, unread: u32) -> Duration {
