An order counts from the moment it is sent, and a swap that was begun is finished

Cause: until an engine had answered, nothing told the next plan what it was sent to load, and plans are made faster than answers come. And after an unload an engine rests for 45 ms; the next plan made room at another engine as well, so two models were lost for one.

Ruled out: shorter or longer pauses between plans; they only move the window.

Change: what the steward knows of one engine moves to the core (fleet::track), where it is tested without sockets. An order on its way counts as loading and fetching; an unload names the model that it makes room for, and the next order there loads it.

--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 //! | [`lease`] | who is steward, and for how long it may act |
 //! | [`demand`] | what instances ask of the steward, and the rates it learns from that |
 //! | [`plan`] | which order to send next |
+//! | [`track`] | what the steward knows of one engine: its report, and orders that the report doesn't show yet |
 //! | [`routing`] | which backend server a request goes to |
 //! | [`patience`] | how long a request is worth keeping, and when it should come back |
 //! | [`backoff`] | when the platform's store may be called again after calls that failed |
@@ -39,4 +40,5 @@
 pub mod settings;
 pub mod size;
 pub mod talk;
+pub mod track;
 pub mod work;
--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -30,6 +30,8 @@
     pub loading: Option<SmolStr>,
     /// That load is from the weight store.
     pub fetching: bool,
+    /// The model that an unload makes room for; its load comes next.
+    pub room_for: Option<SmolStr>,
     /// Since when it loads.
     pub loading_since: Option<clock::Instant>,
     /// Requests in progress, by model and adapter.
@@ -40,6 +42,14 @@
     pub since: BTreeMap<(SmolStr, Option<SmolStr>), clock::Instant>,
 }
 
+impl Site {
+    /// It loads from the weight store, or makes room to do so.
+    fn fetches(&self) -> bool {
+        let next = self.room_for.as_ref();
+        self.fetching || next.is_some_and(|model| tier(self, model) == Tier::Store)
+    }
+}
+
 /// What is to be ordered.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -58,6 +68,8 @@
         site: usize,
         /// The model.
         model: SmolStr,
+        /// The model that this makes room for.
+        wanted: SmolStr,
     },
     /// Load an adapter of a model that is there.
     LoadAdapter {
@@ -90,6 +102,18 @@
             | Self::UnloadAdapter { site, .. } => *site,
         }
     }
+
+    /// It is a load from the weight store.
+    #[must_use]
+    pub fn is_fetch(&self) -> bool {
+        matches!(
+            self,
+            Self::Load {
+                tier: Tier::Store,
+                ..
+            }
+        )
+    }
 }
 
 /// Where a model's weights come from.
@@ -137,7 +161,7 @@
 /// The orders to send now, at most one for each engine.
 #[must_use]
 pub fn steps(view: &View<'_>) -> Vec<Step> {
-    let fetching = view.sites.iter().filter(|site| site.fetching).count();
+    let fetching = view.sites.iter().filter(|site| site.fetches()).count();
     let mut planner = planner::Planner {
         view,
         survey: survey::Survey::new(view),
@@ -145,6 +169,7 @@
         fetching,
         steps: Vec::new(),
     };
+    planner.finish_swaps();
     planner.bring_wanted();
     planner.bring_adapters();
     planner.spread_busy();
--- a/crates/fireflywheel/src/fleet/plan/planner.rs
+++ b/crates/fireflywheel/src/fleet/plan/planner.rs
@@ -35,6 +35,24 @@
     cost: f64,
 }
 
+impl Way {
+    /// The next order on this way.
+    fn step(self, wanted: &SmolStr) -> Step {
+        match self.victim {
+            Some(victim) => Step::Unload {
+                site: self.site,
+                model: victim,
+                wanted: wanted.clone(),
+            },
+            None => Step::Load {
+                site: self.site,
+                model: wanted.clone(),
+                tier: self.tier,
+            },
+        }
+    }
+}
+
 /// A plan in the making.
 pub(super) struct Planner<'a> {
     pub(super) view: &'a View<'a>,
@@ -46,6 +64,20 @@
 }
 
 impl Planner<'_> {
+    /// Goes on at engines that have made room for a model. If the next plan chose anew, it would often make room at
+    /// another engine as well while this one rests, and two models were lost for one.
+    pub(super) fn finish_swaps(&mut self) {
+        let view = self.view;
+        for (place, site) in view.sites.iter().enumerate() {
+            let Some(model) = &site.room_for else {
+                continue;
+            };
+            if let Some(way) = self.way(place, model) {
+                self.push(way.step(model));
+            }
+        }
+    }
+
     /// Models that are wanted and nowhere in memory.
     pub(super) fn bring_wanted(&mut self) {
         let view = self.view;
@@ -198,18 +230,7 @@
         if way.tier == Tier::Store {
             self.fetching += 1;
         }
-        let step = match way.victim {
-            Some(victim) => Step::Unload {
-                site: way.site,
-                model: victim,
-            },
-            None => Step::Load {
-                site: way.site,
-                model: model.clone(),
-                tier: way.tier,
-            },
-        };
-        self.push(step);
+        self.push(way.step(model));
     }
 
     fn push(&mut self, step: Step) {
--- a/crates/fireflywheel/src/fleet/plan/survey.rs
+++ b/crates/fireflywheel/src/fleet/plan/survey.rs
@@ -40,6 +40,7 @@
             survey.stored.extend(&site.held.in_host);
             survey.stored.extend(&site.held.on_disk);
             survey.coming.extend(&site.loading);
+            survey.coming.extend(&site.room_for);
         }
         let running = view.sites.iter().flat_map(|site| &site.running);
         let running = running.map(|((model, _), count)| (model, *count));
@@ -70,7 +71,7 @@
         self.stored.contains(model) || self.copies.contains_key(model)
     }
 
-    /// Whether a usable engine loads it.
+    /// Whether a usable engine loads it, or makes room for it.
     pub(super) fn is_coming(&self, model: &SmolStr) -> bool {
         self.coming.contains(model)
     }
--- a/crates/fireflywheel_daemon/src/fleet/steward/track.rs
+++ b/crates/fireflywheel/src/fleet/track.rs
@@ -1,15 +1,13 @@
-//! What the steward knows of one engine beyond its directory entry.
+//! What the steward knows of one engine beyond its directory entry: its last report, and the orders since.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fireflywheel::clock;
-use fireflywheel::fleet::frame;
-use fireflywheel::fleet::plan;
-use fireflywheel::fleet::server;
-use fireflywheel::fleet::work;
 use smol_str::SmolStr;
 
+use super::{frame, plan, server, work};
+use crate::clock;
+
 /// Reports tell of this long ago.
 const REPORT_LAG: Duration = Duration::from_millis(120);
 /// Time between two reports of one engine that are waited for.
@@ -28,14 +26,19 @@
 
 /// One engine.
 #[derive(Clone, Debug)]
-pub(super) struct Track {
-    pub(super) group: SmolStr,
-    pub(super) held: server::Held,
+pub struct Track {
+    /// The group that it belongs to.
+    pub group: SmolStr,
+    /// What it holds, as far as reports and accepted orders tell.
+    pub held: server::Held,
     /// Orders that it has accepted.
-    pub(super) orders: u64,
-    pub(super) server: server::Server,
-    /// An order is on its way.
-    ordering: bool,
+    pub orders: u64,
+    /// Its entry in the directory.
+    pub server: server::Server,
+    /// An order that is on its way, or that may have arrived although its answer was lost.
+    sent: Option<plan::Step>,
+    /// The model that an unload has made room for.
+    room_for: Option<SmolStr>,
     /// What it holds isn't known for certain: a report must tell.
     doubt: bool,
     /// It couldn't be reached when it was last asked: until its entry goes, seconds later, its models would count as
@@ -70,20 +73,26 @@
 
 /// A load from the weight store that has ended.
 #[derive(Clone, Debug)]
-pub(super) struct Fetched {
-    pub(super) model: SmolStr,
-    pub(super) at_once: usize,
-    pub(super) took: Duration,
+pub struct Fetched {
+    /// The model.
+    pub model: SmolStr,
+    /// Loads from the weight store when it began, itself included.
+    pub at_once: usize,
+    /// How long it took.
+    pub took: Duration,
 }
 
 impl Track {
-    pub(super) fn new(group: SmolStr, server: server::Server) -> Self {
+    /// An engine that hasn't reported yet.
+    #[must_use]
+    pub fn new(group: SmolStr, server: server::Server) -> Self {
         Self {
             group,
             held: server.held.clone(),
             orders: 0,
             server,
-            ordering: false,
+            sent: None,
+            room_for: None,
             doubt: true,
             silent: false,
             told: false,
@@ -100,7 +109,7 @@
     }
 
     /// Takes in the directory's word.
-    pub(super) fn follow(&mut self, server: server::Server) {
+    pub fn follow(&mut self, server: server::Server) {
         if server.born != self.server.born || server.address != self.server.address {
             *self = Self::new(self.group.clone(), server);
             return;
@@ -108,8 +117,10 @@
         self.server = server;
     }
 
-    /// What a plan needs of it.
-    pub(super) fn site(
+    /// What a plan needs of it. An order counts from the moment it is sent: plans are made more often than answers
+    /// come, and the next one would send the same load to another engine too. One notices it by loads of one model at
+    /// several engines within milliseconds, and by more loads from the weight store than it bears.
+    pub fn site(
         &mut self,
         now: clock::Instant,
         running: BTreeMap<(SmolStr, Option<SmolStr>), u32>,
@@ -121,13 +132,19 @@
             && self
                 .busy_since
                 .is_some_and(|since| now.since(since) > LONG_LOAD);
+        let loading = self.loading.as_ref().map(|loading| &loading.model);
+        let mut held = self.held.clone();
+        if let Some(plan::Step::LoadAdapter { model, adapter, .. }) = &self.sent {
+            held.coming.insert((model.clone(), adapter.clone()));
+        }
         plan::Site {
-            held: self.held.clone(),
+            held,
             usable: self.server.ready && staying && !self.silent,
-            ordering: self.ordering || self.doubt || now < self.rest,
-            loading: self.loading.as_ref().map(|loading| loading.model.clone()),
+            ordering: self.sent.is_some() || self.doubt || now < self.rest,
+            loading: loading.or(self.sent_load()).cloned(),
             loading_since: self.loading.as_ref().map(|loading| loading.since),
-            fetching: unknown_fetch || self.loading.as_ref().is_some_and(|loading| loading.fetch),
+            fetching: unknown_fetch || self.is_fetching(),
+            room_for: self.sent_room().or(self.room_for.as_ref()).cloned(),
             running,
             pressure: self.pressure.update(now, unread),
             since: self.since.clone(),
@@ -135,7 +152,8 @@
     }
 
     /// What the instances are told of it.
-    pub(super) fn holding(&self, id: &SmolStr) -> frame::Holding {
+    #[must_use]
+    pub fn holding(&self, id: &SmolStr) -> frame::Holding {
         frame::Holding {
             server: id.clone(),
             born: self.server.born,
@@ -143,26 +161,38 @@
         }
     }
 
-    pub(super) fn is_busy(&self) -> bool {
-        self.ordering || self.doubt || self.held.busy || self.report_at.is_some()
+    /// Whether news of it is expected, or an order is due.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        let ordered = self.sent.is_some() || self.room_for.is_some();
+        ordered || self.doubt || self.held.busy || self.report_at.is_some()
     }
 
     /// An order is on its way.
-    pub(super) fn sent(&mut self, now: clock::Instant) {
-        self.ordering = true;
+    pub fn sent(&mut self, now: clock::Instant, step: plan::Step) {
+        self.sent = Some(step);
+        self.room_for = None;
         self.rest = now;
     }
 
+    /// A plan has no order for it. If it could have taken one, what room was made for is not to be loaded any more.
+    pub fn passed_over(&mut self, now: clock::Instant) {
+        let free = self.sent.is_none() && !self.doubt && !self.held.busy && now >= self.rest;
+        if free {
+            self.room_for = None;
+        }
+    }
+
     /// An order is being carried out, or was at once. `takes` is how long it should take, `at_once` how many loads
     /// from the weight store run with it.
-    pub(super) fn accepted(
+    pub fn accepted(
         &mut self,
         now: clock::Instant,
         step: &plan::Step,
         takes: Duration,
         at_once: usize,
     ) {
-        self.ordering = false;
+        self.sent = None;
         self.orders += 1;
         self.changed = now;
         match step {
@@ -177,7 +207,8 @@
                 });
                 self.report_at = Some(now.after(takes));
             }
-            plan::Step::Unload { model, .. } => {
+            plan::Step::Unload { model, wanted, .. } => {
+                self.room_for = Some(wanted.clone());
                 self.rest = now.after(UNLOAD_TIME);
                 self.held.models.remove(model);
                 self.forget(model);
@@ -197,36 +228,38 @@
     }
 
     /// An order came while another was carried out, or the engine has accepted more orders than known.
-    pub(super) fn conflicted(&mut self, now: clock::Instant) {
-        self.ordering = false;
+    pub fn conflicted(&mut self, now: clock::Instant) {
+        self.sent = None;
         self.rest = now.after(ORDER_PAUSE);
         self.report_at.get_or_insert(now.after(REPORT_LAG));
     }
 
-    /// It isn't known whether an order arrived.
-    pub(super) fn unanswered(&mut self, now: clock::Instant) {
-        self.ordering = false;
+    /// It isn't known whether an order arrived: what it asks for may come, until a report tells.
+    pub fn unanswered(&mut self, now: clock::Instant) {
         self.doubt = true;
         self.changed = now;
         self.report_at = Some(now.after(REPORT_LAG));
     }
 
     /// It didn't hold what it was thought to hold.
-    pub(super) fn denied(&mut self, now: clock::Instant) {
+    pub fn denied(&mut self, now: clock::Instant) {
         self.report_at.get_or_insert(now);
     }
 
-    pub(super) fn needs_report(&self, now: clock::Instant) -> bool {
+    /// Whether a report should be asked for now.
+    #[must_use]
+    pub fn needs_report(&self, now: clock::Instant) -> bool {
         !self.asking && self.report_at.is_some_and(|at| now >= at)
     }
 
-    pub(super) fn asked(&mut self, now: clock::Instant) {
+    /// A report is asked for.
+    pub fn asked(&mut self, now: clock::Instant) {
         self.asking = true;
         self.report_at = Some(now.after(REPORT_PAUSE));
     }
 
     /// A report that was asked for at `asked`; whether there is something to tell.
-    pub(super) fn reported(
+    pub fn reported(
         &mut self,
         asked: clock::Instant,
         now: clock::Instant,
@@ -235,9 +268,11 @@
         self.asking = false;
         self.silent = false;
         let stale = report.orders < self.orders || asked < self.changed.after(REPORT_LAG);
-        if self.ordering || stale {
+        let awaits_answer = self.sent.is_some() && !self.doubt;
+        if awaits_answer || stale {
             return false;
         }
+        self.sent = None;
         self.orders = report.orders;
         let before = std::mem::replace(&mut self.held, report.held);
         self.doubt = false;
@@ -274,16 +309,33 @@
     }
 
     /// The load from the weight store that the last report has shown to be over.
-    pub(super) fn take_fetched(&mut self) -> Option<Fetched> {
+    pub fn take_fetched(&mut self) -> Option<Fetched> {
         self.fetched.take()
     }
 
-    pub(super) fn is_fetching(&self) -> bool {
-        self.loading.as_ref().is_some_and(|loading| loading.fetch)
+    /// Whether it loads from the weight store, or was sent such an order.
+    #[must_use]
+    pub fn is_fetching(&self) -> bool {
+        let loading = self.loading.as_ref().is_some_and(|loading| loading.fetch);
+        loading || self.sent.as_ref().is_some_and(plan::Step::is_fetch)
+    }
+
+    fn sent_load(&self) -> Option<&SmolStr> {
+        match &self.sent {
+            Some(plan::Step::Load { model, .. }) => Some(model),
+            _ => None,
+        }
+    }
+
+    fn sent_room(&self) -> Option<&SmolStr> {
+        match &self.sent {
+            Some(plan::Step::Unload { wanted, .. }) => Some(wanted),
+            _ => None,
+        }
     }
 
     /// No usable report came, or the engine can't be reached; whether what the directory says of it should be told instead.
-    pub(super) fn unreported(&mut self, now: clock::Instant, reached: bool) -> bool {
+    pub fn unreported(&mut self, now: clock::Instant, reached: bool) -> bool {
         self.asking = false;
         self.report_at = Some(now.after(REPORT_PAUSE * 3));
         self.silent = !reached;
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod settings;
 mod size;
 mod talk;
+mod track;
 mod work;
 
 /// Makes a test of each name and the check behind it.
--- a/crates/fireflywheel/tests/fleet/plan.rs
+++ b/crates/fireflywheel/tests/fleet/plan.rs
@@ -139,10 +139,11 @@
     }
 }
 
-fn unload(site: usize, model: &str) -> Step {
+fn unload(site: usize, model: &str, wanted: &str) -> Step {
     Step::Unload {
         site,
         model: model.into(),
+        wanted: wanted.into(),
     }
 }
 
@@ -177,7 +178,7 @@
         .rate("m0", 0.1)
         .rate("m1", 5.0)
         .wanted("m2");
-    assert_eq!(world.steps(), [unload(0, "m0")]);
+    assert_eq!(world.steps(), [unload(0, "m0", "m2")]);
 }
 
 fn model_in_use_stays() {
@@ -202,6 +203,29 @@
     assert_eq!(world.steps(), []);
 }
 
+fn room_is_made_once() {
+    let world = World::new(2)
+        .all_on_disk(0)
+        .all_on_disk(1)
+        .holding(0, "m0")
+        .holding(1, "m1")
+        .holding(1, "m2")
+        .wanted("m3");
+    let mut resting = world;
+    resting.sites[0].room_for = Some("m3".into());
+    resting.sites[0].ordering = true;
+    assert_eq!(resting.steps(), []);
+    resting.sites[0].ordering = false;
+    assert_eq!(resting.steps(), [load(0, "m3", Tier::Disk)]);
+}
+
+fn room_for_a_load_from_the_store_counts_as_one() {
+    let mut world = World::new(8).fetching(0, "m0").wanted("m2");
+    world.fetches = 2;
+    world.sites[1].room_for = Some("m3".into());
+    assert_eq!(world.steps(), [load(1, "m3", Tier::Store)]);
+}
+
 fn few_loads_from_the_store_run_at_once() {
     let world = World::new(8).fetching(0, "m0").fetching(1, "m1");
     assert_eq!(fetched(&world.steps()), 2);
@@ -391,6 +415,10 @@
     no_eviction_in_use => model_in_use_stays();
     /// Requests wait for three models where two fit. If they pushed each other out, none would ever be served.
     no_thrashing => model_that_others_wait_for_stays();
+    /// An engine rests after an unload, while the model that it makes room for is still waited for.
+    swap_begun_is_finished => room_is_made_once();
+    /// Two loads may run at the weight store, and one engine has yet to make room for the second.
+    store_limit_with_room => room_for_a_load_from_the_store_counts_as_one();
     /// More loads at once are each slower in proportion, and keep more engines from swapping.
     store_limit => few_loads_from_the_store_run_at_once();
     /// A busy model calls for copies while others are nowhere; their callers would never be served.
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -4,7 +4,6 @@
 mod link;
 mod orders;
 mod state;
-mod track;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -16,6 +15,7 @@
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease::{HandOver, Lease, Record};
 use fireflywheel::fleet::plan;
+use fireflywheel::fleet::track::Track;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, mpsc};
 use tokio::time;
@@ -24,7 +24,6 @@
 use super::platform;
 use link::{Link, Word};
 use state::{Due, State};
-use track::Track;
 
 /// Time between two looks at what is due, while orders are being carried out.
 const BUSY_LOOK: Duration = Duration::from_millis(25);
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -5,11 +5,10 @@
 
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease;
+use fireflywheel::fleet::track;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
-use super::track;
-
 /// A link to another instance.
 #[derive(Debug)]
 pub(super) struct Link {
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -145,7 +145,8 @@
             self.lease_wake.notify_one();
             return;
         }
-        let at_once = state.fetching() + 1;
+        // This order is among them: it counts since it was sent.
+        let at_once = state.fetching().max(1);
         let Some(track) = state.tracks.get_mut(&due.server) else {
             return;
         };
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -10,11 +10,11 @@
 use fireflywheel::fleet::lease;
 use fireflywheel::fleet::plan;
 use fireflywheel::fleet::server;
+use fireflywheel::fleet::track;
 use fireflywheel::fleet::work;
 use smol_str::SmolStr;
 
 use super::link;
-use super::track;
 use super::{BEAT, STANDBYS};
 
 /// Forecasts are sent again after this, since the wait that they tell of goes on.
@@ -154,30 +154,29 @@
             wait_ms: frame::millis(wait),
         }));
         log_delays(&view, &mut self.delays);
-        let mut due = Vec::new();
-        for step in plan::steps(&view) {
-            let server = ids[step.site()].clone();
-            if matches!(
-                step,
-                plan::Step::Load {
-                    tier: plan::Tier::Store,
-                    ..
-                }
-            ) {
-                self.fetches.push_back(now);
+        let steps = plan::steps(&view);
+        self.count_as_sent(now, &ids, &steps);
+        let due = steps.into_iter().map(|step| Due {
+            server: ids[step.site()].clone(),
+            fencing,
+            step,
+        });
+        due.collect()
+    }
+
+    /// Counts the orders of a plan for these engines as sent.
+    fn count_as_sent(&mut self, now: clock::Instant, ids: &[SmolStr], steps: &[plan::Step]) {
+        let by_site: BTreeMap<usize, &plan::Step> =
+            steps.iter().map(|step| (step.site(), step)).collect();
+        for (site, id) in ids.iter().enumerate() {
+            let track = self.tracks.get_mut(id).expect("it is a site of this plan");
+            match by_site.get(&site) {
+                Some(step) => track.sent(now, (*step).clone()),
+                None => track.passed_over(now),
             }
-            let track = self
-                .tracks
-                .get_mut(&server)
-                .expect("it is a site of this plan");
-            track.sent(now);
-            due.push(Due {
-                server,
-                fencing,
-                step,
-            });
         }
-        due
+        let fetches = steps.iter().filter(|step| step.is_fetch()).count();
+        self.fetches.extend(std::iter::repeat_n(now, fetches));
     }
 
     /// Loads from the weight store that may run at once, by its rate.
