Requests in progress are counted for all engines in one walk

Cause: a plan asked the board for each engine, and each time it walked the demands of all instances.

Conclusion: kept; growth is by what instances say, no more by instances times engines.

--- a/crates/fireflywheel/benches/plan.rs
+++ b/crates/fireflywheel/benches/plan.rs
@@ -1,4 +1,4 @@
-//! One plan of a steward, by the number of engines.
+//! One plan of a steward, by the number of engines, and what it needs of the demands of all instances.
 #![allow(
     missing_docs,
     reason = "criterion's macros make undocumented functions"
@@ -11,12 +11,16 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use fireflywheel::clock::Instant;
 use fireflywheel::fleet::config::{Engine, Model};
-use fireflywheel::fleet::demand::Want;
+use fireflywheel::fleet::demand::{Board, Demand, Running, Want};
 use fireflywheel::fleet::plan::{self, Site, View};
 use smol_str::{SmolStr, format_smolstr};
 
 /// Engines and models.
 const SIZES: [(usize, usize); 3] = [(12, 65), (60, 185), (500, 185)];
+/// Instances and engines.
+const FLEETS: [(usize, usize); 3] = [(12, 12), (195, 124), (1100, 2000)];
+/// Engines at which one instance has requests in progress.
+const IN_USE: usize = 8;
 /// Copies of models on an engine's disk.
 const COPIES: usize = 12;
 /// Time since the models were loaded.
@@ -97,5 +101,37 @@
     group.finish();
 }
 
-criterion_group!(benches, plans);
+/// Demands of instances that each have requests at a few engines.
+fn board(instances: usize, engines: usize) -> Board {
+    let mut board = Board::default();
+    for instance in 0..instances {
+        let running = (0..IN_USE).map(|place| Running {
+            server: format_smolstr!("e{}", (instance * IN_USE + place) % engines),
+            model: name(place),
+            adapter: None,
+            count: 1,
+            unread: 600,
+        });
+        let demand = Demand {
+            running: running.collect(),
+            ..Demand::default()
+        };
+        board.take(NOW, format_smolstr!("i{instance}"), demand);
+    }
+    board
+}
+
+fn counts(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("running");
+    for (instances, engines) in FLEETS {
+        let board = board(instances, engines);
+        let size = format!("{instances}x{engines}");
+        group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
+            bencher.iter(|| black_box(&board).running());
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, plans, counts);
 criterion_main!(benches);
--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -87,6 +87,9 @@
     pub until: clock::Instant,
 }
 
+/// Requests in progress at one engine, by model and adapter.
+pub type Counts = BTreeMap<(SmolStr, Option<SmolStr>), u32>;
+
 /// The demands of all instances.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
@@ -149,17 +152,16 @@
         wants
     }
 
-    /// Requests in progress at an engine, by model and adapter.
+    /// Requests in progress by engine. All are counted in one walk: a walk for each engine would grow with instances
+    /// times engines, and a plan is made every few milliseconds.
     #[must_use]
-    pub fn running(&self, server: &str) -> BTreeMap<(SmolStr, Option<SmolStr>), u32> {
-        let mut counts = BTreeMap::new();
-        let all = self
-            .instances
-            .values()
-            .flat_map(|(_, demand)| &demand.running);
-        for running in all.filter(|running| running.server == server) {
+    pub fn running(&self) -> BTreeMap<&SmolStr, Counts> {
+        let mut counts: BTreeMap<&SmolStr, Counts> = BTreeMap::new();
+        let demands = self.instances.values();
+        for running in demands.flat_map(|(_, demand)| &demand.running) {
             let key = (running.model.clone(), running.adapter.clone());
-            *counts.entry(key).or_default() += running.count;
+            let at_engine = counts.entry(&running.server).or_default();
+            *at_engine.entry(key).or_default() += running.count;
         }
         counts
     }
--- a/crates/fireflywheel/tests/fleet/demand.rs
+++ b/crates/fireflywheel/tests/fleet/demand.rs
@@ -2,6 +2,7 @@
 
 use fireflywheel::clock::Instant;
 use fireflywheel::fleet::demand::{Arrived, Board, Demand, Lane, Running};
+use smol_str::SmolStr;
 
 use crate::cases;
 
@@ -95,10 +96,14 @@
         };
         board.take(Instant(1000), instance.into(), demand);
     }
-    assert_eq!(board.running("s").values().sum::<u32>(), 4);
+    let at = |board: &Board, server: &str| {
+        let counts = board.running().get(&SmolStr::new(server)).cloned();
+        counts.unwrap_or_default().values().sum::<u32>()
+    };
+    assert_eq!(at(&board, "s"), 4);
     let unread: Vec<u32> = board.unread().into_values().collect();
     assert_eq!(unread, [600]);
-    assert!(board.running("t").is_empty());
+    assert_eq!(at(&board, "t"), 0);
 }
 
 fn rates_fade() {
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -126,11 +126,13 @@
             .map(|(id, _)| id.clone())
             .collect();
         let unread = self.board.unread();
+        let mut running = self.board.running();
         let mut sites = Vec::with_capacity(ids.len());
         for (id, track) in &mut self.tracks {
             if track.group == *group {
                 let unread = unread.get(id).copied().unwrap_or_default();
-                sites.push(track.site(now, self.board.running(id), unread));
+                let running = running.remove(id).unwrap_or_default();
+                sites.push(track.site(now, running, unread));
             }
         }
         let wants = self.board.wants(group);
