--- a/crates/fireflywheel/benches/plan.rs
+++ b/crates/fireflywheel/benches/plan.rs
@@ -91,6 +91,7 @@
             sites: &sites,
             wants: &wants,
             rates: &rates,
+            drains: &BTreeMap::new(),
             fetches: plan::pace::Pace::default().at_once(),
             pace: plan::pace::Pace::default(),
         };
--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -1,4 +1,4 @@
-//! What instances ask of the steward, and the rates it learns from that.
+//! What instances ask of the steward, and the rates that it learns from that.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -6,12 +6,16 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::work;
 use crate::clock;
 
 /// Rates forget half of what they saw after this. Demand moves within seconds, and a rare model is asked for
 /// once in ten.
 const HALF_LIFE: Duration = Duration::from_secs(10);
 
+/// The same for the rate at which engines end requests: a queue drains as fast as they do now.
+const DRAIN_HALF_LIFE: Duration = Duration::from_secs(2);
+
 /// All that one instance wants and has running.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Demand {
@@ -20,7 +24,10 @@
     /// Requests in progress by engine and model.
     pub running: Vec<Running>,
     /// Requests that came since the last demand, by group and model.
-    pub arrived: Vec<Arrived>,
+    pub arrived: Vec<Count>,
+    /// Requests that engines have run and that ended since the last demand, by group and model.
+    #[serde(default)]
+    pub finished: Vec<Count>,
     /// The instance's clock when it said this, in milliseconds; comes back with the steward's next beat.
     pub stamp_ms: u64,
     /// The instance is being stopped, and can't become steward.
@@ -61,9 +68,9 @@
     pub unread: u32,
 }
 
-/// Requests that came.
+/// A number of requests for one model.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Arrived {
+pub struct Count {
     /// The group of its engines.
     pub group: SmolStr,
     /// The model.
@@ -94,9 +101,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     instances: BTreeMap<SmolStr, (clock::Instant, Demand)>,
-    rates: BTreeMap<(SmolStr, SmolStr), Rate>,
+    arriving: Rates,
+    finishing: Rates,
 }
 
+/// Rates by group and model.
+type Rates = BTreeMap<(SmolStr, SmolStr), Rate>;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
     weight: f64,
@@ -104,21 +115,34 @@
 }
 
 impl Rate {
-    fn at(self, now: clock::Instant) -> f64 {
-        let halves = now.since(self.updated).as_secs_f64() / HALF_LIFE.as_secs_f64();
+    fn at(self, now: clock::Instant, half_life: Duration) -> f64 {
+        let halves = now.since(self.updated).div_duration_f64(half_life);
         self.weight * 0.5_f64.powf(halves)
     }
+
+    fn add(&mut self, now: clock::Instant, half_life: Duration, count: u32) {
+        self.weight = self.at(now, half_life) + f64::from(count);
+        self.updated = now;
+    }
+
+    fn per_second(self, now: clock::Instant, half_life: Duration) -> f64 {
+        self.at(now, half_life) * std::f64::consts::LN_2 / half_life.as_secs_f64()
+    }
+}
+
+fn count(rates: &mut Rates, now: clock::Instant, half_life: Duration, counts: &[Count]) {
+    for counted in counts {
+        let key = (counted.group.clone(), counted.model.clone());
+        let rate = rates.entry(key).or_default();
+        rate.add(now, half_life, counted.count);
+    }
 }
 
 impl Board {
     /// Takes in what an instance says; it replaces what it said before.
     pub fn take(&mut self, now: clock::Instant, instance: SmolStr, demand: Demand) {
-        for arrived in &demand.arrived {
-            let key = (arrived.group.clone(), arrived.model.clone());
-            let rate = self.rates.entry(key).or_default();
-            rate.weight = rate.at(now) + f64::from(arrived.count);
-            rate.updated = now;
-        }
+        count(&mut self.arriving, now, HALF_LIFE, &demand.arrived);
+        count(&mut self.finishing, now, DRAIN_HALF_LIFE, &demand.finished);
         self.instances.insert(instance, (now, demand));
     }
 
@@ -166,24 +190,35 @@
         counts
     }
 
-    /// Tokens that engines still have to read, by engine.
+    /// What engines have to do, by engine.
     #[must_use]
-    pub fn unread(&self) -> BTreeMap<&SmolStr, u32> {
-        let mut unread: BTreeMap<&SmolStr, u32> = BTreeMap::new();
+    pub fn loads(&self) -> BTreeMap<&SmolStr, work::Load> {
+        let mut loads: BTreeMap<&SmolStr, work::Load> = BTreeMap::new();
         let demands = self.instances.values();
         for running in demands.flat_map(|(_, demand)| &demand.running) {
-            let sum = unread.entry(&running.server).or_default();
-            *sum = sum.saturating_add(running.unread);
+            let fresh = || work::Load::new(running.server.clone());
+            let load = loads.entry(&running.server).or_insert_with(fresh);
+            load.unread = load.unread.saturating_add(running.unread);
+            load.requests += running.count;
         }
-        unread
+        loads
     }
 
     /// Requests a second for a model, as of the last seconds.
     #[must_use]
     pub fn rate(&self, now: clock::Instant, group: &str, model: &str) -> f64 {
         let key = (SmolStr::new(group), SmolStr::new(model));
-        let weight = self.rates.get(&key).map_or(0.0, |rate| rate.at(now));
-        weight * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+        let rate = self.arriving.get(&key);
+        rate.map_or(0.0, |rate| rate.per_second(now, HALF_LIFE))
+    }
+
+    /// Requests a second that engines have run and ended as of the last moments, by model.
+    #[must_use]
+    pub fn drains(&self, now: clock::Instant, group: &str) -> BTreeMap<SmolStr, f64> {
+        let rates = self.finishing.iter().filter(|((of, _), _)| of == group);
+        rates
+            .map(|((_, model), rate)| (model.clone(), rate.per_second(now, DRAIN_HALF_LIFE)))
+            .collect()
     }
 
     fn lanes<'a>(&'a self, group: &'a str) -> impl Iterator<Item = (clock::Instant, &'a Lane)> {
--- a/crates/fireflywheel/src/fleet/patience.rs
+++ b/crates/fireflywheel/src/fleet/patience.rs
@@ -10,10 +10,32 @@
 const OBJECTIVES: u32 = 4;
 /// The same, as a multiple of the longest pause between events.
 const PAUSES: u32 = 8;
+/// The share of its objective that a request may queue. Under a lasting crowd the queue stays as long as it may be, and
+/// instances see it some 100 ms late; the rest of the objective is for that and for the prompt.
+const QUEUEING_SHARE: f64 = 0.5;
 /// Callers come back once within this share of the time that they have left.
 const RETURN_SHARE: u32 = 3;
 /// A caller isn't asked to come back sooner, so that a crowd doesn't ask again at once.
 const SOONEST_RETURN: Duration = Duration::from_millis(50);
+/// Callers that are refused together come back spread over this share of their wait: as one wave they would be refused
+/// again.
+const SPREAD: f64 = 0.25;
+/// A caller is asked back after this many times as long as an outage has lasted so far. Most callers come back once only:
+/// after as long again half of all outages would still go on, after this one in five.
+const OUTAGE_FACTOR: u32 = 4;
+/// The least of an outage that has just begun: most starts are over then.
+const SHORTEST_OUTAGE: Duration = Duration::from_millis(300);
+
+/// How long a request may queue for engines that are all full, by its route's objective. Whoever would be late behind a
+/// queue comes back when it has drained: kept, all would be late one after the other, as long as more come than the
+/// engines can run.
+#[must_use]
+pub fn queueing(route: &config::Route) -> Duration {
+    if route.objective.is_zero() {
+        return route.timeout;
+    }
+    route.objective.mul_f64(QUEUEING_SHARE)
+}
 
 /// How long a caller waits for the first byte of a response.
 #[must_use]
@@ -29,8 +51,16 @@
     whole.min(patience)
 }
 
-/// When a caller should come back to find what will be ready after `wait`, if it has `left` until its deadline.
+/// When a caller should come back to find what will be ready after `wait`, if it has `left` until its deadline. `draw`, from
+/// 0 to 1, spreads callers.
+#[must_use]
+pub fn retry_after(wait: Duration, left: Duration, draw: f64) -> Duration {
+    let spread = wait.mul_f64(1.0 + SPREAD * draw);
+    spread.min(left / RETURN_SHARE).max(SOONEST_RETURN)
+}
+
+/// How much longer an outage is likely to last that has lasted so long.
 #[must_use]
-pub fn retry_after(wait: Duration, left: Duration) -> Duration {
-    wait.min(left / RETURN_SHARE).max(SOONEST_RETURN)
+pub fn outage(lasted: Duration) -> Duration {
+    (lasted * OUTAGE_FACTOR).max(SHORTEST_OUTAGE)
 }
--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -150,8 +150,10 @@
     pub sites: &'a [Site],
     /// What is wanted, the longest waiting first.
     pub wants: &'a [demand::Want],
-    /// Requests a second, by model.
+    /// Requests a second that come, by model.
     pub rates: &'a BTreeMap<SmolStr, f64>,
+    /// Requests a second that engines end, by model.
+    pub drains: &'a BTreeMap<SmolStr, f64>,
     /// Loads from the weight store that may run at the same time.
     pub fetches: usize,
     /// What is known of the weight store.
@@ -170,6 +172,7 @@
         steps: Vec::new(),
     };
     planner.finish_swaps();
+    planner.spread_overwhelmed();
     planner.bring_wanted();
     planner.bring_adapters();
     planner.spread_busy();
@@ -177,8 +180,8 @@
     planner.steps
 }
 
-/// How long each wanted model will take that comes from the weight store; models with a copy on a server are left out,
-/// since they come within a second or two.
+/// How long callers of each wanted model will wait that comes from the weight store, or whose engines are all full. Models
+/// with a copy on a server are left out, since they come within a second or two.
 #[must_use]
 pub fn forecast(view: &View<'_>) -> Vec<(SmolStr, Duration)> {
     let survey = survey::Survey::new(view);
@@ -208,9 +211,23 @@
         let rounds = ahead.div_ceil(view.fetches.max(1)) as f64;
         waits.push((want.model.clone(), model.fetch.mul_f64(rounds)));
     }
+    waits.extend(queues(view, &survey));
     waits
 }
 
+/// How long the queues of models take to drain whose engines are all full, and that no disk brings another copy of.
+/// Whoever waits at an engine beyond those that it runs is as far ahead as those that wait at their instances.
+fn queues(view: &View<'_>, survey: &survey::Survey<'_>) -> BTreeMap<SmolStr, Duration> {
+    let drains = view.drains.iter().filter(|(_, drain)| **drain > 0.0);
+    let full = drains.filter(|(model, _)| survey.is_full(model) && !survey.comes_soon(model));
+    full.filter_map(|(model, drain)| {
+        let queued = survey.waiting(model) + survey.beyond(model);
+        let wait = Duration::try_from_secs_f64(f64::from(queued) / drain).ok()?;
+        Some((model.clone(), wait))
+    })
+    .collect()
+}
+
 /// Why a wanted model can't be used yet, for the log.
 #[must_use]
 pub fn obstacle(view: &View<'_>, model: &SmolStr) -> &'static str {
--- a/crates/fireflywheel/src/fleet/plan/pace.rs
+++ b/crates/fireflywheel/src/fleet/plan/pace.rs
@@ -28,8 +28,10 @@
 }
 
 impl Pace {
-    /// A load has ended that takes `alone` by itself and took `took` among `at_once` loads.
-    pub fn ended(&mut self, at_once: usize, alone: Duration, took: Duration) {
+    /// A load has ended that takes `alone` by itself and took `took`. It began among `first` loads, itself included, and
+    /// there were `at_once` over its time. One that began among few says nothing of more, even if others came beside it:
+    /// stores differ in whether these slow it down.
+    pub fn ended(&mut self, first: usize, at_once: usize, alone: Duration, took: Duration) {
         if alone.is_zero() {
             return;
         }
@@ -38,8 +40,8 @@
         if stretch > FULL_SPEED {
             let bears = (at_once / stretch).max(1.0);
             self.bears += (bears - self.bears) * STEP;
-        } else if at_once >= self.bears.round() {
-            self.bears = self.bears.max(at_once) + DARING;
+        } else if first as f64 >= self.bears.round() {
+            self.bears = self.bears.max(first as f64) + DARING;
         }
     }
 
--- a/crates/fireflywheel/src/fleet/plan/planner.rs
+++ b/crates/fireflywheel/src/fleet/plan/planner.rs
@@ -63,7 +63,7 @@
     pub(super) steps: Vec<Step>,
 }
 
-impl Planner<'_> {
+impl<'a> Planner<'a> {
     /// Goes on at engines that have made room for a model. If the next plan chose anew, it would often make room at
     /// another engine as well while this one rests, and two models were lost for one.
     pub(super) fn finish_swaps(&mut self) {
@@ -179,13 +179,35 @@
             .and_then(|(_, (model, adapter))| Some((model, adapter?)))
     }
 
+    /// More copies of models that have more requests than all their engines run at once, before anything else: while
+    /// these wait for the weight store behind models that a caller now and then asks for, most callers there are would be
+    /// refused.
+    pub(super) fn spread_overwhelmed(&mut self) {
+        for model in self.crowded() {
+            if self.is_overwhelmed(model)
+                && let Some(way) = self.best_way(model, 0.0, true)
+            {
+                self.go(model, way);
+            }
+        }
+    }
+
     /// More copies of models whose requests crowd on those there are.
     pub(super) fn spread_busy(&mut self) {
-        let view = self.view;
-        let mut crowded: Vec<(u32, &SmolStr)> = view
-            .engine
-            .models
-            .keys()
+        let spare = self.homeless().next().is_none();
+        for model in self.crowded() {
+            if !self.is_overwhelmed(model)
+                && let Some(way) = self.best_way(model, 0.0, spare)
+            {
+                self.go(model, way);
+            }
+        }
+    }
+
+    /// Models whose requests crowd on their copies, the most crowded first.
+    fn crowded(&self) -> Vec<&'a SmolStr> {
+        let models = self.view.engine.models.keys();
+        let mut crowded: Vec<(u32, &SmolStr)> = models
             .filter(|model| !self.survey.is_coming(model))
             .filter_map(|model| {
                 let copies = u32::try_from(self.survey.copies(model)).unwrap_or(u32::MAX);
@@ -196,13 +218,14 @@
             })
             .collect();
         crowded.sort_by(|a, b| b.cmp(a));
-        for (_, model) in crowded {
-            let overwhelmed = self.survey.pressure(model) > OVERWHELMED;
-            let spare = overwhelmed || self.homeless().next().is_none();
-            if let Some(way) = self.best_way(model, 0.0, spare) {
-                self.go(model, way);
-            }
-        }
+        crowded.into_iter().map(|(_, model)| model).collect()
+    }
+
+    fn is_overwhelmed(&self, model: &SmolStr) -> bool {
+        let copies = u32::try_from(self.survey.copies(model)).unwrap_or(u32::MAX);
+        let places = copies.saturating_mul(self.view.engine.slots);
+        let many = self.survey.is_full(model) && self.survey.requests(model) > places;
+        many || self.survey.pressure(model) > OVERWHELMED
     }
 
     /// Models without a copy anywhere, while the weight store has nothing else to do.
--- a/crates/fireflywheel/src/fleet/plan/survey.rs
+++ b/crates/fireflywheel/src/fleet/plan/survey.rs
@@ -15,10 +15,17 @@
 pub(super) struct Survey<'a> {
     copies: BTreeMap<&'a SmolStr, usize>,
     requests: BTreeMap<&'a SmolStr, u32>,
+    waiting: BTreeMap<&'a SmolStr, u32>,
+    /// Requests at engines that hold a model, beyond those that the engines run at once.
+    beyond: BTreeMap<&'a SmolStr, u32>,
     /// The least pressure among the engines that hold a model.
     pressure: BTreeMap<&'a SmolStr, Duration>,
+    /// Models with a copy at an engine that has a place free.
+    placed: BTreeSet<&'a SmolStr>,
     stored: BTreeSet<&'a SmolStr>,
     coming: BTreeSet<&'a SmolStr>,
+    /// Those of them that don't come from the weight store.
+    soon: BTreeSet<&'a SmolStr>,
 }
 
 impl<'a> Survey<'a> {
@@ -27,9 +34,13 @@
         let mut survey = Self {
             copies: BTreeMap::new(),
             requests: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            beyond: BTreeMap::new(),
             pressure: BTreeMap::new(),
+            placed: BTreeSet::new(),
             stored: BTreeSet::new(),
             coming: BTreeSet::new(),
+            soon: BTreeSet::new(),
         };
         for site in view.sites.iter().filter(|site| site.usable) {
             for model in site.held.models.keys() {
@@ -37,6 +48,18 @@
                 let least = survey.pressure.entry(model).or_insert(site.pressure);
                 *least = site.pressure.min(*least);
             }
+            let requests: u32 = site.running.values().sum();
+            if requests < view.engine.slots {
+                survey.placed.extend(site.held.models.keys());
+            }
+            for model in site.held.models.keys() {
+                let beyond = survey.beyond.entry(model).or_default();
+                *beyond += requests.saturating_sub(view.engine.slots);
+            }
+            if !site.fetches() {
+                survey.soon.extend(&site.loading);
+                survey.soon.extend(&site.room_for);
+            }
             survey.stored.extend(&site.held.in_host);
             survey.stored.extend(&site.held.on_disk);
             survey.coming.extend(&site.loading);
@@ -44,6 +67,9 @@
         }
         let running = view.sites.iter().flat_map(|site| &site.running);
         let running = running.map(|((model, _), count)| (model, *count));
+        for want in view.wants {
+            *survey.waiting.entry(&want.model).or_default() += want.waiting;
+        }
         let waiting = view.wants.iter().map(|want| (&want.model, want.waiting));
         for (model, count) in running.chain(waiting) {
             *survey.requests.entry(model).or_default() += count;
@@ -51,6 +77,16 @@
         survey
     }
 
+    /// Whether all usable engines that have it in memory run as many requests as they can.
+    pub(super) fn is_full(&self, model: &SmolStr) -> bool {
+        self.copies(model) > 0 && !self.placed.contains(model)
+    }
+
+    /// Whether another copy comes from a disk or a host's memory.
+    pub(super) fn comes_soon(&self, model: &SmolStr) -> bool {
+        self.soon.contains(model)
+    }
+
     /// Usable engines that have a model in memory.
     pub(super) fn copies(&self, model: &SmolStr) -> usize {
         self.copies.get(model).copied().unwrap_or_default()
@@ -61,6 +97,16 @@
         self.requests.get(model).copied().unwrap_or_default()
     }
 
+    /// Requests that wait at their instances.
+    pub(super) fn waiting(&self, model: &SmolStr) -> u32 {
+        self.waiting.get(model).copied().unwrap_or_default()
+    }
+
+    /// Requests that wait at engines that hold it.
+    pub(super) fn beyond(&self, model: &SmolStr) -> u32 {
+        self.beyond.get(model).copied().unwrap_or_default()
+    }
+
     /// How long a request waits at the engine with the shortest wait, before its prompt is read.
     pub(super) fn pressure(&self, model: &SmolStr) -> Duration {
         self.pressure.get(model).copied().unwrap_or_default()
--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -21,6 +21,10 @@
 const PROBE: Duration = Duration::from_millis(500);
 /// A server whose address another one has isn't tried again for this long: its entry goes within seconds.
 const REPLACED: Duration = Duration::from_secs(10);
+/// An engine gets requests beyond those that it runs at once up to this share of them. More would only wait there, late
+/// and bound to it, while another copy of their model is loaded; with none, places would stand empty for as long as the
+/// word of them takes.
+const QUEUE_SHARE: f64 = 0.25;
 /// A server that had no room isn't tried again for this long.
 const FULL: Duration = Duration::from_millis(40);
 
@@ -57,6 +61,8 @@
     pub slots: u32,
     /// It is in the failure domain of this instance.
     pub near: bool,
+    /// Requests of other instances there, as far as the steward tells.
+    pub others: u32,
     /// Until the prompt is read there, as a share of the time within which the first event is on time.
     pub reading: f64,
 }
@@ -118,23 +124,32 @@
         self.failing * 0.5_f64.powf(halves)
     }
 
-    fn load(&self, now: clock::Instant) -> f64 {
-        let own = f64::from(self.in_flight);
+    fn load(&self, now: clock::Instant, others: u32) -> f64 {
+        let known = f64::from(self.in_flight + others);
         let reported = self
             .report
             .filter(|(at, _)| now.since(*at) < REPORT_USE)
             .map_or(0.0, |(_, report)| {
                 f64::from(report.running + report.waiting)
             });
-        own.max(reported)
+        known.max(reported)
     }
 }
 
 impl Candidate<'_> {
+    /// Whether it could run one more request within a short wait. Only what other instances have there tells that, so one
+    /// without a word of the steward has room until it says otherwise.
+    fn has_room(&self, now: clock::Instant) -> bool {
+        let most = f64::from(self.slots) * (1.0 + QUEUE_SHARE);
+        let known = f64::from(self.seen.in_flight + self.others);
+        let crowded = self.others > 0 && known >= most;
+        now >= self.seen.full_until && !crowded
+    }
+
     /// How unwelcome it is to send one more request there.
     fn cost(&self, now: clock::Instant) -> f64 {
         let slots = f64::from(self.slots.max(1));
-        let mut cost = self.seen.load(now) / slots;
+        let mut cost = self.seen.load(now, self.others) / slots;
         cost += self.seen.failing_at(now) * FAILURE_WEIGHT;
         cost += if self.near { 0.0 } else { DISTANCE };
         cost + self.reading
@@ -142,7 +157,7 @@
 }
 
 /// The place of the best candidate. `draw` chooses among equals, so that instances don't all choose the same.
-/// None when every candidate said a moment ago that it has no room.
+/// None when no candidate has room, as far as known.
 #[must_use]
 pub fn pick(now: clock::Instant, candidates: &[Candidate<'_>], draw: u64) -> Option<usize> {
     let count = candidates.len();
@@ -152,7 +167,7 @@
     let first = usize::try_from(draw % count as u64).unwrap_or_default();
     (0..count)
         .map(|step| (first + step) % count)
-        .filter(|place| now >= candidates[*place].seen.full_until)
+        .filter(|place| candidates[*place].has_room(now))
         .min_by(|a, b| {
             let (a, b) = (&candidates[*a], &candidates[*b]);
             let down = a.seen.is_down(now).cmp(&b.seen.is_down(now));
--- a/crates/fireflywheel/src/fleet/track.rs
+++ b/crates/fireflywheel/src/fleet/track.rs
@@ -68,7 +68,7 @@
     fetch: bool,
     since: clock::Instant,
     /// Loads from the weight store when it began, itself included.
-    at_once: usize,
+    first: usize,
 }
 
 /// A load from the weight store that has ended.
@@ -77,7 +77,7 @@
     /// The model.
     pub model: SmolStr,
     /// Loads from the weight store when it began, itself included.
-    pub at_once: usize,
+    pub first: usize,
     /// How long it took.
     pub took: Duration,
 }
@@ -183,14 +183,14 @@
         }
     }
 
-    /// An order is being carried out, or was at once. `takes` is how long it should take, `at_once` how many loads
-    /// from the weight store run with it.
+    /// An order is being carried out, or was at once. `takes` is how long it should take, `first` how many loads
+    /// from the weight store there are with it.
     pub fn accepted(
         &mut self,
         now: clock::Instant,
         step: &plan::Step,
         takes: Duration,
-        at_once: usize,
+        first: usize,
     ) {
         self.sent = None;
         self.orders += 1;
@@ -203,7 +203,7 @@
                     model: model.clone(),
                     fetch: *tier == plan::Tier::Store,
                     since: now,
-                    at_once,
+                    first,
                 });
                 self.report_at = Some(now.after(takes));
             }
@@ -293,7 +293,7 @@
                 .filter(|loading| self.held.holds(&loading.model, None))
                 .map(|loading| Fetched {
                     model: loading.model,
-                    at_once: loading.at_once,
+                    first: loading.first,
                     took: now.since(loading.since),
                 });
             self.busy_since = None;
@@ -313,11 +313,16 @@
         self.fetched.take()
     }
 
-    /// Whether it loads from the weight store, or was sent such an order.
+    /// Whether it loads from the weight store.
     #[must_use]
-    pub fn is_fetching(&self) -> bool {
-        let loading = self.loading.as_ref().is_some_and(|loading| loading.fetch);
-        loading || self.sent.as_ref().is_some_and(plan::Step::is_fetch)
+    pub fn is_loading_from_store(&self) -> bool {
+        self.loading.as_ref().is_some_and(|loading| loading.fetch)
+    }
+
+    /// The same, or whether it was sent such an order.
+    fn is_fetching(&self) -> bool {
+        let sent = self.sent.as_ref().is_some_and(plan::Step::is_fetch);
+        sent || self.is_loading_from_store()
     }
 
     fn sent_load(&self) -> Option<&SmolStr> {
--- a/crates/fireflywheel/src/fleet/work.rs
+++ b/crates/fireflywheel/src/fleet/work.rs
@@ -2,9 +2,9 @@
 //!
 //! Requests differ too much to be counted alike: a prompt of thousands of tokens takes some hundred times as long to
 //! read as a short question, and a quarter of that where its shared parts are kept. So instances count tokens that are
-//! still to be read. Each knows only its own requests; the steward adds them up and tells all.
+//! still to be read. Each knows only its own requests; the steward adds them up and tells all. Beside the tokens it tells
+//! how many requests an engine has, since those beyond its batch wait however short their prompts are.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -21,6 +21,13 @@
 /// again takes less time than the way to another server.
 const KEPT_TOKENS: u32 = 512;
 
+/// Fewer tokens than this are read before the word of them has reached other instances.
+const LEAST_UNREAD: u32 = 1000;
+
+/// Requests that the steward told of count for this long. It tells several times a second, so one that is silent for
+/// longer is gone or cut off, and engines would stay full for good in the eyes of those that heard it last.
+const WORD_USE: Duration = Duration::from_millis(1000);
+
 /// The pressure of before counts half after this: about as long as a swap takes.
 const PRESSURE_HALF_LIFE: Duration = Duration::from_secs(1);
 
@@ -33,24 +40,31 @@
     pub shared: u32,
 }
 
-/// What an engine has to read, as the steward tells.
+/// What an engine has to do, as the steward tells.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
     /// The engine's id.
     pub server: SmolStr,
     /// Tokens of requests of all instances that had no first event yet.
     pub unread: u32,
+    /// Requests of all instances there, running and waiting.
+    #[serde(default)]
+    pub requests: u32,
 }
 
-/// What an engine has to read, as an instance believes.
+/// What an engine has to do, as an instance believes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backlog {
     /// Tokens of this instance's own requests that have no first event yet.
     own: u32,
     /// The same when it was last told to the steward.
     own_told: u32,
-    /// What the steward told, without this instance's own.
+    /// Tokens that the steward told of, without this instance's own.
     others: u32,
+    /// This instance's own requests when they were last told to the steward.
+    requests_told: u32,
+    /// Requests that the steward told of, without this instance's own.
+    other_requests: u32,
     told: clock::Instant,
 }
 
@@ -83,6 +97,26 @@
     }
 }
 
+impl Load {
+    /// An engine with nothing to do.
+    #[must_use]
+    pub fn new(server: SmolStr) -> Self {
+        Self {
+            server,
+            unread: 0,
+            requests: 0,
+        }
+    }
+
+    /// How much it is worth telling, which it is from 1 on. What is read before the word of it arrives is nothing, and
+    /// neither are fewer requests than half a batch.
+    fn weight(&self, slots: u32) -> f64 {
+        let reading = f64::from(self.unread) / f64::from(LEAST_UNREAD);
+        let batch = f64::from(self.requests) * 2.0 / f64::from(slots.max(1));
+        reading.max(batch)
+    }
+}
+
 impl Backlog {
     /// A request was sent there with so many tokens to read.
     pub fn sent(&mut self, tokens: u32) {
@@ -94,18 +128,27 @@
         self.own = self.own.saturating_sub(tokens);
     }
 
-    /// What this instance tells the steward.
-    pub fn tell(&mut self) -> u32 {
+    /// What this instance tells the steward, which has `requests` there; returns the tokens.
+    pub fn tell(&mut self, requests: u32) -> u32 {
         self.own_told = self.own;
+        self.requests_told = requests;
         self.own
     }
 
-    /// The steward tells of the requests of all instances.
-    pub fn heard(&mut self, now: clock::Instant, all: u32) {
-        self.others = all.saturating_sub(self.own_told);
+    /// The steward tells of all instances' requests.
+    pub fn heard(&mut self, now: clock::Instant, unread: u32, requests: u32) {
+        self.others = unread.saturating_sub(self.own_told);
+        self.other_requests = requests.saturating_sub(self.requests_told);
         self.told = now;
     }
 
+    /// Requests of other instances there, as of the steward's last word; none once that is old.
+    #[must_use]
+    pub fn others(&self, now: clock::Instant) -> u32 {
+        let fresh = now.since(self.told) < WORD_USE;
+        if fresh { self.other_requests } else { 0 }
+    }
+
     /// Tokens that are still to be read.
     #[must_use]
     pub fn tokens(&self, now: clock::Instant) -> f64 {
@@ -131,19 +174,23 @@
     rendezvous::first(parts, servers)
 }
 
-/// The engines with the most to read, `count` of them at most and none with less than `least` tokens, by id.
+/// The engines with the most to do, `count` of them at most and none with next to nothing, by id. `slots` tells how many
+/// requests an engine runs at once.
 #[must_use]
-pub fn largest(unread: BTreeMap<&SmolStr, u32>, least: u32, count: usize) -> Vec<Load> {
-    let mut loads: Vec<(&SmolStr, u32)> = unread.into_iter().collect();
-    loads.retain(|(_, unread)| *unread >= least);
-    loads.sort_by_key(|(_, unread)| Reverse(*unread));
-    loads.truncate(count);
-    loads.sort();
-    let named = loads.into_iter().map(|(server, unread)| Load {
-        server: server.clone(),
-        unread,
+pub fn largest<S>(loads: BTreeMap<&SmolStr, Load>, slots: S, count: usize) -> Vec<Load>
+where
+    S: Fn(&SmolStr) -> u32,
+{
+    let weighed = loads.into_values().map(|load| {
+        let weight = load.weight(slots(&load.server));
+        (weight, load)
     });
-    named.collect()
+    let mut loads: Vec<(f64, Load)> = weighed.filter(|(weight, _)| *weight >= 1.0).collect();
+    loads.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+    loads.truncate(count);
+    let mut named: Vec<Load> = loads.into_iter().map(|(_, load)| load).collect();
+    named.sort_by(|a, b| a.server.cmp(&b.server));
+    named
 }
 
 /// How long it takes to read so many tokens.
--- /dev/null
+++ b/crates/fireflywheel/tests/fleet/crowd.rs
@@ -0,0 +1,322 @@
+//! A crowd on the few engines that hold a model, replayed in virtual time: more callers than the engines can run, sent by
+//! many instances that each know little of the others.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use fireflywheel::clock::Instant;
+use fireflywheel::fleet::config::{Engine, Kind, Model, Route};
+use fireflywheel::fleet::demand::{Board, Count, Demand, Lane, Running};
+use fireflywheel::fleet::patience;
+use fireflywheel::fleet::plan::pace::Pace;
+use fireflywheel::fleet::plan::{self, Site, View};
+use fireflywheel::fleet::routing::{self, Candidate, Seen};
+use fireflywheel::fleet::server::Held;
+use fireflywheel::fleet::work::{self, Backlog};
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::cases;
+
+const INSTANCES: usize = 195;
+const ENGINES: usize = 2;
+/// Requests that an engine runs at once, and that wait there before it refuses more.
+const SLOTS: u32 = 16;
+const ENGINE_QUEUE: usize = 48;
+/// How long a run takes.
+const RUN_MS: u64 = 900;
+/// Callers a second; the engines run 35 of them.
+const RATE: f64 = 60.0;
+/// Within this a first event is on time.
+const AIM: Duration = Duration::from_millis(800);
+/// So long a caller is kept.
+const PATIENCE: Duration = Duration::from_millis(3200);
+const LENGTH_MS: u64 = 20_000;
+/// Instances tell the steward, and it tells them, this often; each word is as old when it is heard.
+const WORD_MS: u64 = 75;
+
+/// An engine that runs requests in the order of their arrival.
+#[derive(Default)]
+struct Batch {
+    /// Instance and end of each run.
+    running: Vec<(usize, u64)>,
+    /// Instance and arrival of each request that waits.
+    waiting: VecDeque<(usize, u64)>,
+}
+
+#[derive(Default)]
+struct Outcome {
+    on_time: u32,
+    late: u32,
+    refused: u32,
+    /// Milliseconds that refused callers were kept.
+    kept_ms: u64,
+    asked: u32,
+}
+
+struct World {
+    random: StdRng,
+    engines: [Batch; ENGINES],
+    seen: Vec<[Seen; ENGINES]>,
+    backlogs: Vec<[Backlog; ENGINES]>,
+    /// Callers that wait at their instance, and since when.
+    lanes: Vec<VecDeque<u64>>,
+    finished: Vec<u32>,
+    board: Board,
+    expected: Duration,
+    outcome: Outcome,
+    told: bool,
+    route: Route,
+}
+
+impl World {
+    fn new(seed: u64, told: bool) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            engines: Default::default(),
+            seen: vec![Default::default(); INSTANCES],
+            backlogs: vec![Default::default(); INSTANCES],
+            lanes: vec![VecDeque::new(); INSTANCES],
+            finished: vec![0; INSTANCES],
+            board: Board::default(),
+            expected: Duration::ZERO,
+            outcome: Outcome::default(),
+            told,
+            route: Route {
+                name: "r".into(),
+                host: "h".into(),
+                prefix: "/".into(),
+                kind: Kind::Stream,
+                timeout: Duration::from_secs(8),
+                objective: AIM,
+                pause: None,
+                rank: 0,
+                targets: Vec::new(),
+                attempts: 1,
+            },
+        }
+    }
+
+    fn play(mut self) -> Outcome {
+        for ms in 0..LENGTH_MS {
+            self.run_engines(ms);
+            if self.told && ms % WORD_MS == 0 {
+                self.tell(ms);
+            }
+            if self.random.random_bool(RATE / 1000.0) {
+                let instance = self.random.random_range(0..INSTANCES);
+                self.outcome.asked += 1;
+                self.arrive(ms, instance);
+            }
+            for instance in 0..INSTANCES {
+                self.look_again(ms, instance);
+            }
+        }
+        self.outcome
+    }
+
+    fn run_engines(&mut self, ms: u64) {
+        for place in 0..ENGINES {
+            let engine = &mut self.engines[place];
+            let ended = engine.running.extract_if(.., |(_, end)| *end <= ms);
+            for (instance, _) in ended {
+                self.seen[instance][place].in_flight -= 1;
+                self.finished[instance] += 1;
+            }
+            while engine.running.len() < SLOTS as usize
+                && let Some((instance, since)) = engine.waiting.pop_front()
+            {
+                engine.running.push((instance, ms + RUN_MS));
+                let on_time = Duration::from_millis(ms - since) <= AIM;
+                self.outcome.on_time += u32::from(on_time);
+                self.outcome.late += u32::from(!on_time);
+            }
+        }
+    }
+
+    /// All instances tell the steward, and it tells all of them.
+    fn tell(&mut self, ms: u64) {
+        let now = Instant(ms);
+        for instance in 0..INSTANCES {
+            let demand = self.demand(instance);
+            self.board.take(now, format_smolstr!("i{instance}"), demand);
+        }
+        let loads = work::largest(self.board.loads(), |_| SLOTS, ENGINES);
+        let requests: BTreeMap<SmolStr, u32> = loads
+            .into_iter()
+            .map(|load| (load.server, load.requests))
+            .collect();
+        for backlogs in &mut self.backlogs {
+            for (place, backlog) in backlogs.iter_mut().enumerate() {
+                let told = requests.get(&engine_name(place)).copied();
+                backlog.heard(now, 0, told.unwrap_or_default());
+            }
+        }
+        self.expected = self.forecast(now);
+    }
+
+    /// What the steward expects of the queue, by its plan.
+    fn forecast(&self, now: Instant) -> Duration {
+        let running = self.board.running();
+        let site = |place| Site {
+            held: Held {
+                models: BTreeMap::from([("m".into(), BTreeSet::new())]),
+                ..Held::default()
+            },
+            usable: true,
+            running: running
+                .get(&engine_name(place))
+                .cloned()
+                .unwrap_or_default(),
+            ..Site::default()
+        };
+        let sites: Vec<Site> = (0..ENGINES).map(site).collect();
+        let engine = Engine {
+            slots: SLOTS,
+            models: BTreeMap::from([("m".into(), Model::default())]),
+            ..Engine::default()
+        };
+        let view = View {
+            now,
+            engine: &engine,
+            sites: &sites,
+            wants: &self.board.wants("g"),
+            rates: &BTreeMap::new(),
+            drains: &self.board.drains(now, "g"),
+            fetches: 1,
+            pace: Pace::default(),
+        };
+        let forecasts = plan::forecast(&view).into_iter();
+        forecasts.map(|(_, wait)| wait).next().unwrap_or_default()
+    }
+
+    fn demand(&mut self, instance: usize) -> Demand {
+        let mut running = Vec::new();
+        for place in 0..ENGINES {
+            let count = self.seen[instance][place].in_flight;
+            self.backlogs[instance][place].tell(count);
+            running.push(Running {
+                server: engine_name(place),
+                model: "m".into(),
+                adapter: None,
+                count,
+                unread: 0,
+            });
+        }
+        let finished = Count {
+            group: "g".into(),
+            model: "m".into(),
+            count: std::mem::take(&mut self.finished[instance]),
+        };
+        let waiting = u32::try_from(self.lanes[instance].len()).expect("few wait");
+        let lane = Lane {
+            group: "g".into(),
+            model: "m".into(),
+            adapter: None,
+            waiting,
+            waited_ms: 0,
+            left_ms: 1000,
+        };
+        Demand {
+            lanes: if waiting > 0 { vec![lane] } else { Vec::new() },
+            running,
+            finished: vec![finished],
+            ..Demand::default()
+        }
+    }
+
+    fn arrive(&mut self, ms: u64, instance: usize) {
+        if self.send(ms, instance, ms) {
+            return;
+        }
+        if self.expected > patience::queueing(&self.route) {
+            self.refuse(ms, ms);
+        } else {
+            self.lanes[instance].push_back(ms);
+        }
+    }
+
+    fn look_again(&mut self, ms: u64, instance: usize) {
+        let Some(since) = self.lanes[instance].front().copied() else {
+            return;
+        };
+        if Duration::from_millis(ms - since) > PATIENCE {
+            self.lanes[instance].pop_front();
+            self.refuse(ms, since);
+        } else if self.send(ms, instance, since) {
+            self.lanes[instance].pop_front();
+        }
+    }
+
+    fn refuse(&mut self, ms: u64, since: u64) {
+        self.outcome.refused += 1;
+        self.outcome.kept_ms += ms - since;
+        let left = Duration::from_secs(8);
+        let again = patience::retry_after(self.expected, left, self.random.random());
+        assert!(again <= left / 3);
+    }
+
+    /// Whether an engine takes it.
+    fn send(&mut self, ms: u64, instance: usize, since: u64) -> bool {
+        let now = Instant(ms);
+        let draw = self.random.random();
+        let candidates: Vec<Candidate<'_>> = (0..ENGINES)
+            .map(|place| Candidate {
+                seen: &self.seen[instance][place],
+                slots: SLOTS,
+                near: true,
+                others: self.backlogs[instance][place].others(now),
+                reading: 0.0,
+            })
+            .collect();
+        let Some(place) = routing::pick(now, &candidates, draw) else {
+            return false;
+        };
+        if self.engines[place].waiting.len() >= ENGINE_QUEUE {
+            self.seen[instance][place].full(now);
+            return false;
+        }
+        self.engines[place].waiting.push_back((instance, since));
+        self.seen[instance][place].in_flight += 1;
+        true
+    }
+}
+
+fn engine_name(place: usize) -> SmolStr {
+    format_smolstr!("e{place}")
+}
+
+fn most_that_are_run_are_on_time() {
+    for seed in 0..10 {
+        let outcome = World::new(seed, true).play();
+        let run = outcome.on_time + outcome.late;
+        let bound = f64::from(SLOTS) * ENGINES as f64 * LENGTH_MS as f64 / RUN_MS as f64;
+        assert!(f64::from(run) >= 0.9 * bound, "{run} of {bound} at {seed}");
+        let share = f64::from(outcome.on_time) / f64::from(run);
+        assert!(share >= 0.9, "{share} on time at {seed}");
+    }
+}
+
+fn refused_callers_know_at_once() {
+    for seed in 0..10 {
+        let outcome = World::new(seed, true).play();
+        let kept = outcome.kept_ms / u64::from(outcome.refused);
+        assert!(Duration::from_millis(kept) < AIM / 4, "{kept} ms at {seed}");
+    }
+}
+
+fn without_a_word_all_are_late() {
+    let outcome = World::new(0, false).play();
+    assert!(outcome.late > outcome.on_time, "the load is a crowd");
+}
+
+cases! {
+    /// A model becomes popular; two engines hold it and run 35 of 60 requests a second. If instances fill the engines' own
+    /// queues, each caller waits there for seconds, and all are late who are served at all.
+    on_time => most_that_are_run_are_on_time();
+    /// The others can't be served. Kept until they give up, they could not even ask again.
+    told_at_once => refused_callers_know_at_once();
+    /// The same without the steward's word.
+    untold => without_a_word_all_are_late();
+}
--- a/crates/fireflywheel/tests/fleet/demand.rs
+++ b/crates/fireflywheel/tests/fleet/demand.rs
@@ -1,7 +1,7 @@
 //! What instances ask for is joined, and what is forgotten with them.
 
 use fireflywheel::clock::Instant;
-use fireflywheel::fleet::demand::{Arrived, Board, Demand, Lane, Running};
+use fireflywheel::fleet::demand::{Board, Count, Demand, Lane, Running};
 use smol_str::SmolStr;
 
 use crate::cases;
@@ -101,14 +101,18 @@
         counts.unwrap_or_default().values().sum::<u32>()
     };
     assert_eq!(at(&board, "s"), 4);
-    let unread: Vec<u32> = board.unread().into_values().collect();
-    assert_eq!(unread, [600]);
+    let loads: Vec<(u32, u32)> = board
+        .loads()
+        .into_values()
+        .map(|load| (load.unread, load.requests))
+        .collect();
+    assert_eq!(loads, [(600, 4)]);
     assert_eq!(at(&board, "t"), 0);
 }
 
 fn rates_fade() {
     let mut board = Board::default();
-    let arrived = Arrived {
+    let arrived = Count {
         group: "g".into(),
         model: "m".into(),
         count: 100,
@@ -124,7 +128,29 @@
     assert!(board.rate(Instant(1000), "g", "n").abs() < f64::EPSILON);
 }
 
+fn queue_drains_as_fast_as_requests_end() {
+    let mut board = Board::default();
+    for second in 1..=20 {
+        let finished = Count {
+            group: "g".into(),
+            model: "m".into(),
+            count: 30,
+        };
+        let demand = Demand {
+            finished: vec![finished],
+            ..Demand::default()
+        };
+        board.take(Instant(second * 1000), "a".into(), demand);
+    }
+    // In the middle between two words, as the rate falls from one to the next.
+    let drain = board.drains(Instant(20_500), "g")["m"];
+    assert!((25.0..35.0).contains(&drain), "{drain}");
+    assert!(board.rate(Instant(20_500), "g", "m").abs() < f64::EPSILON);
+}
+
 cases! {
+    /// Callers are told how long a queue takes, by what its engines end and not by what comes.
+    drain => queue_drains_as_fast_as_requests_end();
     /// The same cold model is asked for at two instances; ordered for each it would be loaded twice.
     joined => same_want_is_joined();
     /// Whoever has waited longest is nearest to giving up.
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod budget;
 mod config;
+mod crowd;
 mod demand;
 mod events;
 mod lease;
--- a/crates/fireflywheel/tests/fleet/pace.rs
+++ b/crates/fireflywheel/tests/fleet/pace.rs
@@ -15,7 +15,7 @@
     for _ in 0..loads {
         let at_once = pace.at_once();
         let stretch = (at_once as f64 / bears as f64).max(1.0);
-        pace.ended(at_once, ALONE, ALONE.mul_f64(stretch));
+        pace.ended(at_once, at_once, ALONE, ALONE.mul_f64(stretch));
     }
     pace
 }
@@ -32,9 +32,9 @@
 fn one_slow_load_is_forgotten() {
     let mut pace = learn(4, 30);
     let before = pace.at_once();
-    pace.ended(before, ALONE, ALONE * 3);
+    pace.ended(before, before, ALONE, ALONE * 3);
     for _ in 0..20 {
-        pace.ended(pace.at_once(), ALONE, ALONE);
+        pace.ended(pace.at_once(), pace.at_once(), ALONE, ALONE);
     }
     assert!(pace.at_once() >= before);
 }
@@ -45,7 +45,8 @@
         for _ in 0..u.int_in_range(1..=100)? {
             let took = Duration::from_millis(u.int_in_range(0..=100_000)?);
             let alone = Duration::from_millis(u.int_in_range(0..=20_000)?);
-            pace.ended(u.int_in_range(0..=8)?, alone, took);
+            let (first, at_once) = (u.int_in_range(0..=8)?, u.int_in_range(0..=8)?);
+            pace.ended(first, at_once, alone, took);
             assert!((1..=40).contains(&pace.at_once()));
             assert!(pace.time(ALONE, 1) == ALONE);
         }
@@ -53,7 +54,19 @@
     });
 }
 
+fn first_loads_say_nothing_of_more() {
+    let mut pace = Pace::default();
+    let before = pace.at_once();
+    // Four were sent one after the other; these two began alone and among two.
+    pace.ended(1, before, ALONE, ALONE);
+    pace.ended(2, before, ALONE, ALONE);
+    assert_eq!(pace.at_once(), before);
+}
+
 cases! {
+    /// A store makes only those loads slower that come when it is busy. The first ones end at full speed beside them; taken
+    /// for a proof that it bears more, they would bring more loads, and each would take twice its time.
+    first_loads => first_loads_say_nothing_of_more();
     /// The store bears fewer loads than are sent to it. All of them are slow then, and the callers of each wait longer.
     narrow_store => learned(2);
     /// It bears as many as were assumed.
--- a/crates/fireflywheel/tests/fleet/patience.rs
+++ b/crates/fireflywheel/tests/fleet/patience.rs
@@ -36,12 +36,28 @@
 
 fn retry_after(wait: u64, left: u64, expected: u64) {
     assert_eq!(
-        patience::retry_after(millis(wait), millis(left)),
+        patience::retry_after(millis(wait), millis(left), 0.0),
         millis(expected)
     );
 }
 
+fn callers_are_spread() {
+    let waits = [0.0, 0.5, 1.0].map(|draw| patience::retry_after(millis(1000), millis(9000), draw));
+    assert_eq!(waits, [millis(1000), millis(1125), millis(1250)]);
+}
+
+fn outage(lasted: u64, expected: u64) {
+    assert_eq!(patience::outage(millis(lasted)), millis(expected));
+}
+
 cases! {
+    /// Callers that were refused together come back together, and most are refused again.
+    no_wave => callers_are_spread();
+    /// An instance has just started, and will know its configuration in a moment.
+    just_started => outage(10, 300);
+    /// The store is silent after a start. Callers come back once; asked back within moments, all of them would use that up
+    /// while it is still silent.
+    long_outage => outage(1000, 4000);
     /// A caller of a plain service waits for its deadline.
     plain_service => first_byte(Kind::Once, 100, None, 600, 600);
     /// The route's time ends before the caller's.
--- a/crates/fireflywheel/tests/fleet/plan.rs
+++ b/crates/fireflywheel/tests/fleet/plan.rs
@@ -19,6 +19,7 @@
     sites: Vec<Site>,
     wants: Vec<Want>,
     rates: BTreeMap<SmolStr, f64>,
+    drains: BTreeMap<SmolStr, f64>,
     fetches: usize,
 }
 
@@ -51,6 +52,7 @@
             sites: vec![site; sites],
             wants: Vec::new(),
             rates: BTreeMap::new(),
+            drains: BTreeMap::new(),
             fetches: pace::Pace::default().at_once(),
         }
     }
@@ -121,6 +123,7 @@
             sites: &self.sites,
             wants: &self.wants,
             rates: &self.rates,
+            drains: &self.drains,
             fetches: self.fetches,
             pace: pace::Pace::default(),
         }
@@ -232,9 +235,16 @@
 }
 
 fn no_second_copy_from_the_store_while_a_model_has_none() {
-    let world = World::new(3).holding(0, "m0").running(0, "m0", 50);
-    let loads_m0 = |step: &Step| matches!(step, Step::Load { model, .. } if model == "m0");
-    assert!(!world.steps().iter().any(loads_m0));
+    let mut world = World::new(3).holding(0, "m0").running(0, "m0", 50);
+    let loads_m0 = |step: &&Step| matches!(step, Step::Load { model, .. } if model == "m0");
+    world.engine.slots = 64;
+    assert_eq!(world.steps().iter().filter(loads_m0).count(), 0);
+    let for_others = fetched(&world.steps());
+    assert!(for_others > 0);
+    // More than its engine runs at once: one copy comes, and the rest is for models that have none.
+    world.engine.slots = 8;
+    assert_eq!(world.steps().iter().filter(loads_m0).count(), 1);
+    assert_eq!(fetched(&world.steps()), for_others);
 }
 
 fn few_long_prompts_are_a_crowd_too() {
@@ -263,6 +273,50 @@
     assert!(relieved(2000));
 }
 
+fn crowd_goes_first_at_the_store() {
+    let world = |running| {
+        let world = World::new(3).holding(0, "m0").running(0, "m0", running);
+        let mut world = world.wanted("m1").wanted("m0");
+        world.fetches = 1;
+        world.steps()
+    };
+    let fetches = |steps: &[Step], wanted: &str| {
+        let mut steps = steps.iter();
+        steps.any(
+            |step| matches!(step, Step::Load { model, tier: Tier::Store, .. } if model == wanted),
+        )
+    };
+    assert!(fetches(&world(7), "m1"), "the engine has a place free");
+    assert!(fetches(&world(8), "m0"));
+}
+
+fn queue_of_full_engines_is_forecast() {
+    let world = |running| {
+        let mut world = World::new(1).holding(0, "m0").running(0, "m0", running);
+        world.drains.insert("m0".into(), 10.0);
+        let world = world.wanted("m0").wanted_adapter("m0", Some("a1"));
+        plan::forecast(&world.view())
+    };
+    assert_eq!(world(8), [("m0".into(), Duration::from_millis(200))]);
+    let beyond = [("m0".into(), Duration::from_millis(500))];
+    assert_eq!(world(11), beyond, "three wait at the engine itself");
+    assert_eq!(world(7), [], "a place is free");
+}
+
+fn no_forecast_while_a_copy_comes() {
+    let mut world = World::new(2).holding(0, "m0").running(0, "m0", 8).busy(1);
+    world.drains.insert("m0".into(), 10.0);
+    world.sites[1].loading = Some("m0".into());
+    let mut world = world.wanted("m0");
+    assert_eq!(plan::forecast(&world.view()), []);
+    world.sites[1].fetching = true;
+    assert!(
+        plan::forecast(&world.view())
+            .iter()
+            .any(|(model, _)| model == "m0")
+    );
+}
+
 fn crowded_model_is_copied_from_a_disk() {
     let world = World::new(2)
         .all_on_disk(0)
@@ -421,7 +475,8 @@
     store_limit_with_room => room_for_a_load_from_the_store_counts_as_one();
     /// More loads at once are each slower in proportion, and keep more engines from swapping.
     store_limit => few_loads_from_the_store_run_at_once();
-    /// A busy model calls for copies while others are nowhere; their callers would never be served.
+    /// A busy model calls for copies while others are nowhere; their callers would never be served. Only when its engines
+    /// are full it gets one, and the others still get the rest.
     store_for_the_homeless => no_second_copy_from_the_store_while_a_model_has_none();
     /// Requests crowd on one copy, and each makes all others of its batch slower.
     copies_for_crowds => crowded_model_is_copied_from_a_disk();
@@ -431,6 +486,13 @@
     /// The same while other models have no copy, which nobody asks for. If these went first, the callers of the one
     /// in demand would be late or refused for as long as that takes, which may be ten seconds and more.
     store_for_the_overwhelmed => overwhelmed_engine_is_relieved_from_the_store();
+    /// A model becomes popular whose only copy is full, and no other disk has it. Behind loads of models that one caller
+    /// asks for now and then, its copy came ten seconds later, and of thirty callers a second half were refused until then.
+    store_for_the_crowd => crowd_goes_first_at_the_store();
+    /// More come for a model than its engines can run. A caller that waits in vain learns that only when it is too late.
+    forecast_of_a_queue => queue_of_full_engines_is_forecast();
+    /// A copy comes from a disk within a second: sent away now, callers would miss it.
+    no_forecast_before_a_copy => no_forecast_while_a_copy_comes();
     /// An engine refuses an order while it carries out another.
     one_order_at_a_time => one_order_for_each_engine();
     /// An engine that leaves would take a model with it.
--- a/crates/fireflywheel/tests/fleet/routing.rs
+++ b/crates/fireflywheel/tests/fleet/routing.rs
@@ -12,6 +12,7 @@
         seen,
         slots: 8,
         near: true,
+        others: 0,
         reading: 0.0,
     }
 }
@@ -111,7 +112,28 @@
     assert_eq!(shares(reading(&seen, anew), reading(&seen, 0.4)), [100, 0]);
 }
 
+fn engine_that_others_fill_is_left_alone() {
+    let seen = Seen::default();
+    let others = |others| Candidate {
+        others,
+        ..candidate(&seen)
+    };
+    assert_eq!(shares(others(6), others(2)), [0, 100]);
+    assert!(routing::pick(NOW, &[others(9)], 0).is_some());
+    assert_eq!(routing::pick(NOW, &[others(10)], 0), None);
+}
+
+fn own_requests_alone_say_nothing_of_room() {
+    let busy = loaded(20);
+    assert!(routing::pick(NOW, &[candidate(&busy)], 0).is_some());
+}
+
 cases! {
+    /// A crowd on one engine, sent by instances that each see only their own requests. What waits there is late, and can't
+    /// go to the copy of its model that comes a moment later.
+    filled_by_others => engine_that_others_fill_is_left_alone();
+    /// No steward tells of others: an engine has room until it says otherwise, as far as an instance knows.
+    untold => own_requests_alone_say_nothing_of_room();
     /// All instances see the same idle servers; if they chose alike, one server would get the whole burst.
     equals => equals_share();
     /// A batch that is fuller makes each token slower.
--- a/crates/fireflywheel/tests/fleet/work.rs
+++ b/crates/fireflywheel/tests/fleet/work.rs
@@ -5,7 +5,7 @@
 
 use fireflywheel::clock::Instant;
 use fireflywheel::fleet::routing::{self, Candidate, Seen};
-use fireflywheel::fleet::work::{self, Backlog, Prompt};
+use fireflywheel::fleet::work::{self, Backlog, Load, Prompt};
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
 use smol_str::SmolStr;
@@ -79,14 +79,14 @@
             });
         }
         if told && ms % WORD_AGE_MS == 0 {
-            let sums = (0..6).map(|place| backlogs.iter_mut().map(|own| own[place].tell()).sum());
+            let sums = (0..6).map(|place| backlogs.iter_mut().map(|own| own[place].tell(0)).sum());
             words.insert(ms + WORD_AGE_MS, sums.collect());
         }
         if let Some(sums) = words.remove(&ms) {
             for own in &mut backlogs {
                 own.iter_mut()
                     .zip(&sums)
-                    .for_each(|(own, sum)| own.heard(now, *sum));
+                    .for_each(|(own, sum)| own.heard(now, *sum, 0));
             }
         }
         if random.random_bool(RATE / 1000.0) {
@@ -151,6 +151,7 @@
             seen: &seen,
             slots: 64,
             near: true,
+            others: 0,
             reading: work::reading_time(own[place].tokens(now) + f64::from(unread(place)))
                 .div_duration_f64(AIM),
         })
@@ -201,8 +202,9 @@
 fn own_requests_count_once() {
     let mut backlog = Backlog::default();
     backlog.sent(1000);
-    let told = backlog.tell();
-    backlog.heard(Instant(10), told + 500);
+    let told = backlog.tell(3);
+    backlog.heard(Instant(10), told + 500, 5);
+    assert_eq!(backlog.others(Instant(10)), 2);
     assert_eq!(backlog.tokens(Instant(10)), 1500.0);
     backlog.read(1000);
     assert_eq!(backlog.tokens(Instant(10)), 500.0);
@@ -211,8 +213,15 @@
 
 fn busiest_are_named() {
     let ids = ["e1", "e2", "e3", "e4"].map(SmolStr::new);
-    let unread = ids.iter().zip([50, 4000, 9000, 2000]).collect();
-    let named = work::largest(unread, 1000, 2);
+    let loads = ids.iter().zip([50, 4000, 9000, 2000]);
+    let loads = loads.map(|(id, unread)| {
+        let load = Load {
+            unread,
+            ..Load::new(id.clone())
+        };
+        (id, load)
+    });
+    let named = work::largest(loads.collect(), |_| 16, 2);
     let named: Vec<(&str, u32)> = named
         .iter()
         .map(|load| (load.server.as_str(), load.unread))
@@ -220,7 +229,36 @@
     assert_eq!(named, [("e2", 4000), ("e3", 9000)]);
 }
 
+fn full_batches_are_named() {
+    let ids = ["e1", "e2", "e3"].map(SmolStr::new);
+    let loads = ids.iter().zip([7, 8, 40]);
+    let loads = loads.map(|(id, requests)| {
+        let load = Load {
+            requests,
+            ..Load::new(id.clone())
+        };
+        (id, load)
+    });
+    let named = work::largest(loads.collect(), |_| 16, 3);
+    let named: Vec<(&str, u32)> = named
+        .iter()
+        .map(|load| (load.server.as_str(), load.requests))
+        .collect();
+    assert_eq!(named, [("e2", 8), ("e3", 40)]);
+}
+
+fn old_word_of_requests_ends() {
+    let mut backlog = Backlog::default();
+    backlog.heard(Instant(10), 0, 24);
+    assert_eq!(backlog.others(Instant(500)), 24);
+    assert_eq!(backlog.others(Instant(2000)), 0);
+}
+
 cases! {
+    /// Requests with short prompts fill an engine's batch while there is hardly anything to read.
+    full_batch => full_batches_are_named();
+    /// The steward dies, and with it the word that an engine is full. Believed for good, nobody would use that engine.
+    lost_steward => old_word_of_requests_ends();
     /// With hundreds of engines a word of all of them would take more of a link than control may.
     many_engines => busiest_are_named();
     /// Each instance sends a prompt every few seconds and sees only its own. Were requests counted alike, or the others'
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -37,6 +37,8 @@
     pub pool: pool::Pool,
     /// What it counts.
     pub metrics: metrics::Metrics,
+    /// When it started.
+    pub started: Instant,
     /// Tells two processes of one name apart.
     pub incarnation: u64,
     /// Changes when a request that waits may find something else.
@@ -80,11 +82,13 @@
     #[must_use]
     pub fn new(platform: P, settings: settings::Settings, metrics: metrics::Metrics) -> Self {
         let clock = Clock::new();
-        let state = State::new(clock.now(), settings.repeats.window);
+        let started = clock.now();
+        let state = State::new(started, settings.repeats.window);
         Self {
             platform,
             settings,
             clock,
+            started,
             pool: pool::Pool::default(),
             metrics,
             incarnation: rand::random(),
@@ -165,6 +169,13 @@
         self.lock().instances.count()
     }
 
+    /// Whether it has heard of backend servers, or that there are none.
+    #[must_use]
+    pub fn knows_servers(&self) -> bool {
+        let state = self.lock();
+        state.directory_read.is_some() || !state.servers.is_empty()
+    }
+
     /// Whether callers should be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -36,8 +36,8 @@
 pub enum Choice {
     /// A server that can run it.
     Server(Chosen),
-    /// Those that can run it have no room at this moment.
-    Full,
+    /// Those that can run it have no room at this moment; the wait is what the steward expects.
+    Full(Option<Duration>),
     /// Those that can run it couldn't be reached a moment ago.
     Down,
     /// None holds its model; the wait is what the steward expects.
@@ -93,9 +93,7 @@
                 held.holds(model, lane.adapter.as_deref())
             });
             if servers.is_empty() {
-                let key = (lane.group.clone(), model.clone());
-                let expected = state.forecasts.get(&key).map(|at| at.since(now));
-                return Choice::Absent(expected);
+                return Choice::Absent(expected(&state, lane, now));
             }
         }
         if servers
@@ -115,11 +113,12 @@
                 seen: &known.seen,
                 slots: known.server.slots,
                 near: known.server.domain == self.settings.domain,
+                others: known.backlog.others(now),
                 reading: reading(now, route, known, unread(known)),
             })
             .collect();
         let Some(place) = routing::pick(now, &candidates, rand::random()) else {
-            return Choice::Full;
+            return Choice::Full(expected(&state, lane, now));
         };
         let down = lane.model.is_some() && servers[place].seen.is_down(now);
         let unread = unread(servers[place]);
@@ -136,6 +135,13 @@
         Choice::Server(chosen)
     }
 
+    /// How long callers of a model will wait, as far as the steward tells.
+    #[must_use]
+    pub fn expected(&self, lane: &LaneKey) -> Option<Duration> {
+        let now = self.now();
+        expected(&self.lock(), lane, now)
+    }
+
     /// Counts a request at a server from now on.
     #[must_use]
     pub fn begin(self: &Arc<Self>, chosen: &Chosen, lane: &LaneKey) -> guard::InFlight<P> {
@@ -159,6 +165,8 @@
             born,
             key,
             unread: chosen.unread,
+            ran: false,
+            group: lane.group.clone(),
         }
     }
 
@@ -204,6 +212,11 @@
     }
 }
 
+fn expected(state: &state::State, lane: &LaneKey, now: clock::Instant) -> Option<Duration> {
+    let key = (lane.group.clone(), lane.model.clone()?);
+    Some(state.forecasts.get(&key)?.since(now))
+}
+
 fn prompt(call: &platform::Call) -> work::Prompt {
     let shared = call.shared.as_ref().map_or(0, |shared| shared.tokens);
     work::Prompt {
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -32,6 +32,7 @@
         let now = self.now();
         let mut state = self.lock();
         let arrived = std::mem::take(&mut state.arrived);
+        let finished = std::mem::take(&mut state.finished);
         let denied = std::mem::take(&mut state.denied);
         demand::Demand {
             lanes: state
@@ -40,14 +41,8 @@
                 .filter_map(|(key, lane)| lane_demand(now, key, lane))
                 .collect(),
             running: state.servers.values_mut().flat_map(running).collect(),
-            arrived: arrived
-                .into_iter()
-                .map(|((group, model), count)| demand::Arrived {
-                    group,
-                    model,
-                    count,
-                })
-                .collect(),
+            arrived: counts(arrived),
+            finished: counts(finished),
             stamp_ms: now.0,
             leaving: state.stops.is_some(),
             denied: denied.into_iter().collect(),
@@ -64,6 +59,17 @@
     }
 }
 
+fn counts(counts: BTreeMap<(SmolStr, SmolStr), u32>) -> Vec<demand::Count> {
+    let counts = counts.into_iter();
+    counts
+        .map(|((group, model), count)| demand::Count {
+            group,
+            model,
+            count,
+        })
+        .collect()
+}
+
 fn lane_demand(
     now: clock::Instant,
     key: &LaneKey,
@@ -83,7 +89,7 @@
 }
 
 fn running(known: &mut state::Known) -> impl Iterator<Item = demand::Running> {
-    known.backlog.tell();
+    known.backlog.tell(known.seen.in_flight);
     let server = &known.server.id;
     let running = known.running.iter();
     running.map(|((model, adapter), running)| demand::Running {
--- a/crates/fireflywheel_daemon/src/fleet/node/guard.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/guard.rs
@@ -18,6 +18,9 @@
     pub(super) key: (SmolStr, Option<SmolStr>),
     /// Tokens of its prompt that the server hasn't read yet.
     pub(super) unread: u32,
+    /// The server has run it.
+    pub(super) ran: bool,
+    pub(super) group: SmolStr,
 }
 
 /// A request that waits, counted as long as this lives.
@@ -35,8 +38,13 @@
 where
     P: Send + Sync,
 {
-    /// The server has read its prompt.
+    /// The server has read its prompt, and runs it.
     pub fn read(&mut self) {
+        self.ran = true;
+        self.count_as_read();
+    }
+
+    fn count_as_read(&mut self) {
         let unread = std::mem::take(&mut self.unread);
         if unread == 0 {
             return;
@@ -57,8 +65,12 @@
     P: Send + Sync,
 {
     fn drop(&mut self) {
-        self.read();
+        self.count_as_read();
         let mut state = self.node.lock();
+        if self.ran && !self.key.0.is_empty() {
+            let key = (self.group.clone(), self.key.0.clone());
+            *state.finished.entry(key).or_default() += 1;
+        }
         let Some(known) = state.servers.get_mut(&self.server) else {
             return;
         };
--- a/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
@@ -121,14 +121,15 @@
         self.wake();
     }
 
-    /// The steward says what engines have to read, in the order of their ids.
+    /// The steward says what engines have to do, in the order of their ids.
     pub fn learn_load(&self, loads: &[work::Load]) {
         let now = self.now();
         let mut state = self.lock();
         for known in state.servers.values_mut() {
             let place = loads.binary_search_by(|load| load.server.cmp(&known.server.id));
-            let unread = place.map_or(0, |place| loads[place].unread);
-            known.backlog.heard(now, unread);
+            let (unread, requests) =
+                place.map_or((0, 0), |place| (loads[place].unread, loads[place].requests));
+            known.backlog.heard(now, unread, requests);
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -33,6 +33,8 @@
     pub(super) servers: BTreeMap<SmolStr, Known>,
     pub(super) lanes: BTreeMap<LaneKey, BTreeMap<u64, Waiting>>,
     pub(super) arrived: BTreeMap<(SmolStr, SmolStr), u32>,
+    /// Requests that an engine has run and that ended since the last demand, by group and model.
+    pub(super) finished: BTreeMap<(SmolStr, SmolStr), u32>,
     pub(super) denied: BTreeSet<SmolStr>,
     pub(super) forecasts: BTreeMap<(SmolStr, SmolStr), clock::Instant>,
     pub(super) budgets: BTreeMap<SmolStr, budget::Budget>,
@@ -105,6 +107,7 @@
             servers: BTreeMap::new(),
             lanes: BTreeMap::new(),
             arrived: BTreeMap::new(),
+            finished: BTreeMap::new(),
             denied: BTreeSet::new(),
             forecasts: BTreeMap::new(),
             budgets: BTreeMap::new(),
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -23,8 +23,6 @@
 use crate::callers::intake;
 use crate::{backend, door, errors};
 
-/// A caller that asks before the first configuration is there should come back this soon.
-const FIRST_CONFIG: Duration = Duration::from_millis(300);
 /// A caller whose group has no server should come back this soon: one that restarts takes about as long.
 const NO_SERVER: Duration = Duration::from_millis(700);
 /// A caller whose servers are all full should come back this soon.
@@ -89,9 +87,10 @@
         check_framing(&head)?;
         *call = self.node.platform.read_call(&head)?;
         let Some(config) = self.node.config() else {
-            return Err(
-                unavailable("starting", "no configuration yet").with_retry_after(FIRST_CONFIG)
-            );
+            let wait = patience::outage(arrived.since(self.node.started));
+            let left = call.deadline.unwrap_or(wait);
+            let problem = unavailable("starting", "no configuration yet");
+            return Err(problem.with_retry_after(come_back(wait, left)));
         };
         let Some(route) = config.route(&call.host, head.uri.path()) else {
             return Err(errors::Problem::new(
@@ -154,7 +153,10 @@
                 attempt::Outcome::NotRun(why) => {
                     self.note(&job, &chosen, "not run", why);
                     if may_have_run == 0 {
-                        failure = unavailable("not_run", why).with_retry_after(NO_ROOM);
+                        let wait = self.node.expected(&job.lane).unwrap_or(NO_ROOM);
+                        let left = job.deadline.since(self.node.now());
+                        failure =
+                            unavailable("not_run", why).with_retry_after(come_back(wait, left));
                     }
                 }
                 attempt::Outcome::Lost(why) => {
@@ -288,6 +290,7 @@
     let whole = job.deadline.since(job.arrived);
     let patience = patience::first_byte(&job.route, whole).mul_f64(PATIENCE_USED);
     let patient_until = job.deadline.min(job.arrived.after(patience));
+    let queueing = patience::queueing(&job.route).min(patience);
     let mut changed = node.changed.subscribe();
     let mut waiter = None;
     loop {
@@ -299,22 +302,31 @@
         let look_again = match node.choose(&job.route, &job.lane, &job.call, tried) {
             node::Choice::Server(chosen) => return Ok(chosen),
             node::Choice::Nobody => {
-                let wait = patience::retry_after(NO_SERVER, left);
+                let wait = if node.knows_servers() {
+                    NO_SERVER
+                } else {
+                    patience::outage(now.since(node.started))
+                };
                 return Err(unavailable("no_server", "no server of the group is there")
-                    .with_retry_after(wait));
+                    .with_retry_after(come_back(wait, left)));
             }
             node::Choice::Absent(Some(expected)) if now.after(expected) > give_up => {
-                let wait = patience::retry_after(expected, left);
+                return Err(unavailable("cold", "the model can't be loaded in time")
+                    .with_retry_after(come_back(expected, left)));
+            }
+            // It is told once, when it comes: those that wait already are ahead of what is expected now.
+            node::Choice::Full(Some(expected)) if waiter.is_none() && expected > queueing => {
                 return Err(
-                    unavailable("cold", "the model can't be loaded in time").with_retry_after(wait)
+                    unavailable("crowded", "too many wait for engines of the model")
+                        .with_retry_after(come_back(expected, left)),
                 );
             }
             node::Choice::Absent(_) => give_up.since(now),
-            node::Choice::Full | node::Choice::Down => LOOK_AGAIN,
+            node::Choice::Full(_) | node::Choice::Down => LOOK_AGAIN,
         };
         if now >= give_up {
-            let wait = patience::retry_after(NO_ROOM, left);
-            return Err(unavailable("no_room", "no server had room in time").with_retry_after(wait));
+            return Err(unavailable("no_room", "no server had room in time")
+                .with_retry_after(come_back(NO_ROOM, left)));
         }
         if waiter.is_none() {
             waiter = Some(node.wait(&job.lane, job.arrived, give_up));
@@ -329,6 +341,10 @@
     }
 }
 
+fn come_back(wait: Duration, left: Duration) -> Duration {
+    patience::retry_after(wait, left, rand::random())
+}
+
 fn unavailable(code: &'static str, message: &'static str) -> errors::Problem {
     errors::Problem::new(StatusCode::SERVICE_UNAVAILABLE, code, message)
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -145,15 +145,14 @@
             self.lease_wake.notify_one();
             return;
         }
-        // This order is among them: it counts since it was sent.
-        let at_once = state.fetching().max(1);
+        let first = state.loading_from_store() + 1;
         let Some(track) = state.tracks.get_mut(&due.server) else {
             return;
         };
         match status {
-            Some(StatusCode::ACCEPTED) => track.accepted(now, &due.step, takes, at_once),
+            Some(StatusCode::ACCEPTED) => track.accepted(now, &due.step, takes, first),
             Some(StatusCode::OK) if matches!(due.step, plan::Step::UnloadAdapter { .. }) => {
-                track.accepted(now, &due.step, takes, at_once);
+                track.accepted(now, &due.step, takes, first);
             }
             Some(StatusCode::CONFLICT) => track.conflicted(now),
             _ => track.unanswered(now),
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -36,19 +36,16 @@
 /// requests wait: some twenty changes a second to each of 125 would take all of a small instance's processor.
 pub(super) const PROMPT_LINKS: usize = 40;
 
-/// What engines have to read is told after this for each link: it costs the steward some 15 us of a processor and as
-/// many bytes for each, and 136 instances hear it every 100 ms, less than a long prompt takes to read.
-pub(super) const LOAD_A_LINK: Duration = Duration::from_micros(750);
+/// What engines have to do and how long queues take is told after this for each link, so that what it costs the steward
+/// doesn't grow with the fleet. Among hundreds of instances it is still less than a long prompt takes to read.
+pub(super) const NEWS_A_LINK: Duration = Duration::from_micros(750);
 
-/// Less than so many tokens is nothing: they are read in some 40 ms, when the word of them has hardly arrived.
-pub(super) const LEAST_LOAD: u32 = 1000;
-
-/// So many engines are named at most, those with the most to read: some 2 KB, which each of 1,100 instances can hear
+/// So many engines are named at most, those with the most to do: some 2 KB, which each of 1,100 instances can hear
 /// three times a second.
 pub(super) const LOADS: usize = 64;
 
 /// It isn't told more often.
-pub(super) const SHORTEST_LOAD: Duration = Duration::from_millis(50);
+pub(super) const SHORTEST_NEWS: Duration = Duration::from_millis(50);
 
 #[derive(Debug)]
 pub(super) struct State {
@@ -125,12 +122,12 @@
             .filter(|(_, track)| track.group == *group)
             .map(|(id, _)| id.clone())
             .collect();
-        let unread = self.board.unread();
+        let loads = self.board.loads();
         let mut running = self.board.running();
         let mut sites = Vec::with_capacity(ids.len());
         for (id, track) in &mut self.tracks {
             if track.group == *group {
-                let unread = unread.get(id).copied().unwrap_or_default();
+                let unread = loads.get(id).map_or(0, |load| load.unread);
                 let running = running.remove(id).unwrap_or_default();
                 sites.push(track.site(now, running, unread));
             }
@@ -140,12 +137,14 @@
         let rates = models
             .map(|model| (model.clone(), self.board.rate(now, group, model)))
             .collect();
+        let drains = self.board.drains(now, group);
         let view = plan::View {
             now,
             engine,
             sites: &sites,
             wants: &wants,
             rates: &rates,
+            drains: &drains,
             fetches: self.fetch_room(now, engine, &sites),
             pace: self.pace,
         };
@@ -201,19 +200,17 @@
         self.pace.at_once().min(running + left)
     }
 
-    /// Loads from the weight store that run.
-    pub(super) fn fetching(&self) -> usize {
-        self.tracks
-            .values()
-            .filter(|track| track.is_fetching())
-            .count()
+    /// Loads from the weight store that engines have accepted.
+    pub(super) fn loading_from_store(&self) -> usize {
+        let tracks = self.tracks.values();
+        tracks.filter(|track| track.is_loading_from_store()).count()
     }
 
     /// A load from the weight store has ended that takes `alone` by itself.
     pub(super) fn fetched(&mut self, fetched: &track::Fetched, alone: Duration) {
         // Half of those that run now have come or gone since it began.
-        let at_once = (fetched.at_once + self.fetching() + 1).div_ceil(2);
-        self.pace.ended(at_once, alone, fetched.took);
+        let at_once = (fetched.first + self.loading_from_store() + 1).div_ceil(2);
+        self.pace.ended(fetched.first, at_once, alone, fetched.took);
         log::info!(
             model = fetched.model.as_str(), took_ms = clock::millis(fetched.took), at_once = at_once as u64,
             now_at_once = self.pace.at_once() as u64;
@@ -227,8 +224,10 @@
                 .map(|forecast| forecast.model.clone())
                 .collect::<Vec<_>>()
         };
+        // Queues come and go from one look to the next; told at once, each change would cost as much as all other news.
         let changed = models(&forecasts) != models(&self.forecasts);
-        if !changed && now.since(self.forecast) < FORECAST {
+        let pause = if changed { self.news_pause() } else { FORECAST };
+        if now.since(self.forecast) < pause {
             return;
         }
         let empty = forecasts.is_empty() && self.forecasts.is_empty();
@@ -240,15 +239,14 @@
         }
     }
 
-    /// Tells at its time what engines have to read; returns it for this instance itself.
+    /// Tells at its time what engines have to do; returns it for this instance itself.
     pub(super) fn tell_load(&mut self, now: clock::Instant) -> Option<Vec<work::Load>> {
-        let links = u32::try_from(self.links.len()).unwrap_or(u32::MAX);
-        let pause = (LOAD_A_LINK * links).clamp(SHORTEST_LOAD, BEAT);
         let (told, loaded) = self.load;
-        if now.since(told) < pause {
+        if now.since(told) < self.news_pause() {
             return None;
         }
-        let loads = work::largest(self.board.unread(), LEAST_LOAD, LOADS);
+        let slots = |id: &SmolStr| self.tracks.get(id).map_or(0, |track| track.server.slots);
+        let loads = work::largest(self.board.loads(), slots, LOADS);
         self.load = (now, !loads.is_empty());
         if loads.is_empty() && !loaded {
             return None;
@@ -257,6 +255,12 @@
         Some(loads)
     }
 
+    /// The time between two words to all instances.
+    fn news_pause(&self) -> Duration {
+        let links = u32::try_from(self.links.len()).unwrap_or(u32::MAX);
+        (NEWS_A_LINK * links).clamp(SHORTEST_NEWS, BEAT)
+    }
+
     /// A beat at its time, and at once when there is a new configuration.
     pub(super) fn beat(&mut self, now: clock::Instant, word: &link::Word) {
         let due = self.beat.is_none_or(|beat| now.since(beat) >= BEAT);
