A crowd's next copy comes from a disk where there is one, also while another comes from the store

Cause: a copy from the weight store takes ten seconds.

Change: the store is used only for what no other engine has on its disk, and a load from it holds up no load from a disk.

--- a/crates/fireflywheel/src/fleet/plan/planner.rs
+++ b/crates/fireflywheel/src/fleet/plan/planner.rs
@@ -208,7 +208,8 @@
     fn crowded(&self) -> Vec<&'a SmolStr> {
         let models = self.view.engine.models.keys();
         let mut crowded: Vec<(u32, &SmolStr)> = models
-            .filter(|model| !self.survey.is_coming(model))
+            // A copy that is ten seconds away is no reason to leave others on their disks.
+            .filter(|model| !self.survey.comes_soon(model))
             .filter_map(|model| {
                 let copies = u32::try_from(self.survey.copies(model)).unwrap_or(u32::MAX);
                 let requests = self.survey.requests(model);
@@ -263,13 +264,15 @@
 
     /// The cheapest way to bring a model in, among engines that can take an order now.
     fn best_way(&self, model: &SmolStr, waited: f64, fetch: bool) -> Option<Way> {
-        let fetch = fetch && self.fetching < self.view.fetches;
-        let elsewhere = self.survey.has_copy(model) && self.survey.copies(model) == 0;
+        let fetch = fetch
+            && self.fetching < self.view.fetches
+            && !self.survey.has_home(model)
+            && !self.survey.is_coming(model);
         (0..self.view.sites.len())
             .filter(|place| !self.taken.contains(place))
             .filter_map(|place| self.way(place, model))
-            // What has a copy on some server comes from there, even if that one must be waited for.
-            .filter(|way| way.tier != Tier::Store || (fetch && !elsewhere))
+            // What another engine has on its disk comes from there, even if that one must be waited for.
+            .filter(|way| way.tier != Tier::Store || fetch)
             .map(|way| Way {
                 cost: way.cost - waited * WAIT_WEIGHT,
                 ..way
--- a/crates/fireflywheel/src/fleet/plan/survey.rs
+++ b/crates/fireflywheel/src/fleet/plan/survey.rs
@@ -23,6 +23,8 @@
     /// Models with a copy at an engine that has a place free.
     placed: BTreeSet<&'a SmolStr>,
     stored: BTreeSet<&'a SmolStr>,
+    /// Models with a copy on an engine that doesn't have them in memory.
+    homes: BTreeSet<&'a SmolStr>,
     coming: BTreeSet<&'a SmolStr>,
     /// Those of them that don't come from the weight store.
     soon: BTreeSet<&'a SmolStr>,
@@ -39,6 +41,7 @@
             pressure: BTreeMap::new(),
             placed: BTreeSet::new(),
             stored: BTreeSet::new(),
+            homes: BTreeSet::new(),
             coming: BTreeSet::new(),
             soon: BTreeSet::new(),
         };
@@ -60,8 +63,13 @@
                 survey.soon.extend(&site.loading);
                 survey.soon.extend(&site.room_for);
             }
-            survey.stored.extend(&site.held.in_host);
-            survey.stored.extend(&site.held.on_disk);
+            let stored = site.held.in_host.iter().chain(&site.held.on_disk);
+            for model in stored {
+                survey.stored.insert(model);
+                if !site.held.models.contains_key(model) {
+                    survey.homes.insert(model);
+                }
+            }
             survey.coming.extend(&site.loading);
             survey.coming.extend(&site.room_for);
         }
@@ -117,6 +125,11 @@
         self.stored.contains(model) || self.copies.contains_key(model)
     }
 
+    /// Whether a usable engine could load it without the weight store.
+    pub(super) fn has_home(&self, model: &SmolStr) -> bool {
+        self.homes.contains(model)
+    }
+
     /// Whether a usable engine loads it, or makes room for it.
     pub(super) fn is_coming(&self, model: &SmolStr) -> bool {
         self.coming.contains(model)
--- a/crates/fireflywheel/tests/fleet/plan.rs
+++ b/crates/fireflywheel/tests/fleet/plan.rs
@@ -290,6 +290,33 @@
     assert!(fetches(&world(8), "m0"));
 }
 
+fn copy_from_the_store_is_no_reason_to_wait() {
+    let crowd = || {
+        World::new(4)
+            .holding(0, "m0")
+            .running(0, "m0", 50)
+            .fetching(1, "m0")
+    };
+    assert!(
+        crowd()
+            .on_disk(2, "m0")
+            .steps()
+            .contains(&load(2, "m0", Tier::Disk))
+    );
+    let second = |step: &Step| matches!(step, Step::Load { model, .. } if model == "m0");
+    assert!(
+        !crowd().steps().iter().any(second),
+        "one comes from the store"
+    );
+}
+
+fn crowd_waits_for_a_busy_disk() {
+    let crowd = World::new(3).holding(0, "m0").running(0, "m0", 50);
+    let steps = crowd.on_disk(1, "m0").busy(1).steps();
+    let second = |step: &Step| matches!(step, Step::Load { model, .. } if model == "m0");
+    assert!(!steps.iter().any(second));
+}
+
 fn queue_of_full_engines_is_forecast() {
     let world = |running| {
         let mut world = World::new(1).holding(0, "m0").running(0, "m0", running);
@@ -489,6 +516,10 @@
     /// A model becomes popular whose only copy is full, and no other disk has it. Behind loads of models that one caller
     /// asks for now and then, its copy came ten seconds later, and of thirty callers a second half were refused until then.
     store_for_the_crowd => crowd_goes_first_at_the_store();
+    /// A crowd's next copy comes from the store, ten seconds away, when an engine with one on its disk becomes free.
+    disks_beside_the_store => copy_from_the_store_is_no_reason_to_wait();
+    /// The engine that has a copy on its disk is busy for half a second. Fetched elsewhere, it would come ten seconds later.
+    crowd_and_busy_disk => crowd_waits_for_a_busy_disk();
     /// More come for a model than its engines can run. A caller that waits in vain learns that only when it is too late.
     forecast_of_a_queue => queue_of_full_engines_is_forecast();
     /// A copy comes from a disk within a second: sent away now, callers would miss it.
