Requests of others say whether an engine has room, and not which engine is better

Cause: all instances hear the same counts a quarter of a second late, and all turned to the engine that was idle then.

--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -24,7 +24,7 @@
 /// An engine gets requests beyond those that it runs at once up to this share of them. More would only wait there, late
 /// and bound to it, while another copy of their model is loaded; with none, places would stand empty for as long as the
 /// word of them takes.
-const QUEUE_SHARE: f64 = 0.25;
+const QUEUE_SHARE: f64 = 0.5;
 /// A server that had no room isn't tried again for this long.
 const FULL: Duration = Duration::from_millis(40);
 
@@ -61,7 +61,8 @@
     pub slots: u32,
     /// It is in the failure domain of this instance.
     pub near: bool,
-    /// Requests of other instances there, as far as the steward tells.
+    /// Requests of other instances there, as far as the steward tells. They say whether there is room, and not which engine
+    /// is better: all instances hear the same, some moments late, and would all turn to the one that was idle then.
     pub others: u32,
     /// Until the prompt is read there, as a share of the time within which the first event is on time.
     pub reading: f64,
@@ -124,15 +125,15 @@
         self.failing * 0.5_f64.powf(halves)
     }
 
-    fn load(&self, now: clock::Instant, others: u32) -> f64 {
-        let known = f64::from(self.in_flight + others);
+    fn load(&self, now: clock::Instant) -> f64 {
+        let own = f64::from(self.in_flight);
         let reported = self
             .report
             .filter(|(at, _)| now.since(*at) < REPORT_USE)
             .map_or(0.0, |(_, report)| {
                 f64::from(report.running + report.waiting)
             });
-        known.max(reported)
+        own.max(reported)
     }
 }
 
@@ -149,7 +150,7 @@
     /// How unwelcome it is to send one more request there.
     fn cost(&self, now: clock::Instant) -> f64 {
         let slots = f64::from(self.slots.max(1));
-        let mut cost = self.seen.load(now, self.others) / slots;
+        let mut cost = self.seen.load(now) / slots;
         cost += self.seen.failing_at(now) * FAILURE_WEIGHT;
         cost += if self.near { 0.0 } else { DISTANCE };
         cost + self.reading
