A steward that the store turns away, or that is much weaker than another, hands over

Its reads stand for those of all others for 3 s; then 194 instances read directory and configuration at the same moment, their calls took more than a second, and the last one had the configuration 4.3 s after it was accepted, where 4 s are allowed.

Change: while its calls fail a steward says so; standbys then read for themselves and tell how old their reads are. A steward whose reads are old hands the lease to the strongest with young ones. One with less than half of another's processor hands it over too: after a freeze a weak instance had taken it. It acts for a term first, so that two don't pass it to and fro. A lease that isn't certain is no more given up by a hand-over that can't be made. Decided in the core (fleet::heir) and tested there.

--- a/crates/fireflywheel/src/fleet/backoff.rs
+++ b/crates/fireflywheel/src/fleet/backoff.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Whether the last call had no usable answer.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// A call was answered; whether calls had failed before.
     pub fn succeeded(&mut self) -> bool {
         std::mem::take(&mut self.failures) > 0
--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -34,6 +34,14 @@
     pub leaving: bool,
     /// Engines that didn't hold what the steward had said that they hold.
     pub denied: Vec<SmolStr>,
+    /// How old the instance's own reads of the store are, in milliseconds.
+    #[serde(default = "never")]
+    pub read_ms: u32,
+}
+
+/// The age of reads that were never made.
+fn never() -> u32 {
+    u32::MAX
 }
 
 /// Requests that wait for one model, or one adapter of it.
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -56,6 +56,10 @@
         /// The stamp of the receiver's last demand. Without it frames that waited in a queue for seconds would
         /// pass for young.
         stamp_ms: u64,
+        /// The sender's last call to the store had no usable answer. Standbys then read for themselves, so that one that
+        /// the store serves can take over.
+        #[serde(default)]
+        store_fails: bool,
     },
     /// Entries of the directory that have changed, from the steward.
     Directory(Changes),
--- /dev/null
+++ b/crates/fireflywheel/src/fleet/heir.rs
@@ -0,0 +1,67 @@
+//! To which instance a steward hands the lease.
+//!
+//! A steward hands over when it is stopped, when the store turns it away but not others, and when it is much weaker than
+//! another. In the second case its reads grow old, and all instances would read the store themselves at the same moment:
+//! with hundreds of them that takes longer than a configuration may take to be in force.
+
+use std::time::Duration;
+
+/// A steward is much weaker than an instance with this many times its share of a processor.
+const MUCH_STRONGER: f64 = 2.0;
+/// A steward's reads are old from this share of the time on within which changes must be obeyed. They stand for those of
+/// others somewhat longer, which leaves a successor time to be heard.
+const OLD: f64 = 0.5;
+/// A successor's reads are young up to this share of it.
+const YOUNG: f64 = 0.25;
+
+/// An instance that has a link to the steward.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Peer {
+    /// The part of a processor that it has.
+    pub cpu_share: f64,
+    /// It is being stopped.
+    pub leaving: bool,
+    /// How old its own reads of the store are.
+    pub read_age: Duration,
+}
+
+/// The steward itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Own {
+    /// The part of a processor that it has.
+    pub cpu_share: f64,
+    /// Its last call to the store had no usable answer.
+    pub store_fails: bool,
+    /// How old its reads of the store are.
+    pub read_age: Duration,
+}
+
+/// The strongest that stays, for a steward that is being stopped.
+#[must_use]
+pub fn of_stopping(peers: &[Peer]) -> Option<usize> {
+    strongest(peers, |_| true)
+}
+
+/// The one that should be steward in place of a steward that stays, if any. Changes must be obeyed within `obey`.
+#[must_use]
+pub fn of_staying(own: Own, peers: &[Peer], obey: Duration) -> Option<usize> {
+    if own.store_fails {
+        let old = own.read_age >= obey.mul_f64(OLD);
+        let young = |peer: &Peer| old && peer.read_age <= obey.mul_f64(YOUNG);
+        return strongest(peers, young);
+    }
+    strongest(peers, |peer| {
+        peer.cpu_share >= own.cpu_share * MUCH_STRONGER
+    })
+}
+
+fn strongest<F>(peers: &[Peer], fits: F) -> Option<usize>
+where
+    F: Fn(&Peer) -> bool,
+{
+    let staying = peers.iter().enumerate().filter(|(_, peer)| !peer.leaving);
+    staying
+        .filter(|(_, peer)| fits(peer))
+        .max_by(|(_, a), (_, b)| a.cpu_share.total_cmp(&b.cpu_share))
+        .map(|(place, _)| place)
+}
--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -318,11 +318,12 @@
         (renewed || (self.fenced && held.certain && tried)).then_some(held.fencing)
     }
 
-    /// Gives the lease to a successor that is reached without the store. This instance has it no more.
+    /// Gives the lease to a successor that is reached without the store. This instance has it no more, unless it isn't
+    /// certain that it had it.
     pub fn hand_over(&mut self) -> Option<HandOver> {
-        let held = self.held.take()?;
+        let held = self.held.take_if(|held| held.certain)?;
         self.watched = None;
-        held.certain.then_some(HandOver {
+        Some(HandOver {
             fencing: held.fencing + 1,
             end: held.end,
         })
--- /dev/null
+++ b/crates/fireflywheel/tests/fleet/heir.rs
@@ -0,0 +1,61 @@
+//! When a steward hands the lease over, and to whom.
+
+use std::time::Duration;
+
+use fireflywheel::fleet::heir::{self, Own, Peer};
+
+use crate::cases;
+
+const OBEY: Duration = Duration::from_secs(4);
+
+fn peer(cpu_share: f64, read_ms: u64) -> Peer {
+    Peer {
+        cpu_share,
+        leaving: false,
+        read_age: Duration::from_millis(read_ms),
+    }
+}
+
+fn leaving(cpu_share: f64) -> Peer {
+    Peer {
+        leaving: true,
+        ..peer(cpu_share, 0)
+    }
+}
+
+fn own(cpu_share: f64, store_fails: bool, read_ms: u64) -> Own {
+    Own {
+        cpu_share,
+        store_fails,
+        read_age: Duration::from_millis(read_ms),
+    }
+}
+
+fn stops(peers: &[Peer], expected: Option<usize>) {
+    assert_eq!(heir::of_stopping(peers), expected);
+}
+
+fn stays(own: Own, peers: &[Peer], expected: Option<usize>) {
+    assert_eq!(heir::of_staying(own, peers, OBEY), expected);
+}
+
+cases! {
+    /// A planned stop. Handed to one that leaves as well, the lease would move on at once.
+    planned_stop => stops(&[peer(0.1, 0), leaving(0.9), peer(0.5, 60_000)], Some(2));
+    /// Nobody is left to hand it to.
+    last_one => stops(&[leaving(0.5)], None);
+    /// The store turns the steward away and serves a standby. Until the steward is served again no change would be told, and
+    /// all instances would read at once: the last of 195 read a configuration 4.3 s after it was accepted.
+    turned_away => stays(own(0.5, true, 2000), &[peer(0.5, 60_000), peer(0.5, 300)], Some(1));
+    /// One call was lost. The next may be answered.
+    lost_call => stays(own(0.5, true, 900), &[peer(0.5, 300)], None);
+    /// The store is away for all. Nobody would do better.
+    store_away => stays(own(0.5, true, 9000), &[peer(0.5, 9000)], None);
+    /// A weak instance has taken the lease while the strong ones were stopped. Its processor is taken by the work of the whole
+    /// fleet, and callers of models that aren't loaded wait for orders.
+    weak => stays(own(0.12, false, 300), &[peer(0.12, 0), peer(0.5, 60_000)], Some(1));
+    /// One that is little stronger isn't worth that all instances link anew.
+    little_stronger => stays(own(0.3, false, 300), &[peer(0.5, 0)], None);
+    /// A strong one that is about to stop would hand it back.
+    strong_but_leaving => stays(own(0.12, false, 300), &[leaving(0.5)], None);
+}
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod crowd;
 mod demand;
 mod events;
+mod heir;
 mod lease;
 mod pace;
 mod patience;
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -253,11 +253,16 @@
             config_version,
             read_ms,
             stamp_ms,
+            store_fails,
             ..
         } => {
             steward.found(holder);
             steward.heard(lease_end);
-            relayed(steward, config_version, read_ms, stamp_ms);
+            if store_fails && steward.node.is_standby() {
+                steward.node.relayed.send_replace(node::Relayed::default());
+            } else {
+                relayed(steward, config_version, read_ms, stamp_ms);
+            }
             steward.node.learn_instances(instances as usize);
             steward.set_linked(true);
             steward.node.set_told(true);
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -140,9 +140,7 @@
     #[must_use]
     pub fn read_age(&self) -> Duration {
         let now = self.now();
-        let state = self.lock();
-        let oldest = state.config_read.min(state.directory_read);
-        oldest.map_or(Duration::MAX, |at| now.since(at))
+        self.lock().read_age(now)
     }
 
     /// Whether the steward's reads of the store stand for this instance's own.
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -46,6 +46,7 @@
             stamp_ms: now.0,
             leaving: state.stops.is_some(),
             denied: denied.into_iter().collect(),
+            read_ms: frame::millis(state.read_age(now)),
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -150,6 +150,12 @@
         known.server = server;
     }
 
+    /// How long ago the older of configuration and directory was read.
+    pub(super) fn read_age(&self, now: clock::Instant) -> Duration {
+        let oldest = self.config_read.min(self.directory_read);
+        oldest.map_or(Duration::MAX, |at| now.since(at))
+    }
+
     pub(super) fn miss(&mut self, id: &str, now: clock::Instant) {
         if let Some(known) = self.servers.get_mut(id) {
             known.missing.get_or_insert(now);
--- a/crates/fireflywheel_daemon/src/fleet/node/store.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/store.rs
@@ -39,6 +39,18 @@
         self.lock().standby = standby;
     }
 
+    /// Whether the steward has named this instance a standby.
+    #[must_use]
+    pub fn is_standby(&self) -> bool {
+        self.lock().standby
+    }
+
+    /// Whether the last call to the store had no usable answer.
+    #[must_use]
+    pub fn store_fails(&self) -> bool {
+        self.lock().store.is_failing()
+    }
+
     /// How long a read may wait at the store for news that usually waits for `usual`.
     #[must_use]
     pub fn store_wait(&self, usual: Duration) -> Duration {
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -83,6 +83,7 @@
             pace: plan::pace::Pace::default(),
             standbys: Vec::new(),
             acting: None,
+            turned: clock::Instant::default(),
             beat: None,
             told_version: 0,
             entries: BTreeMap::new(),
@@ -170,6 +171,7 @@
             cpu_share,
             leaving: false,
             stamp_ms: 0,
+            read_age: Duration::MAX,
             waits: false,
             untold: BTreeSet::new(),
         };
@@ -182,6 +184,7 @@
         if let Some(link) = self.lock().links.get_mut(&number) {
             link.leaving = demand.leaving;
             link.stamp_ms = demand.stamp_ms;
+            link.read_age = Duration::from_millis(demand.read_ms.into());
             link.waits = !demand.lanes.is_empty();
         }
     }
@@ -286,6 +289,11 @@
             state.beat(now, &word);
             return;
         };
+        if self.pass_on(now, &mut state, &word) {
+            drop(state);
+            self.wake.notify_one();
+            return;
+        }
         let mut due = Vec::new();
         let mut forecasts = Vec::new();
         for (name, engine) in engines(&config) {
@@ -323,6 +331,7 @@
             lease_end: state.lease.end().unwrap_or_default(),
             config_version: version,
             read_age: self.node.read_age(),
+            store_fails: self.node.store_fails(),
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fireflywheel::clock;
 use fireflywheel::fleet::frame;
+use fireflywheel::fleet::heir;
 use tokio::time;
 
 use super::super::platform;
 use super::Steward;
+use super::link::Word;
+use super::state::State;
 
 /// Time between two reads while this instance watches the lease of another: it sees a term lapse without any read,
 /// so a read only finds one that was given up or handed over.
@@ -25,6 +29,30 @@
 /// Below this share of a processor the wait grows no longer.
 const LEAST_SHARE: f64 = 0.05;
 
+/// The links of a steward, and what choosing an heir needs of each.
+fn peers(state: &State) -> (Vec<u64>, Vec<heir::Peer>) {
+    let links = state.links.iter();
+    links.map(|(number, link)| (*number, link.peer())).unzip()
+}
+
+/// Gives the lease to the instance of a link, and tells all others; whether it could.
+fn hand_over_to(state: &mut State, number: u64) -> bool {
+    if !state.links.contains_key(&number) {
+        return false;
+    }
+    let Some(given) = state.lease.hand_over() else {
+        return false;
+    };
+    let Some(heir) = state.links.remove(&number) else {
+        return false;
+    };
+    log::info!(instance = heir.peer.instance.as_str(), fencing = given.fencing; "lease handed over");
+    // One that doesn't read loses its link, and the lease lapses as if this instance had died.
+    let _ = heir.sender.try_send(frame::Frame::HandOver(given));
+    state.broadcast(&frame::Frame::Moved(heir.peer));
+    true
+}
+
 /// What is to be done for the lease.
 enum Task {
     Nothing,
@@ -84,25 +112,30 @@
     /// The store may be away, and reading it takes time; a link is there.
     fn hand_over(&self) -> bool {
         let mut state = self.lock();
-        let staying = state.links.iter().filter(|(_, link)| !link.leaving);
-        let staying = staying.max_by(|(_, a), (_, b)| a.cpu_share.total_cmp(&b.cpu_share));
-        let Some((number, peer)) = staying.map(|(number, link)| (*number, link.peer.clone()))
-        else {
-            return false;
-        };
-        let Some(given) = state.lease.hand_over() else {
-            return false;
-        };
-        let Some(heir) = state.links.remove(&number) else {
-            return false;
-        };
-        log::info!(instance = peer.instance.as_str(), fencing = given.fencing; "lease handed over");
-        // One that doesn't read loses its link, and the lease lapses as if this instance had died.
-        let _ = heir.sender.try_send(frame::Frame::HandOver(given));
-        state.broadcast(&frame::Frame::Moved(peer));
+        let (numbers, peers) = peers(&state);
+        let heir = heir::of_stopping(&peers).map(|place| numbers[place]);
+        let given = heir.is_some_and(|number| hand_over_to(&mut state, number));
         drop(state);
         self.wake.notify_one();
-        true
+        given
+    }
+
+    /// Hands over to an instance that should be steward in place of this one, if there is any. A steward acts for a term at
+    /// least: two that the store turns away by turns would pass the lease to and fro.
+    pub(super) fn pass_on(&self, now: clock::Instant, state: &mut State, word: &Word) -> bool {
+        if now.since(state.turned) < self.node.settings.lease.term {
+            return false;
+        }
+        let own = heir::Own {
+            cpu_share: self.node.settings.cpu_share,
+            store_fails: word.store_fails,
+            read_age: word.read_age,
+        };
+        let settings = &self.node.settings;
+        let obey = settings.obey.min(settings.apply);
+        let (numbers, peers) = peers(state);
+        let heir = heir::of_staying(own, &peers, obey).map(|place| numbers[place]);
+        heir.is_some_and(|number| hand_over_to(state, number))
     }
 
     /// A steward has work in proportion to the number of instances, so the strong ones go first.
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use fireflywheel::fleet::frame;
+use fireflywheel::fleet::heir;
 use fireflywheel::fleet::lease;
 use fireflywheel::fleet::track;
 use smol_str::SmolStr;
@@ -18,6 +19,8 @@
     pub(super) leaving: bool,
     /// Of its last demand.
     pub(super) stamp_ms: u64,
+    /// How old its own reads of the store are.
+    pub(super) read_age: Duration,
     /// Requests wait there, so that each change of an engine may matter to it at once.
     pub(super) waits: bool,
     /// Engines that have changed since it was told.
@@ -33,9 +36,19 @@
     pub(super) lease_end: u64,
     pub(super) config_version: u64,
     pub(super) read_age: Duration,
+    pub(super) store_fails: bool,
 }
 
 impl Link {
+    /// What choosing an heir needs of it.
+    pub(super) fn peer(&self) -> heir::Peer {
+        heir::Peer {
+            cpu_share: self.cpu_share,
+            leaving: self.leaving,
+            read_age: self.read_age,
+        }
+    }
+
     /// Tells of the engines that have changed; whether the link still has room.
     pub(super) fn tell(&mut self, tracks: &BTreeMap<SmolStr, track::Track>) -> bool {
         if self.untold.is_empty() {
@@ -61,6 +74,7 @@
             config_version: self.config_version,
             read_ms: frame::millis(self.read_age),
             stamp_ms,
+            store_fails: self.store_fails,
         }
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -62,6 +62,8 @@
     /// Standbys as they were told last, by this instance or by the steward.
     pub(super) standbys: Vec<lease::Record>,
     pub(super) acting: Option<u64>,
+    /// Since when it acts, or doesn't.
+    pub(super) turned: clock::Instant,
     pub(super) beat: Option<clock::Instant>,
     pub(super) told_version: u64,
     /// The directory as it was told last.
@@ -86,6 +88,7 @@
     /// The lease was won or lost.
     pub(super) fn turn(&mut self, now: clock::Instant, acting: Option<u64>) {
         self.acting = acting;
+        self.turned = now;
         self.tracks.clear();
         self.forecasts.clear();
         // Loads of the steward before may have begun a moment ago: as many count as may run at once.
