A queue is refused only when it outlasts its callers' patience

Cause: whoever would have queued for more than half of the objective was refused at once, came back once and was refused again.

--- a/crates/fireflywheel/src/fleet/patience.rs
+++ b/crates/fireflywheel/src/fleet/patience.rs
@@ -10,9 +10,9 @@
 const OBJECTIVES: u32 = 4;
 /// The same, as a multiple of the longest pause between events.
 const PAUSES: u32 = 8;
-/// The share of its objective that a request may queue. Under a lasting crowd the queue stays as long as it may be, and
-/// instances see it some 100 ms late; the rest of the objective is for that and for the prompt.
-const QUEUEING_SHARE: f64 = 0.5;
+/// The share of its patience that a request may expect to queue: instances don't serve a queue in one order, so some wait
+/// longer than expected.
+const QUEUEING_SHARE: f64 = 0.75;
 /// Callers come back once within this share of the time that they have left.
 const RETURN_SHARE: u32 = 3;
 /// A caller isn't asked to come back sooner, so that a crowd doesn't ask again at once.
@@ -26,15 +26,11 @@
 /// The least of an outage that has just begun: most starts are over then.
 const SHORTEST_OUTAGE: Duration = Duration::from_millis(300);
 
-/// How long a request may queue for engines that are all full, by its route's objective. Whoever would be late behind a
-/// queue comes back when it has drained: kept, all would be late one after the other, as long as more come than the
-/// engines can run.
+/// How long a queue may be that a request joins which is kept for `patience`. Whoever would wait in vain is better told at
+/// once when to come back.
 #[must_use]
-pub fn queueing(route: &config::Route) -> Duration {
-    if route.objective.is_zero() {
-        return route.timeout;
-    }
-    route.objective.mul_f64(QUEUEING_SHARE)
+pub fn queueing(patience: Duration) -> Duration {
+    patience.mul_f64(QUEUEING_SHARE)
 }
 
 /// How long a caller waits for the first byte of a response.
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -290,7 +290,6 @@
     let whole = job.deadline.since(job.arrived);
     let patience = patience::first_byte(&job.route, whole).mul_f64(PATIENCE_USED);
     let patient_until = job.deadline.min(job.arrived.after(patience));
-    let queueing = patience::queueing(&job.route).min(patience);
     let mut changed = node.changed.subscribe();
     let mut waiter = None;
     loop {
@@ -315,7 +314,9 @@
                     .with_retry_after(come_back(expected, left)));
             }
             // It is told once, when it comes: those that wait already are ahead of what is expected now.
-            node::Choice::Full(Some(expected)) if waiter.is_none() && expected > queueing => {
+            node::Choice::Full(Some(expected))
+                if waiter.is_none() && expected > patience::queueing(give_up.since(now)) =>
+            {
                 return Err(
                     unavailable("crowded", "too many wait for engines of the model")
                         .with_retry_after(come_back(expected, left)),
