--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -29,7 +29,7 @@
 /// Below this share of a processor the wait grows no longer.
 const LEAST_SHARE: f64 = 0.05;
 
-/// The links of a steward, and what choosing an successor needs of each.
+/// The links of a steward, and what choosing a successor needs of each.
 fn peers(state: &State) -> (Vec<u64>, Vec<successor::Peer>) {
     let links = state.links.iter();
     links.map(|(number, link)| (*number, link.peer())).unzip()
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -40,7 +40,7 @@
 }
 
 impl Link {
-    /// What choosing an successor needs of it.
+    /// What choosing a successor needs of it.
     pub(super) fn peer(&self) -> successor::Peer {
         successor::Peer {
             cpu_share: self.cpu_share,
