A refusal says which configuration decided it, how old that is and who read it

Change: the line refused has config_version, config_age_ms and config_reader; the metric fleet_config_age_seconds tells the same of an instance at any time. No decision changes.

--- a/crates/fireflywheel_daemon/src/fleet/door.rs
+++ b/crates/fireflywheel_daemon/src/fleet/door.rs
@@ -51,7 +51,11 @@
     }
 }
 
-fn metrics<P>(node: &node::Node<P>) -> Response<door::Body> {
+fn metrics<P>(node: &node::Node<P>) -> Response<door::Body>
+where
+    P: Send + Sync,
+{
+    node.metrics.set_config_age(node.edition().age);
     match node.metrics.text() {
         Ok(text) => {
             let mut response = Response::new(door::Body::whole(text));
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -324,16 +324,22 @@
     P: platform::Platform,
 {
     let settings = &steward.node.settings;
+    let asked = clock::Instant(stamp_ms);
+    let read_age = Duration::from_millis(read_ms.into());
     let until = talk::stands_until(
         steward.node.now(),
-        clock::Instant(stamp_ms),
-        Duration::from_millis(read_ms.into()),
+        asked,
+        read_age,
         settings.obey.min(settings.apply),
     );
     if until.is_some() {
         steward.node.store_is_back();
     }
-    let relayed = node::Relayed { until, version };
+    let relayed = node::Relayed {
+        until,
+        read: Some(asked.before(read_age)),
+        version,
+    };
     steward.node.relayed.send_replace(relayed);
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use prometheus::{
-    CounterVec, Encoder as _, HistogramVec, IntCounterVec, IntGauge, Registry, TextEncoder,
+    CounterVec, Encoder as _, Gauge, HistogramVec, IntCounterVec, IntGauge, Registry, TextEncoder,
 };
 use smol_str::SmolStr;
 
@@ -33,6 +33,7 @@
     charged: CounterVec,
     labels: Arc<Mutex<BTreeSet<SmolStr>>>,
     version: IntGauge,
+    config_age: Gauge,
     steward: IntGauge,
 }
 
@@ -78,6 +79,10 @@
             )?,
             labels: Arc::default(),
             version: builder.gauge("fleet_config_version", "The configuration in force")?,
+            config_age: builder.real_gauge(
+                "fleet_config_age_seconds",
+                "Since the store was last read for the configuration in force, by this instance or the steward",
+            )?,
             steward: builder.gauge("fleet_steward", "1 while this instance orders engines")?,
             registry: builder.registry,
         })
@@ -139,6 +144,12 @@
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// How long ago the store was read for the configuration in force; none if it never was.
+    pub fn set_config_age(&self, age: Option<Duration>) {
+        let seconds = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
+        self.config_age.set(seconds);
+    }
+
     /// Whether this instance orders engines.
     pub fn set_steward(&self, acts: bool) {
         self.steward.set(acts.into());
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -59,12 +59,48 @@
 /// What the steward says of its own reads of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Relayed {
-    /// Until then its word stands for reads of this instance's own.
+    /// Until then its reads stand for reads of this instance's own.
     pub until: Option<Instant>,
+    /// When it read the store last, or later.
+    pub read: Option<Instant>,
     /// The newest configuration that it knows of.
     pub version: u64,
 }
 
+/// The configuration that an instance decides by, and how sure it is that there is no later one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Edition {
+    /// The version; 0 for none.
+    pub version: u64,
+    /// How long ago the store was read last; none if it never was.
+    pub age: Option<Duration>,
+    /// Who read it.
+    pub reader: Reader,
+}
+
+/// Who has read the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reader {
+    /// Nobody yet.
+    Nobody,
+    /// The instance itself.
+    Own,
+    /// The steward, which told it.
+    Steward,
+}
+
+impl Reader {
+    /// Its name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Nobody => "nobody",
+            Self::Own => "own",
+            Self::Steward => "steward",
+        }
+    }
+}
+
 /// Where requests wait for the same thing.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct LaneKey {
@@ -158,6 +194,25 @@
         read.map_or(Duration::MAX, |at| self.now().since(at))
     }
 
+    /// The configuration in force, and the last read of the store behind it.
+    #[must_use]
+    pub fn edition(&self) -> Edition {
+        let now = self.now();
+        let told = self.relayed.borrow().read;
+        let state = self.lock();
+        let read = told.max(state.config_read);
+        let reader = match read {
+            None => Reader::Nobody,
+            Some(_) if told > state.config_read => Reader::Steward,
+            Some(_) => Reader::Own,
+        };
+        Edition {
+            version: state.config.as_ref().map_or(0, |config| config.version),
+            age: read.map(|at| now.since(at)),
+            reader,
+        }
+    }
+
     /// Whether the steward's reads of the store stand for this instance's own.
     #[must_use]
     pub fn is_relayed(&self) -> bool {
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -290,11 +290,14 @@
         self.node
             .metrics
             .refused(problem.code, problem.status.as_u16());
+        let edition = self.node.edition();
         log::info!(
             request = call.id.as_str(), status = u64::from(problem.status.as_u16()), code = problem.code,
             why = problem.message.as_str(), verdict = problem.verdict.as_str(), took_ms = clock::millis(took),
             model = call.model.as_deref().unwrap_or_default(),
-            retry_after_ms = problem.retry_after.map_or(0, clock::millis);
+            retry_after_ms = problem.retry_after.map_or(0, clock::millis),
+            config_version = edition.version, config_reader = edition.reader.as_str(),
+            config_age_ms = edition.age.map_or(0, clock::millis);
             "refused"
         );
         let mut response = problem.answer();
--- a/crates/fireflywheel_daemon/src/metrics/builder.rs
+++ b/crates/fireflywheel_daemon/src/metrics/builder.rs
@@ -1,8 +1,8 @@
 //! The names and the help of all metrics.
 
 use prometheus::{
-    CounterVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    exponential_buckets,
+    CounterVec, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, exponential_buckets,
 };
 
 use super::Metrics;
@@ -67,6 +67,12 @@
         Ok(metric)
     }
 
+    pub(crate) fn real_gauge(&self, name: &str, help: &str) -> prometheus::Result<Gauge> {
+        let metric = Gauge::new(name, help)?;
+        self.registry.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+
     fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> prometheus::Result<IntGaugeVec> {
         let metric = IntGaugeVec::new(Opts::new(name, help), labels)?;
         self.registry.register(Box::new(metric.clone()))?;
