--- a/crates/fireflywheel_standin/src/site/store.rs
+++ b/crates/fireflywheel_standin/src/site/store.rs
@@ -27,11 +27,11 @@
 #[derive(Clone, Debug)]
 pub struct Store {
     inner: Arc<Inner>,
+    desk: Arc<fault::Desk>,
 }
 
 #[derive(Debug)]
 struct Inner {
-    desk: fault::Desk,
     state: Mutex<State>,
     changes: watch::Sender<u64>,
 }
@@ -85,12 +85,21 @@
     #[must_use]
     pub fn new() -> Self {
         let inner = Inner {
-            desk: fault::Desk::new(fault::Switches::default()),
             state: Mutex::default(),
             changes: watch::Sender::new(0),
         };
         Self {
             inner: Arc::new(inner),
+            desk: no_faults(),
+        }
+    }
+
+    /// The same store with switches of its own, for callers that it turns away while it serves others.
+    #[must_use]
+    pub fn with_own_faults(&self) -> Self {
+        Self {
+            inner: Arc::clone(&self.inner),
+            desk: no_faults(),
         }
     }
 
@@ -140,7 +149,7 @@
 
     /// Changes the switches.
     pub fn set_faults(&self, change: &fault::Change) {
-        self.inner.desk.apply(change);
+        self.desk.apply(change);
     }
 
     /// Limits how many records one read returns.
@@ -264,7 +273,7 @@
     type Counts = u64;
 
     fn desk(&self) -> &fault::Desk {
-        &self.inner.desk
+        &self.desk
     }
 
     fn counts(&self) -> u64 {
@@ -293,6 +302,10 @@
     }
 }
 
+fn no_faults() -> Arc<fault::Desk> {
+    Arc::new(fault::Desk::new(fault::Switches::default()))
+}
+
 fn text<'a>(request: &'a http::Request, name: &str) -> Option<&'a str> {
     let pairs = request
         .query
