A configuration goes over the steward's links, so an instance that the store turns away has it too

Callers saw: a route that a confirmed change added refused with 404, at one instance and for long (site::instance_that_the_store_turns_away: 30 s, for as long as the test waits). Cause: a link told the version only; the configuration itself had to be read from the store by each instance. One that the store answers with 503, 429, a reset or nothing stayed on the version before, beside a steward with the new one, and asked the store again and again. Ruled out for this case: the link (cold models were loaded over it), the back-off (its pauses end after a second). Change: frame::Frame::Configuration, encoded once, sent to a link whose instance has told an older version, before the version is named. What comes is put in force by the rule that holds for reads: never an earlier version. A registry of organisations is checked again when it is read from a link. Why it works: an instance needs the store or the steward, not both. The class, a fact told by name that must be fetched elsewhere, was looked for in the other frames: entries, holdings, shares and forecasts are told whole; the lease's end is a number that nothing is read by.

--- a/crates/fireflywheel/src/fleet/config.rs
+++ b/crates/fireflywheel/src/fleet/config.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use super::organisation;
 
 /// One accepted configuration, whole.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Config {
     /// Rises with each configuration, in steps of any size.
     pub version: u64,
@@ -23,7 +24,7 @@
 }
 
 /// Where requests of one host and path prefix go.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Route {
     /// Its name, for logs and metrics.
     pub name: SmolStr,
@@ -50,7 +51,7 @@
 }
 
 /// A group that serves a share of a route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Target {
     /// The name of the group.
     pub group: SmolStr,
@@ -59,7 +60,7 @@
 }
 
 /// What may be repeated.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Kind {
     /// Any number of runs does no harm.
     Idempotent,
@@ -86,7 +87,7 @@
 }
 
 /// Backend servers of one kind.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Group {
     /// Connections that one server takes from all instances together.
     pub connections: usize,
@@ -95,7 +96,7 @@
 }
 
 /// What the engines of a group can hold.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Engine {
     /// Requests that run at once on one server.
     pub slots: u32,
@@ -110,7 +111,7 @@
 }
 
 /// One model.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Model {
     /// Memory of its weights.
     pub memory_mb: f64,
@@ -125,7 +126,7 @@
 }
 
 /// What callers may send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Limits {
     /// The largest header.
     pub header_bytes: usize,
--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -40,6 +40,9 @@
     /// What organisations with a quota asked for since the last demand.
     #[serde(default)]
     pub usage: Vec<quota::Usage>,
+    /// The configuration in force at the instance; 0 for none.
+    #[serde(default)]
+    pub config_version: u64,
     /// How old the instance's own reads of the store are, in milliseconds.
     #[serde(default = "never")]
     pub read_ms: u32,
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -2,13 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{demand, lease, quota, server, work};
+use super::{config, demand, lease, quota, server, work};
 use crate::clock;
 
 /// A span in whole milliseconds, as frames carry it; the most there is when it is longer.
@@ -64,6 +65,8 @@
         #[serde(default)]
         standbys_read: bool,
     },
+    /// The newest configuration that the steward has read. Instances that the store doesn't answer have it from here.
+    Configuration(Arc<config::Config>),
     /// Entries of the directory that have changed, from the steward.
     Directory(Changes),
     /// The receiver is steward from now on, from the one before, which stops.
--- a/crates/fireflywheel/src/fleet/organisation.rs
+++ b/crates/fireflywheel/src/fleet/organisation.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 use smol_str::SmolStr;
 
@@ -22,7 +23,7 @@
 
 /// The hash of an API key. The key itself is never kept, so it can't end up in a log or a status page, and the
 /// time of a comparison tells nothing of it.
-#[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Credential([u8; 32]);
 
 impl Credential {
@@ -49,7 +50,7 @@
 }
 
 /// One organisation.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Organisation {
     /// Its name, as backend servers are told.
     pub name: SmolStr,
@@ -90,12 +91,39 @@
 pub struct Key(u32);
 
 /// All organisations of one configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(into = "Listing", try_from = "Listing")]
 pub struct Registry {
     organisations: Vec<Organisation>,
     credentials: BTreeMap<Credential, Key>,
 }
 
+/// A registry on its way to another instance. It is checked again when it is read: keys of a registry are places in it.
+#[derive(Deserialize, Serialize)]
+struct Listing(Vec<(Organisation, Vec<Credential>)>);
+
+impl From<Registry> for Listing {
+    fn from(registry: Registry) -> Self {
+        let mut listed: Vec<_> = registry
+            .organisations
+            .into_iter()
+            .map(|organisation| (organisation, Vec::new()))
+            .collect();
+        for (credential, key) in registry.credentials {
+            listed[key.0 as usize].1.push(credential);
+        }
+        Self(listed)
+    }
+}
+
+impl TryFrom<Listing> for Registry {
+    type Error = Fault;
+
+    fn try_from(listing: Listing) -> Result<Self, Fault> {
+        Self::new(listing.0)
+    }
+}
+
 /// Why organisations can't be in force together. Names organisations, never a key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Fault {
--- a/crates/fireflywheel/src/fleet/quota.rs
+++ b/crates/fireflywheel/src/fleet/quota.rs
@@ -18,7 +18,7 @@
 const SPANS: u32 = 16;
 
 /// What is counted.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Unit {
     /// Each request counts as one.
     Requests,
@@ -30,7 +30,7 @@
 }
 
 /// How much an organisation may ask for.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Quota {
     /// In a second, in the long run.
     pub per_second: f64,
--- a/crates/fireflywheel/tests/fleet/organisation.rs
+++ b/crates/fireflywheel/tests/fleet/organisation.rs
@@ -35,7 +35,33 @@
     assert!(!whole.contains("secret"), "{whole}");
 }
 
+fn read_back(organisations: &[(&str, &[&str])]) {
+    let sent = registry(organisations).expect("no key is shared");
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&sent, &mut bytes).expect("a buffer takes all that is written");
+    let read: Registry = ciborium::from_reader(bytes.as_slice()).expect("it is whole");
+    assert_eq!(read, sent);
+}
+
+/// A registry as another instance would send it.
+fn read(listed: &[(&str, &[&str])]) -> Option<Registry> {
+    let listed: Vec<_> = listed
+        .iter()
+        .map(|(name, keys)| {
+            let credentials: Vec<_> = keys.iter().map(|key| Credential::of(key)).collect();
+            (Organisation::new(*name), credentials)
+        })
+        .collect();
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&listed, &mut bytes).expect("a buffer takes all that is written");
+    ciborium::from_reader(bytes.as_slice()).ok()
+}
+
 cases! {
+    /// A configuration that comes over a link would serve other callers than the same one from the store.
+    same_over_a_link => read_back(&[("desk", &["k1", "k2"]), ("shop", &["k3"]), ("yard", &[])]);
+    /// A registry that comes over a link is checked as one from the store is.
+    shared_key_over_a_link => assert_eq!(read(&[("desk", &["k1"]), ("shop", &["k1"])]), None);
     /// Each key of an organisation is its own.
     first_key => owner("k1", Some("desk"));
     /// The second one too.
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -312,6 +312,9 @@
             anyhow::bail!("another instance is steward");
         }
         frame::Frame::Standbys(standbys) => steward.name_standbys(standbys),
+        frame::Frame::Configuration(config) => {
+            steward.node.configure(config, node::Reader::Steward);
+        }
         frame::Frame::Directory(changes) => steward.node.learn_entries(changes),
         frame::Frame::Hello { .. } | frame::Frame::Demand(_) => {}
     }
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -151,20 +151,15 @@
         self.lock().config.clone()
     }
 
-    /// Puts a configuration in force, unless a later one is.
-    pub fn configure(&self, config: config::Config) -> bool {
-        let mut state = self.lock();
-        let newest = state.config.as_ref().map(|config| config.version);
-        if newest.is_some_and(|version| version >= config.version) {
-            return false;
-        }
-        if let Some(organisations) = &config.organisations {
-            state.forget_gates(organisations);
+    /// Puts a configuration in force, unless that one or a later one is.
+    pub fn configure(&self, config: Arc<config::Config>, reader: Reader) {
+        let (version, routes) = (config.version, config.routes.len() as u64);
+        let taken = self.lock().configure(config);
+        if taken {
+            self.metrics.set_version(version);
+            self.wake();
         }
-        state.config = Some(Arc::new(config));
-        drop(state);
-        self.wake();
-        true
+        log::info!(version = version, routes = routes, taken = taken, reader = reader.as_str(); "configuration read");
     }
 
     /// The configuration was read at this time.
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -65,6 +65,7 @@
             denied: denied.into_iter().collect(),
             usage,
             asks,
+            config_version: state.config.as_ref().map_or(0, |config| config.version),
             read_ms: frame::millis(state.read_age(now)),
         }
     }
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -227,8 +227,21 @@
             .retain(|_, known| known.told.is_none() || known.seen.in_flight > 0);
     }
 
+    /// Takes a configuration, unless that one or a later one is in force.
+    pub(super) fn configure(&mut self, config: Arc<config::Config>) -> bool {
+        let newest = self.config.as_ref().map(|config| config.version);
+        if newest.is_some_and(|version| version >= config.version) {
+            return false;
+        }
+        if let Some(organisations) = &config.organisations {
+            self.forget_gates(organisations);
+        }
+        self.config = Some(config);
+        true
+    }
+
     /// Organisations that the configuration names no more have no quota.
-    pub(super) fn forget_gates(&mut self, organisations: &organisation::Registry) {
+    fn forget_gates(&mut self, organisations: &organisation::Registry) {
         let named: BTreeSet<&SmolStr> = organisations
             .iter()
             .map(|organisation| &organisation.name)
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -102,6 +102,7 @@
             turned: clock::Instant::default(),
             beat: None,
             told_version: 0,
+            config: None,
             entries: BTreeMap::new(),
             load: (clock::Instant::default(), false),
             forecast: clock::Instant::default(),
@@ -203,6 +204,7 @@
             leaving: false,
             stamp_ms: 0,
             read_age: Duration::MAX,
+            config_version: 0,
             waits: false,
             whole,
             untold: BTreeSet::new(),
@@ -223,8 +225,19 @@
         let now = self.node.now();
         let mut state = self.lock();
         let word = self.word(&state, now);
-        let State { links, meter, .. } = &mut *state;
+        let State {
+            links,
+            meter,
+            config,
+            ..
+        } = &mut *state;
         if let Some(link) = links.get_mut(&number) {
+            link.config_version = link.config_version.max(demand.config_version);
+            // Before the version is named, at which the instance would read the store.
+            if word.acts && !link.send_config(config.as_ref()) {
+                links.remove(&number);
+                return;
+            }
             // What the steward tells stands only once it has answered a demand.
             if link.stamp_ms == 0 && !link.send(&word.frame(demand.stamp_ms)) {
                 links.remove(&number);
@@ -374,6 +387,7 @@
         if version != followed {
             state.tell_directory(self.node.entries());
         }
+        state.tell_config(&config);
         state.beat(now, &word);
         state.tell_waiting(now);
         let loads = state.tell_load(now);
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -23,6 +23,8 @@
     pub(super) stamp_ms: u64,
     /// How old its own reads of the store are.
     pub(super) read_age: Duration,
+    /// The newest configuration that it has, or that was sent to it.
+    pub(super) config_version: u64,
     /// Requests wait there, so that each change of an engine may matter to it at once.
     pub(super) waits: bool,
     /// It is told of all engines.
@@ -72,6 +74,16 @@
         }))
     }
 
+    /// Sends the configuration if the instance has an earlier one; whether the link still has room.
+    pub(super) fn send_config(&mut self, config: Option<&(u64, Bytes)>) -> bool {
+        let Some((version, bytes)) = config.filter(|(version, _)| *version > self.config_version)
+        else {
+            return true;
+        };
+        self.config_version = *version;
+        self.sender.try_send(bytes.clone()).is_ok()
+    }
+
     /// Whether the link still has room.
     pub(super) fn send(&self, frame: &frame::Frame) -> bool {
         self.sender.try_send(frame.encode()).is_ok()
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use bytes::Bytes;
 use fireflywheel::clock;
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::demand;
@@ -64,6 +65,8 @@
     pub(super) turned: clock::Instant,
     pub(super) beat: Option<clock::Instant>,
     pub(super) told_version: u64,
+    /// The newest configuration in the form in which it is sent, with its version.
+    pub(super) config: Option<(u64, Bytes)>,
     /// The directory as it was told last.
     pub(super) entries: BTreeMap<SmolStr, frame::Entry>,
     /// When it was last told what engines have to read, and whether that was anything.
--- a/crates/fireflywheel_daemon/src/fleet/steward/tell.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/tell.rs
@@ -1,10 +1,12 @@
 //! What the steward tells the instances that have a link to it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use fireflywheel::clock;
+use fireflywheel::fleet::config;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease;
 use fireflywheel::fleet::work;
@@ -79,6 +81,19 @@
         (NEWS_A_LINK * links).clamp(SHORTEST_NEWS, BEAT)
     }
 
+    /// Sends a configuration that is new here to all instances that have told which one they have.
+    pub(super) fn tell_config(&mut self, config: &Arc<config::Config>) {
+        let known = self.config.as_ref().map(|(version, _)| *version);
+        if known == Some(config.version) {
+            return;
+        }
+        let bytes = frame::Frame::Configuration(Arc::clone(config)).encode();
+        self.config = Some((config.version, bytes));
+        let config = self.config.as_ref();
+        self.links
+            .retain(|_, link| link.stamp_ms == 0 || link.send_config(config));
+    }
+
     /// A beat at its time, and at once when there is a new configuration.
     pub(super) fn beat(&mut self, now: clock::Instant, word: &link::Word) {
         let due = self.beat.is_none_or(|beat| now.since(beat) >= BEAT);
--- a/crates/fireflywheel_daemon/src/fleet/watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/watch.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use fireflywheel::clock;
-use fireflywheel::fleet::config;
 use tokio::time;
 
 use super::node;
@@ -85,7 +84,7 @@
                 // The answer to a read that waited is as old as its end.
                 node.read_config(asked.after(wait).min(node.now()));
                 if let Some(config) = config {
-                    take(&node, config);
+                    node.configure(Arc::new(config), node::Reader::Own);
                 }
             }
             Err(fault) => {
@@ -95,18 +94,6 @@
     }
 }
 
-fn take<P>(node: &node::Node<P>, config: config::Config)
-where
-    P: platform::Platform,
-{
-    let (version, routes) = (config.version, config.routes.len() as u64);
-    let taken = node.configure(config);
-    if taken {
-        node.metrics.set_version(version);
-    }
-    log::info!(version = version, routes = routes, taken = taken; "configuration read");
-}
-
 /// Follows the directory for ever.
 pub async fn directory<P>(node: Arc<node::Node<P>>)
 where
