Answers are read for the limit that a server names, and the log and a metric tell of it

An instance logs when a server's limit changes, and fleet_limited_servers counts those that name one. No decision follows from it yet.

--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -141,6 +141,7 @@
     if let Some(load) = reply.load {
         node.reported(server, load);
     }
+    node.limited(server, reply.limit);
     if reply.not_run {
         return refused(node, job, server, head.status, &reply);
     }
--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -34,6 +34,7 @@
     labels: Arc<Mutex<BTreeSet<SmolStr>>>,
     version: IntGauge,
     config_age: Gauge,
+    limited: IntGauge,
     steward: IntGauge,
 }
 
@@ -83,6 +84,10 @@
                 "fleet_config_age_seconds",
                 "Since the store was last read for the configuration in force, by this instance or the steward",
             )?,
+            limited: builder.gauge(
+                "fleet_limited_servers",
+                "Backend servers that name how many requests a second they take",
+            )?,
             steward: builder.gauge("fleet_steward", "1 while this instance orders engines")?,
             registry: builder.registry,
         })
@@ -150,6 +155,11 @@
         self.config_age.set(seconds);
     }
 
+    /// So many backend servers name a limit.
+    pub fn set_limited(&self, servers: usize) {
+        self.limited.set(i64::try_from(servers).unwrap_or(i64::MAX));
+    }
+
     /// Whether this instance orders engines.
     pub fn set_steward(&self, acts: bool) {
         self.steward.set(acts.into());
--- a/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
@@ -245,6 +245,27 @@
         }
     }
 
+    /// A server named a limit in its answer, or none.
+    pub fn limited(&self, id: &str, per_second: Option<f64>) {
+        let mut state = self.lock();
+        let Some(known) = state.servers.get_mut(id) else {
+            return;
+        };
+        if std::mem::replace(&mut known.limit, per_second) == per_second {
+            return;
+        }
+        let limited = state.servers.values().filter(|known| known.limit.is_some());
+        let limited = limited.count();
+        drop(state);
+        self.metrics.set_limited(limited);
+        match per_second {
+            Some(per_second) => {
+                log::info!(server = id, per_second = per_second; "backend server names a limit");
+            }
+            None => log::info!(server = id; "backend server names no limit any more"),
+        }
+    }
+
     /// A server said that it doesn't hold a model which it was thought to hold. The steward is told: somebody else
     /// may have ordered the server, and all instances would go on to send it requests that it refuses.
     pub fn denied(&self, id: &str, lane: &LaneKey) {
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -85,6 +85,8 @@
     pub(super) told: Option<server::Held>,
     pub(super) seen: routing::Seen,
     pub(super) backlog: work::Backlog,
+    /// Requests a second that it takes from all instances together, by its last answer.
+    pub(super) limit: Option<f64>,
     pub(super) running: BTreeMap<(SmolStr, Option<SmolStr>), Running>,
     /// Its entry is gone, but it may only have lapsed while the store was away.
     pub(super) missing: Option<clock::Instant>,
@@ -169,6 +171,7 @@
             told: None,
             seen: routing::Seen::default(),
             backlog: work::Backlog::default(),
+            limit: None,
             running: BTreeMap::new(),
             missing: None,
         };
@@ -178,6 +181,7 @@
             // Another process: nothing that was seen of the one before holds for it.
             known.seen = routing::Seen::default();
             known.backlog = work::Backlog::default();
+            known.limit = None;
             known.running.clear();
             known.told = None;
         } else if server.held == server::Held::default() {
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -88,6 +88,8 @@
     pub not_run: bool,
     /// The load of the server.
     pub load: Option<routing::Report>,
+    /// Requests a second that the server takes from all instances together.
+    pub limit: Option<f64>,
     /// How long the server keeps the connection open unused.
     pub keep: Option<Duration>,
 }
