--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -98,6 +98,10 @@
     runs: BTreeMap<SmolStr, u64>,
     taken: Vec<Taken>,
     switches: Switches,
+    /// Requests a second that it says it takes.
+    limit: Option<f64>,
+    /// When requests came, also those that it refused.
+    arrivals: Vec<time::Instant>,
 }
 
 /// What a worker does wrong; each counts down.
@@ -239,6 +243,17 @@
         self.lock().switches = switches;
     }
 
+    /// Names in all answers from now on how many requests a second it takes, or names no limit any more.
+    pub fn set_limit(&self, per_second: Option<f64>) {
+        self.lock().limit = per_second;
+    }
+
+    /// When requests came, also those that it refused.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<time::Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// Changes the switches that all stand-ins have.
     pub fn set_faults(&self, change: &fault::Change) {
         self.inner.desk.apply(change);
@@ -499,10 +514,15 @@
             }
             _ => {}
         }
-        if let Some(refusal) = self.refusal(&request) {
-            return Ok(refusal);
+        self.lock().arrivals.push(time::Instant::now());
+        let mut answer = match self.refusal(&request) {
+            Some(refusal) => refusal,
+            None => self.run(&request).await.unwrap_or_else(not_run),
+        };
+        if let Some(limit) = self.lock().limit {
+            set(&mut answer, "server-limit", &limit.to_string());
         }
-        Ok(self.run(&request).await.unwrap_or_else(not_run))
+        Ok(answer)
     }
 }
 
