Requests to a server that names a limit need a permit, which the steward grants

Callers saw: requests to an overloaded server that went on as before. In the incident two engines named 1.6 and 2.9 requests a second and got 28 and 41 in 4 s from instances that knew it, where 15 and 22 are allowed. Cause: no line read the header. Behind it the question that quotas answered: one figure kept by many instances that don't hear of each other at once. Ruled out by the timeline: late knowledge (the figures don't fall at all in four seconds), instances that each keep to the whole (there was no code for it). Ways weighed, in virtual time: a part for each instance (a request in four minutes at 300 instances and 1.3 a second; unused parts of all used at once are more than the limit), a share of requests as for quotas (needs a rate of what is offered, which routing changes with each answer), a permit for each request from one bucket at the steward. The third keeps the limit exactly and uses it: kept. It costs a round over a link for these servers only. Change: fleet::limit: gate (an instance and a server) and pacer (the steward). Instances tell the steward what answers name, the steward tells all. An ask is granted, queued until its turn, or refused with the wait, at once; a permit lapses after 0.4 s. Without a steward each instance draws at random, three tenths of the limit together. Servers without a limit go first. Engines whose models are asked for more than they take don't count as copies, so these are loaded elsewhere. A limit is lifted by an answer without it to a request sent after it was known. Refusals are 503 limited with the turn as Retry-After.

--- a/crates/fireflywheel/src/bucket.rs
+++ b/crates/fireflywheel/src/bucket.rs
@@ -21,6 +21,27 @@
         }
     }
 
+    /// A bucket without tokens.
+    #[must_use]
+    pub fn empty(now: clock::Instant, capacity: f64) -> Self {
+        Self {
+            tokens: 0.0,
+            ..Self::new(now, capacity)
+        }
+    }
+
+    /// Tokens that are in it.
+    #[must_use]
+    pub fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
+    /// Changes the capacity; what is beyond it is lost.
+    pub fn resize(&mut self, capacity: f64) {
+        self.capacity = capacity;
+        self.add(0.0);
+    }
+
     /// Adds what has come at this rate since the last time.
     pub fn fill(&mut self, now: clock::Instant, per_second: f64) {
         let elapsed = now.since(self.filled).as_secs_f64();
--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{quota, rate, work};
+use super::{limit, quota, rate, work};
 use crate::clock;
 
 /// Rates forget half of what they saw after this. Demand moves within seconds, and a rare model is asked for
@@ -40,6 +40,12 @@
     /// What organisations with a quota asked for since the last demand.
     #[serde(default)]
     pub usage: Vec<quota::Usage>,
+    /// What servers' answers have said of their limits since the last demand.
+    #[serde(default)]
+    pub limits: Vec<limit::Notice>,
+    /// Requests that wait for permits, and that the steward wasn't asked for yet.
+    #[serde(default)]
+    pub permits: Vec<limit::Ask>,
     /// The configuration in force at the instance; 0 for none.
     #[serde(default)]
     pub config_version: u64,
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{config, demand, lease, quota, server, work};
+use super::{config, demand, lease, limit, quota, server, work};
 use crate::clock;
 
 /// A span in whole milliseconds, as frames carry it; the most there is when it is longer.
@@ -75,6 +75,10 @@
     Moved(lease::Record),
     /// The sender isn't steward, and has a link to this one.
     Steward(lease::Record),
+    /// All servers that name a limit, from the steward; replaces what it said before.
+    Limits(Vec<limit::Notice>),
+    /// Answers to asks for permits, from the steward.
+    Permits(Vec<limit::Reply>),
     /// Which share of each organisation's requests to admit, from the steward; replaces what it said before.
     Shares(Vec<quota::Share>),
     /// Instances that take over if the sender dies, and that know who did; from the steward.
--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 //! | [`backoff`] | when the platform's store may be called again after calls that failed |
 //! | [`organisation`] | whose requests are served, and by which key they are recognised |
 //! | [`quota`] | how much an organisation may ask for, over all instances |
+//! | [`limit`] | how many requests an overloaded server gets from all instances |
 //! | [`silence`] | from when on a server's silence means that its answer is lost |
 //! | [`budget`] | how many repeats all instances may send together |
 //! | [`size`] | how many instances share such a limit |
@@ -37,6 +38,7 @@
 pub mod events;
 pub mod frame;
 pub mod lease;
+pub mod limit;
 pub mod organisation;
 pub mod patience;
 pub mod plan;
--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -38,11 +38,20 @@
     pub running: BTreeMap<(SmolStr, Option<SmolStr>), u32>,
     /// How long what waits there takes to read, over the last moments.
     pub pressure: Duration,
+    /// Requests a second that it takes, if it names a limit.
+    pub limit: Option<f64>,
     /// Since when it has held models and adapters.
     pub since: BTreeMap<(SmolStr, Option<SmolStr>), clock::Instant>,
 }
 
 impl Site {
+    /// Whether more is asked for of the models that it holds than it takes.
+    fn is_short(&self, rates: &BTreeMap<SmolStr, f64>) -> bool {
+        let rate = |model: &SmolStr| rates.get(model).copied().unwrap_or_default();
+        let asked: f64 = self.held.models.keys().map(rate).sum();
+        self.limit.is_some_and(|limit| asked > limit)
+    }
+
     /// It loads from the weight store, or makes room to do so.
     fn fetches(&self) -> bool {
         let next = self.room_for.as_ref();
--- a/crates/fireflywheel/src/fleet/plan/planner.rs
+++ b/crates/fireflywheel/src/fleet/plan/planner.rs
@@ -20,6 +20,8 @@
 const SHORTEST_STAY: Duration = Duration::from_millis(600);
 /// An adapter stays this long after its load, for the same reason.
 const ADAPTER_STAY: Duration = Duration::from_millis(300);
+/// An engine that names a limit is overloaded: a model goes there only if another way takes this much longer, in seconds.
+const OVERLOADED: f64 = 3.0;
 /// What is never asked for has this rate, so that larger models go before smaller ones.
 const LEAST_RATE: f64 = 0.001;
 /// How much more a second of waiting counts than a request a second that loses its copy.
@@ -292,11 +294,12 @@
         let loss: f64 = victims.iter().map(|victim| self.loss(place, victim)).sum();
         // While a load runs here, whatever is swapped at this site has to wait.
         let held_up = self.swapped_rate(place) * time.as_secs_f64();
+        let overloaded = site.limit.map_or(0.0, |_| OVERLOADED);
         Some(Way {
             site: place,
             tier,
             victim: victims.into_iter().next(),
-            cost: time.as_secs_f64() + loss + held_up + site.pressure.as_secs_f64(),
+            cost: time.as_secs_f64() + loss + held_up + overloaded + site.pressure.as_secs_f64(),
         })
     }
 
--- a/crates/fireflywheel/src/fleet/plan/survey.rs
+++ b/crates/fireflywheel/src/fleet/plan/survey.rs
@@ -45,13 +45,15 @@
             soon: BTreeSet::new(),
         };
         for site in view.sites.iter().filter(|site| site.usable) {
+            // Models of an engine that takes fewer requests than they have need copies elsewhere.
+            let counted = usize::from(!site.is_short(view.rates));
             for model in site.held.models.keys() {
-                *survey.copies.entry(model).or_default() += 1;
+                *survey.copies.entry(model).or_default() += counted;
                 let least = survey.pressure.entry(model).or_insert(site.pressure);
                 *least = site.pressure.min(*least);
             }
             let requests: u32 = site.running.values().sum();
-            if requests < view.engine.slots {
+            if requests < view.engine.slots && counted > 0 {
                 survey.placed.extend(site.held.models.keys());
             }
             for model in site.held.models.keys() {
--- a/crates/fireflywheel/src/fleet/track.rs
+++ b/crates/fireflywheel/src/fleet/track.rs
@@ -146,6 +146,7 @@
             room_for: self.sent_room().or(self.room_for.as_ref()).cloned(),
             running,
             pressure: self.pressure.update(now, unread),
+            limit: None,
             since: self.since.clone(),
         }
     }
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod demand;
 mod events;
 mod lease;
+mod limit;
 mod organisation;
 mod pace;
 mod patience;
--- a/crates/fireflywheel/tests/fleet/plan.rs
+++ b/crates/fireflywheel/tests/fleet/plan.rs
@@ -1,138 +1,17 @@
 //! Which orders are sent, and that none overcommits an engine or asks the weight store for what a disk has.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod world;
+
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use arbtest::arbtest;
 use fireflywheel::clock::Instant;
-use fireflywheel::fleet::config::{Engine, Model};
-use fireflywheel::fleet::demand::Want;
-use fireflywheel::fleet::plan::{self, Site, Step, Tier, View, pace};
-use smol_str::{SmolStr, format_smolstr};
+use fireflywheel::fleet::plan::{self, Step, Tier};
+use smol_str::SmolStr;
 
 use crate::cases;
-
-const NOW: Instant = Instant(100_000);
-
-struct World {
-    engine: Engine,
-    sites: Vec<Site>,
-    wants: Vec<Want>,
-    rates: BTreeMap<SmolStr, f64>,
-    drains: BTreeMap<SmolStr, f64>,
-    fetches: usize,
-}
-
-impl World {
-    /// Engines that hold two of ten models of the same size.
-    fn new(sites: usize) -> Self {
-        let model = Model {
-            memory_mb: 40.0,
-            fetch: Duration::from_secs(6),
-            from_disk: Duration::from_secs(1),
-            from_host: Duration::from_millis(500),
-            adapter_mb: 1.0,
-        };
-        let models = (0..10)
-            .map(|number| (format_smolstr!("m{number}"), model))
-            .collect();
-        let engine = Engine {
-            slots: 8,
-            memory_mb: 83.0,
-            adapter_places: 2,
-            loads_per_second: 5.0,
-            models,
-        };
-        let site = Site {
-            usable: true,
-            ..Site::default()
-        };
-        Self {
-            engine,
-            sites: vec![site; sites],
-            wants: Vec::new(),
-            rates: BTreeMap::new(),
-            drains: BTreeMap::new(),
-            fetches: pace::Pace::default().at_once(),
-        }
-    }
-
-    fn holding(mut self, site: usize, model: &str) -> Self {
-        let held = &mut self.sites[site].held;
-        held.models.insert(model.into(), BTreeSet::new());
-        held.on_disk.insert(model.into());
-        self
-    }
-
-    fn on_disk(mut self, site: usize, model: &str) -> Self {
-        self.sites[site].held.on_disk.insert(model.into());
-        self
-    }
-
-    fn all_on_disk(mut self, site: usize) -> Self {
-        let models = self.engine.models.keys().cloned();
-        self.sites[site].held.on_disk.extend(models);
-        self
-    }
-
-    fn running(mut self, site: usize, model: &str, count: u32) -> Self {
-        self.sites[site].running.insert((model.into(), None), count);
-        self
-    }
-
-    fn pressure(mut self, site: usize, millis: u64) -> Self {
-        self.sites[site].pressure = Duration::from_millis(millis);
-        self
-    }
-
-    fn busy(mut self, site: usize) -> Self {
-        self.sites[site].held.busy = true;
-        self
-    }
-
-    fn fetching(mut self, site: usize, model: &str) -> Self {
-        self.sites[site].loading = Some(model.into());
-        self.sites[site].fetching = true;
-        self.busy(site)
-    }
-
-    fn rate(mut self, model: &str, rate: f64) -> Self {
-        self.rates.insert(model.into(), rate);
-        self
-    }
-
-    fn wanted(self, model: &str) -> Self {
-        self.wanted_adapter(model, None)
-    }
-
-    fn wanted_adapter(mut self, model: &str, adapter: Option<&str>) -> Self {
-        self.wants.push(Want {
-            model: model.into(),
-            adapter: adapter.map(SmolStr::new),
-            waiting: 1,
-            since: Instant(NOW.0 - 100),
-            until: Instant(NOW.0 + 5000),
-        });
-        self
-    }
-
-    fn view(&self) -> View<'_> {
-        View {
-            now: NOW,
-            engine: &self.engine,
-            sites: &self.sites,
-            wants: &self.wants,
-            rates: &self.rates,
-            drains: &self.drains,
-            fetches: self.fetches,
-            pace: pace::Pace::default(),
-        }
-    }
-
-    fn steps(&self) -> Vec<Step> {
-        plan::steps(&self.view())
-    }
-}
+use world::{NOW, World};
 
 fn load(site: usize, model: &str, tier: Tier) -> Step {
     Step::Load {
@@ -484,7 +363,30 @@
     }
 }
 
+fn overloaded_engine(rate: f64, expected: &[Step]) {
+    let world = World::new(2)
+        .holding(0, "m0")
+        .limited(0, 2.0)
+        .all_on_disk(1)
+        .rate("m0", rate)
+        .wanted("m0");
+    assert_eq!(world.steps(), expected);
+}
+
+fn load_beside_an_overloaded_engine() {
+    let world = World::new(2).on_disk(0, "m0").on_disk(1, "m0");
+    let world = world.limited(0, 2.0).rate("m1", 1.0).wanted("m0");
+    let wanted = load(1, "m0", Tier::Disk);
+    assert_eq!(world.steps().first(), Some(&wanted));
+}
+
 cases! {
+    /// Callers of a model would wait for an engine that takes fewer requests than they send.
+    copy_beside_an_overloaded_engine => overloaded_engine(5.0, &[load(1, "m0", Tier::Disk)]);
+    /// An engine that takes all requests of its models needs no second copy.
+    overloaded_engine_that_is_enough => overloaded_engine(1.0, &[]);
+    /// A load would take what little the engine can still do.
+    no_load_to_an_overloaded_engine => load_beside_an_overloaded_engine();
     /// The weight store takes six seconds and is shared by all; a disk takes one.
     disk_before_store => wanted_model_comes_from_a_disk();
     /// The only disk with a copy belongs to an engine that is busy for a second. A load from the store would
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -141,7 +141,12 @@
     if let Some(load) = reply.load {
         node.reported(server, load);
     }
-    node.limited(server, reply.limit);
+    let limit = node::Answer {
+        per_second: reply.limit,
+        sent: now,
+        sealed: reply.sealed,
+    };
+    node.limited(server, limit);
     if reply.not_run {
         return refused(node, job, server, head.status, &reply);
     }
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -74,7 +74,7 @@
     loop {
         if steward.acts() {
             let demand = steward.node.demand();
-            steward.count_own(&demand);
+            steward.hear_own(&demand);
             steward.demand(&steward.node.settings.instance, demand);
             let mut due = talk::Due::new(steward.node.now(), steward::BEAT);
             wait_until(&mut due, &steward).await;
@@ -296,6 +296,8 @@
         }
         frame::Frame::Held(holdings) => steward.node.learn_holdings(holdings),
         frame::Frame::Whole(whole) => steward.node.set_whole(whole),
+        frame::Frame::Limits(notices) => steward.node.learn_limits(&notices),
+        frame::Frame::Permits(replies) => steward.node.learn_permits(&replies),
         frame::Frame::Shares(shares) => steward.node.learn_shares(shares),
         frame::Frame::Load(loads) => steward.node.learn_load(&loads),
         frame::Frame::Forecast(forecasts) => steward.node.learn_forecasts(forecasts),
--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use fireflywheel::fleet::limit;
 use prometheus::{
     CounterVec, Encoder as _, Gauge, HistogramVec, IntCounterVec, IntGauge, Registry, TextEncoder,
 };
@@ -35,6 +36,7 @@
     version: IntGauge,
     config_age: Gauge,
     limited: IntGauge,
+    permits: IntCounterVec,
     steward: IntGauge,
 }
 
@@ -88,6 +90,11 @@
                 "fleet_limited_servers",
                 "Backend servers that name how many requests a second they take",
             )?,
+            permits: builder.counter(
+                "fleet_permits_total",
+                "Decisions of the steward on requests to servers that name a limit",
+                &["outcome"],
+            )?,
             steward: builder.gauge("fleet_steward", "1 while this instance orders engines")?,
             registry: builder.registry,
         })
@@ -160,6 +167,16 @@
         self.limited.set(i64::try_from(servers).unwrap_or(i64::MAX));
     }
 
+    /// The steward has decided on a request to a server that names a limit.
+    pub fn decided(&self, outcome: limit::Outcome) {
+        let outcome = match outcome {
+            limit::Outcome::Granted => "granted",
+            limit::Outcome::Queued(_) => "queued",
+            limit::Outcome::Refused(_) => "refused",
+        };
+        self.permits.with_label_values(&[outcome]).inc();
+    }
+
     /// Whether this instance orders engines.
     pub fn set_steward(&self, acts: bool) {
         self.steward.set(acts.into());
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -4,6 +4,7 @@
 mod demand;
 mod guard;
 mod knowledge;
+mod limit;
 mod quota;
 mod state;
 mod store;
@@ -17,8 +18,9 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
-pub use choice::{Choice, Chosen, Verdict};
+pub use choice::{Choice, Chosen, Query, Verdict};
 pub use guard::{InFlight, Waiter};
+pub use limit::Answer;
 pub use quota::Charge;
 
 use super::metrics;
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -6,6 +6,7 @@
 
 use fireflywheel::clock;
 use fireflywheel::fleet::config;
+use fireflywheel::fleet::limit::gate as limit;
 use fireflywheel::fleet::routing;
 use fireflywheel::fleet::work;
 use smol_str::SmolStr;
@@ -38,6 +39,8 @@
     Server(Chosen),
     /// Those that can run it have no room at this moment; the wait is what the steward expects.
     Full(Option<Duration>),
+    /// Those that can run it name a limit, and its turn hasn't come; the wait is what the steward expects.
+    Limited(Option<Duration>),
     /// Those that can run it couldn't be reached a moment ago.
     Down,
     /// None holds its model; the wait is what the steward expects.
@@ -48,6 +51,29 @@
     Nobody,
 }
 
+/// A request that is to go somewhere.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// Its route.
+    pub route: &'a config::Route,
+    /// Where it waits.
+    pub lane: &'a LaneKey,
+    /// What it says.
+    pub call: &'a platform::Call,
+    /// Servers that it was sent to already; left out if there are others.
+    pub tried: &'a [SmolStr],
+    /// How long it can wait for a server.
+    pub left: Duration,
+}
+
+/// A server that was picked.
+#[derive(Clone, Copy, Debug)]
+struct Picked<'a> {
+    known: &'a state::Known,
+    /// Tokens of the prompt that it has to read, as far as known.
+    unread: u32,
+}
+
 /// What became of an attempt, as far as its server is concerned.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -67,15 +93,19 @@
 where
     P: Send + Sync,
 {
-    /// Where a request can go now, leaving out servers that it was sent to already if there are others.
+    /// Where a request can go now.
     #[must_use]
-    pub fn choose(
-        &self,
-        route: &config::Route,
-        lane: &LaneKey,
-        call: &platform::Call,
-        tried: &[SmolStr],
-    ) -> Choice {
+    pub fn choose(&self, query: Query<'_>) -> Choice {
+        let choice = self.look_for(query);
+        if matches!(choice, Choice::Asked | Choice::Full(_) | Choice::Limited(_)) {
+            // The steward may have to be asked.
+            self.wanted.notify_one();
+        }
+        choice
+    }
+
+    fn look_for(&self, query: Query<'_>) -> Choice {
+        let Query { lane, tried, .. } = query;
         let now = self.now();
         let mut state = self.lock();
         let Some(config) = state.config.clone() else {
@@ -87,8 +117,6 @@
         if let Some(model) = &lane.model
             && !state.knows_model(now, model)
         {
-            drop(state);
-            self.wanted.notify_one();
             return Choice::Asked;
         }
         let mut servers: Vec<&state::Known> = state.usable(now, lane).collect();
@@ -116,10 +144,56 @@
         {
             servers.retain(|known| !tried.contains(&known.server.id));
         }
+        let view = self.limit_view(now, &state);
+        let (limited, open): (Vec<_>, Vec<_>) = servers
+            .into_iter()
+            .partition(|known| known.limit.is_limited());
+        let permitted: Vec<_> = limited
+            .iter()
+            .copied()
+            .filter(|known| known.limit.is_open(view))
+            .collect();
+        // A server that names a limit is overloaded: others go first.
+        let picked = self
+            .pick(now, query, &open)
+            .or_else(|| self.pick(now, query, &permitted));
+        let Some(picked) = picked else {
+            let full = !open.is_empty() || !permitted.is_empty();
+            let limited: Vec<SmolStr> = ids(&limited).cloned().collect();
+            let expected = expected(&state, lane, now);
+            let turn = state.want_permit(view, query.left, &limited);
+            return match full {
+                true => Choice::Full(expected),
+                false => Choice::Limited(turn),
+            };
+        };
+        let chosen = Chosen {
+            server: picked.known.server.id.clone(),
+            address: picked.known.server.address,
+            connections: (group.connections / state.instances.count()).max(1),
+            unread: picked.unread,
+        };
+        let down = lane.model.is_some() && picked.known.seen.is_down(now);
+        if let Some(known) = state.servers.get_mut(&chosen.server) {
+            if down && !known.seen.probe(now) {
+                return Choice::Down;
+            }
+            known.limit.take(view);
+        }
+        Choice::Server(chosen)
+    }
+
+    /// The best of some servers; none when they have no room.
+    fn pick<'a>(
+        &self,
+        now: clock::Instant,
+        query: Query<'_>,
+        servers: &[&'a state::Known],
+    ) -> Option<Picked<'a>> {
+        let Query { route, call, .. } = query;
         let prompt = prompt(call);
         let parts = call.shared.as_ref().map_or("", |shared| &shared.parts);
-        let ids = servers.iter().map(|known| known.server.id.as_str());
-        let keeper = work::keeper(prompt, parts, ids);
+        let keeper = work::keeper(prompt, parts, ids(servers).map(SmolStr::as_str));
         let unread = |known: &state::Known| prompt.unread(keeper == Some(known.server.id.as_str()));
         let candidates: Vec<routing::Candidate<'_>> = servers
             .iter()
@@ -131,22 +205,21 @@
                 reading: reading(now, route, known, unread(known)),
             })
             .collect();
-        let Some(place) = routing::pick(now, &candidates, rand::random()) else {
-            return Choice::Full(expected(&state, lane, now));
-        };
-        let down = lane.model.is_some() && servers[place].seen.is_down(now);
-        let unread = unread(servers[place]);
-        let chosen = Chosen {
-            server: servers[place].server.id.clone(),
-            address: servers[place].server.address,
-            connections: (group.connections / state.instances.count()).max(1),
-            unread,
-        };
-        let known = state.servers.get_mut(&chosen.server);
-        if down && known.is_some_and(|known| !known.seen.probe(now)) {
-            return Choice::Down;
+        let place = routing::pick(now, &candidates, rand::random())?;
+        let known = servers[place];
+        Some(Picked {
+            known,
+            unread: unread(known),
+        })
+    }
+
+    fn limit_view<'a>(&'a self, now: clock::Instant, state: &state::State) -> limit::View<'a> {
+        limit::View {
+            now,
+            instance: &self.settings.instance,
+            instances: state.instances.count(),
+            steward: state.steward,
         }
-        Choice::Server(chosen)
     }
 
     /// How long callers of a model will wait, as far as the steward tells.
@@ -226,6 +299,10 @@
     }
 }
 
+fn ids<'a>(servers: &[&'a state::Known]) -> impl ExactSizeIterator<Item = &'a SmolStr> {
+    servers.iter().map(|known| &known.server.id)
+}
+
 fn expected(state: &state::State, lane: &LaneKey, now: clock::Instant) -> Option<Duration> {
     let key = (lane.group.clone(), lane.model.clone()?);
     Some(state.forecasts.get(&key)?.since(now))
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -47,6 +47,14 @@
                 model.clone()
             })
             .collect();
+        let servers = state.servers.iter_mut();
+        let limits = servers
+            .filter_map(|(id, known)| known.limit.take_notice(now, id))
+            .collect();
+        let servers = state.servers.iter_mut();
+        let permits = servers
+            .filter_map(|(id, known)| known.limit.take_ask(now, id))
+            .collect();
         let gates = state.gates.iter_mut();
         let usage = gates
             .filter_map(|(organisation, gate)| gate.take_usage(now, organisation))
@@ -64,6 +72,8 @@
             leaving: state.stops.is_some(),
             denied: denied.into_iter().collect(),
             usage,
+            limits,
+            permits,
             asks,
             config_version: state.config.as_ref().map_or(0, |config| config.version),
             read_ms: frame::millis(state.read_age(now)),
--- a/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
@@ -131,6 +131,9 @@
         for gate in state.gates.values_mut() {
             gate.linked();
         }
+        for known in state.servers.values_mut() {
+            known.limit.linked();
+        }
     }
 
     /// The steward tells of all engines from now on, or of those that hold what it is asked for.
@@ -147,6 +150,7 @@
     pub fn set_told(&self, told: bool) {
         let until = self.now().after(state::TOLD);
         let mut state = self.lock();
+        state.steward = told;
         if !told {
             state.live = None;
             state.whole = false;
@@ -245,27 +249,6 @@
         }
     }
 
-    /// A server named a limit in its answer, or none.
-    pub fn limited(&self, id: &str, per_second: Option<f64>) {
-        let mut state = self.lock();
-        let Some(known) = state.servers.get_mut(id) else {
-            return;
-        };
-        if std::mem::replace(&mut known.limit, per_second) == per_second {
-            return;
-        }
-        let limited = state.servers.values().filter(|known| known.limit.is_some());
-        let limited = limited.count();
-        drop(state);
-        self.metrics.set_limited(limited);
-        match per_second {
-            Some(per_second) => {
-                log::info!(server = id, per_second = per_second; "backend server names a limit");
-            }
-            None => log::info!(server = id; "backend server names no limit any more"),
-        }
-    }
-
     /// A server said that it doesn't hold a model which it was thought to hold. The steward is told: somebody else
     /// may have ordered the server, and all instances would go on to send it requests that it refuses.
     pub fn denied(&self, id: &str, lane: &LaneKey) {
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -9,6 +9,7 @@
 use fireflywheel::fleet::budget;
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::frame;
+use fireflywheel::fleet::limit::gate as limit;
 use fireflywheel::fleet::organisation;
 use fireflywheel::fleet::quota::gate;
 use fireflywheel::fleet::routing;
@@ -62,6 +63,8 @@
     pub(super) directory_version: u64,
     /// How long responses take until they begin, by route.
     pub(super) usual: BTreeMap<SmolStr, silence::Usual>,
+    /// There is a link to a steward, or this instance is steward.
+    pub(super) steward: bool,
     /// This instance is one of those that take over from the steward.
     pub(super) standby: bool,
     /// Pauses between calls to the store while it fails.
@@ -85,8 +88,8 @@
     pub(super) told: Option<server::Held>,
     pub(super) seen: routing::Seen,
     pub(super) backlog: work::Backlog,
-    /// Requests a second that it takes from all instances together, by its last answer.
-    pub(super) limit: Option<f64>,
+    /// How many requests a second it takes from all instances together.
+    pub(super) limit: limit::Gate,
     pub(super) running: BTreeMap<(SmolStr, Option<SmolStr>), Running>,
     /// Its entry is gone, but it may only have lapsed while the store was away.
     pub(super) missing: Option<clock::Instant>,
@@ -152,6 +155,7 @@
             asks: BTreeMap::new(),
             whole: false,
             directory_version: 0,
+            steward: false,
             standby: false,
             store: backoff::Backoff::default(),
             config_read: None,
@@ -171,7 +175,7 @@
             told: None,
             seen: routing::Seen::default(),
             backlog: work::Backlog::default(),
-            limit: None,
+            limit: limit::Gate::default(),
             running: BTreeMap::new(),
             missing: None,
         };
@@ -181,7 +185,7 @@
             // Another process: nothing that was seen of the one before holds for it.
             known.seen = routing::Seen::default();
             known.backlog = work::Backlog::default();
-            known.limit = None;
+            known.limit = limit::Gate::default();
             known.running.clear();
             known.told = None;
         } else if server.held == server::Held::default() {
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -32,6 +32,8 @@
 const NO_ROOM: Duration = Duration::from_millis(250);
 /// How often a request looks for room when all servers are full.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// A model whose engines name limits may be loaded elsewhere within this time: its callers wait for that at first.
+const SPREAD: Duration = Duration::from_millis(1200);
 /// A request is sent this many times at most, counting servers that refused it unrun: more would only feed an
 /// overload.
 const SENDINGS: usize = 5;
@@ -336,7 +338,14 @@
         let give_up = node.stops().map_or(patient_until, |stops| {
             patient_until.min(stops.before(LAST_REFUSAL))
         });
-        let look_again = match node.choose(&job.route, &job.lane, &job.call, tried) {
+        let query = node::Query {
+            route: &job.route,
+            lane: &job.lane,
+            call: &job.call,
+            tried,
+            left: give_up.since(now),
+        };
+        let look_again = match node.choose(query) {
             node::Choice::Server(chosen) => return Ok(chosen),
             node::Choice::Nobody => {
                 let wait = if node.knows_servers() {
@@ -360,6 +369,14 @@
                         .with_retry_after(come_back(expected, left)),
                 );
             }
+            node::Choice::Limited(Some(turn))
+                if now.after(turn) > give_up && !may_spread(job, now) =>
+            {
+                return Err(
+                    unavailable("limited", "the servers take no more requests for now")
+                        .with_retry_after(come_back(turn, left)),
+                );
+            }
             node::Choice::Asked => {
                 // It doesn't count as waiting: the steward would load another copy for it.
                 tokio::select! {
@@ -369,7 +386,7 @@
                 continue;
             }
             node::Choice::Absent(_) => give_up.since(now),
-            node::Choice::Full(_) | node::Choice::Down => LOOK_AGAIN,
+            node::Choice::Full(_) | node::Choice::Limited(_) | node::Choice::Down => LOOK_AGAIN,
         };
         if now >= give_up {
             return Err(unavailable("no_room", "no server had room in time")
@@ -388,6 +405,10 @@
     }
 }
 
+fn may_spread(job: &attempt::Job, now: clock::Instant) -> bool {
+    job.lane.model.is_some() && now.since(job.arrived) < SPREAD
+}
+
 pub(super) fn come_back(wait: Duration, left: Duration) -> Duration {
     patience::retry_after(wait, left, rand::random())
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -1,6 +1,7 @@
 //! Holding the lease, planning and sending orders.
 
 mod lease;
+mod limits;
 mod link;
 mod orders;
 mod shares;
@@ -17,6 +18,8 @@
 use fireflywheel::fleet::demand;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease::{HandOver, Lease, Record};
+use fireflywheel::fleet::limit;
+use fireflywheel::fleet::limit::pacer;
 use fireflywheel::fleet::plan;
 use fireflywheel::fleet::quota::meter;
 use fireflywheel::fleet::subscription;
@@ -109,6 +112,9 @@
             forecasts: Vec::new(),
             delays: BTreeMap::new(),
             meter: meter::Meter::default(),
+            pacer: pacer::Pacer::default(),
+            limits_changed: false,
+            limits_told: clock::Instant::default(),
             shares: Vec::new(),
             shares_told: clock::Instant::default(),
             shares_logged: BTreeMap::new(),
@@ -213,11 +219,17 @@
         receiver
     }
 
-    /// What this instance itself was asked for and admitted.
-    pub fn count_own(&self, demand: &demand::Demand) {
+    /// What this instance itself was asked for and admitted, and what it asks for.
+    pub fn hear_own(&self, demand: &demand::Demand) {
         let now = self.node.now();
         let instance = &self.node.settings.instance;
-        self.lock().meter.hear(now, instance, &demand.usage);
+        let mut state = self.lock();
+        state.meter.hear(now, instance, &demand.usage);
+        state.hear_limits(now, &demand.limits);
+        let replies = state.answer_asks(now, pacer::Asker::Own, &demand.permits);
+        drop(state);
+        self.count_permits(&replies);
+        self.node.learn_permits(&replies);
     }
 
     /// What a demand says of its sender.
@@ -249,6 +261,12 @@
             link.read_age = Duration::from_millis(demand.read_ms.into());
             link.waits = !demand.lanes.is_empty();
         }
+        if word.acts {
+            state.hear_limits(now, &demand.limits);
+            let replies = state.answer_asks(now, pacer::Asker::Link(number), &demand.permits);
+            self.count_permits(&replies);
+            state.tell_permits(number, replies);
+        }
         let arrived = demand.arrived.iter().map(|count| &count.model);
         for model in arrived.chain(demand.lanes.iter().map(|lane| &lane.model)) {
             state.subscriptions.renew(now, number, model);
@@ -390,6 +408,8 @@
         state.tell_config(&config);
         state.beat(now, &word);
         state.tell_waiting(now);
+        let notices = state.tell_limits(now);
+        let permits = state.grant_due(now);
         let loads = state.tell_load(now);
         let instances = state.links.len() + 1;
         let local = state.forecasts.clone();
@@ -403,6 +423,10 @@
         if let Some(loads) = loads {
             self.node.learn_load(&loads);
         }
+        if let Some(notices) = notices {
+            self.node.learn_limits(&notices);
+        }
+        self.node.learn_permits(&permits);
         for order in due {
             self.send(order);
         }
@@ -424,9 +448,16 @@
         }
     }
 
+    fn count_permits(&self, replies: &[limit::Reply]) {
+        for reply in replies {
+            self.node.metrics.decided(reply.outcome);
+        }
+    }
+
     fn is_busy(&self) -> bool {
         let state = self.lock();
-        state.acting.is_some() && state.tracks.values().any(Track::is_busy)
+        let awaited = state.pacer.is_awaited() || state.limits_changed;
+        state.acting.is_some() && (awaited || state.tracks.values().any(Track::is_busy))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -9,6 +9,7 @@
 use fireflywheel::fleet::demand;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease;
+use fireflywheel::fleet::limit::pacer;
 use fireflywheel::fleet::plan;
 use fireflywheel::fleet::quota;
 use fireflywheel::fleet::quota::meter;
@@ -77,6 +78,11 @@
     pub(super) delays: BTreeMap<SmolStr, clock::Instant>,
     /// What instances admit for organisations.
     pub(super) meter: meter::Meter,
+    /// Limits that servers name, and who may send to these.
+    pub(super) pacer: pacer::Pacer,
+    /// Limits have changed since they were told, and when that was.
+    pub(super) limits_changed: bool,
+    pub(super) limits_told: clock::Instant,
     /// Shares of quotas as they were told last, and when.
     pub(super) shares: Vec<quota::Share>,
     pub(super) shares_told: clock::Instant,
@@ -106,6 +112,8 @@
         self.forecasts.clear();
         self.meter = meter::Meter::default();
         self.shares.clear();
+        self.pacer = pacer::Pacer::default();
+        self.limits_changed = true;
         // Loads of the steward before may have begun a moment ago: as many count as may run at once.
         self.fetches.clear();
         let before = self.pace.at_once();
@@ -154,7 +162,10 @@
             if track.group == *group {
                 let unread = loads.get(id).map_or(0, |load| load.unread);
                 let running = running.remove(id).unwrap_or_default();
-                sites.push(track.site(now, running, unread));
+                sites.push(plan::Site {
+                    limit: self.pacer.limit(id),
+                    ..track.site(now, running, unread)
+                });
             }
         }
         let wants = self.board.wants(group);
@@ -246,6 +257,7 @@
     /// A link has ended, unless its instance has made another one since.
     pub(super) fn remove_link(&mut self, now: clock::Instant, number: u64, instance: &SmolStr) {
         self.links.remove(&number);
+        self.pacer.forget(pacer::Asker::Link(number));
         self.subscriptions.end(number);
         let again = self
             .links
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -246,7 +246,14 @@
         let mut tried = self.tried.clone();
         tried.push(self.source.server.clone());
         let job = &self.job;
-        match self.node.choose(&job.route, &job.lane, &job.call, &tried) {
+        let query = node::Query {
+            route: &job.route,
+            lane: &job.lane,
+            call: &job.call,
+            tried: &tried,
+            left: Duration::ZERO,
+        };
+        match self.node.choose(query) {
             node::Choice::Server(chosen) if !tried.contains(&chosen.server) => {
                 let may_repeat = self.node.may_repeat(&job.lane.group);
                 may_repeat.then_some(chosen)
