Red: a store that comes back from an older copy

The stand-in store can come back from a copy of some time ago, counts that in Store-Era, gives offsets out again, and answers 410 to a read from one that it doesn't have.

--- a/crates/fireflywheel_standin/src/site/store.rs
+++ b/crates/fireflywheel_standin/src/site/store.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
-use super::bare;
+use super::{bare, set};
 use crate::{fault, http};
 
 /// The topic of the workers' entries.
@@ -40,6 +40,8 @@
 struct State {
     topics: BTreeMap<SmolStr, Topic>,
     calls: u64,
+    /// How often it has come back from an older copy.
+    era: u64,
     longest_wait: Duration,
     /// The most records that one read returns; 0 for no limit.
     page: usize,
@@ -129,6 +131,20 @@
         topic.first = topic.end();
     }
 
+    /// Comes back from a copy of `age` ago: what was written since is gone, and its offsets are given out again.
+    pub fn restore(&self, age: Duration) {
+        let mut state = self.lock();
+        state.era += 1;
+        for topic in state.topics.values_mut() {
+            topic
+                .records
+                .retain(|record| record.written.elapsed() >= age);
+            topic.first = topic.first.min(topic.end());
+        }
+        drop(state);
+        self.inner.changes.send_modify(|count| *count += 1);
+    }
+
     /// Drops entries of workers that weren't written for this long, for ever; also while the store is out of order.
     pub async fn lapse(self, patience: Duration) {
         loop {
@@ -210,7 +226,7 @@
         let state = self.lock();
         let empty = Topic::default();
         let topic = state.topics.get(topic).unwrap_or(&empty);
-        if from < topic.first {
+        if from < topic.first || from > topic.end() {
             return http::json(StatusCode::GONE, &json!({"firstOffset": topic.first}));
         }
         let mut bytes = Vec::new();
@@ -298,6 +314,8 @@
             "/v1/log-append" => self.append(topic, request.number("at"), &request.body),
             _ => bare(StatusCode::NOT_FOUND),
         };
+        let mut answer = answer;
+        set(&mut answer, "store-era", &self.lock().era.to_string());
         Ok(answer)
     }
 }
