A steward that the store turns away finds out that another one has taken over

Callers would have seen: 404 for a new route at one instance, for as long as the store turns it away. The store turned it away and served another instance; its links ended in a moment in which it didn't act, the other one took the lease, and the first acted on, without any link, and as steward took its own old configuration for the newest. Nothing ever told it otherwise. Ruled out: the store (it answered the other one), the new steward (it had version 2). Change: a steward that the store doesn't answer and that nobody has a link to asks one of the standbys that it named; a beat of another steward whose record has a later end shows that it was overtaken, and it follows that one. The names of standbys are kept when all links end.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -542,6 +542,23 @@
         }
     }
 
+    /// Another instance acts and its record ends at `end`. Where engines check numbers, this one may have gone on past its term while the
+    /// store turned it away; a later end shows that the other one took over. Returns whether it did.
+    pub fn overtaken(&mut self, now: clock::Instant, end: Position, holder: Record) -> bool {
+        let later = |held: &Held| held.end.era == end.era && held.end.offset < end.offset;
+        if !self.held.as_ref().is_some_and(later) {
+            return false;
+        }
+        self.held = None;
+        self.watched = Some(Watched {
+            end: Some(end),
+            since: now,
+            holder: Some(holder),
+            told: true,
+        });
+        true
+    }
+
     /// The holder says who has the lease now.
     pub fn moved(&mut self, now: clock::Instant, holder: Record) {
         if self.held.is_some() {
--- a/crates/fireflywheel/tests/fleet/lease.rs
+++ b/crates/fireflywheel/tests/fleet/lease.rs
@@ -228,6 +228,23 @@
     });
 }
 
+/// The store turns the holder away, which goes on past its term, and another takes over.
+fn holder_that_hears_of_a_later_one() {
+    let mut log = Log::default();
+    let mut first = held("a", true, &mut log, 0);
+    let mut second = lease("b", true);
+    second.observe(at(0), log.read());
+    let before = log.end();
+    act(&mut second, &mut log, 3000);
+    first.unanswered(at(3000));
+    assert!(first.fencing(at(3100)).is_some());
+    assert!(!first.overtaken(at(3100), before, second.me().clone()));
+    assert!(first.overtaken(at(3200), log.end(), second.me().clone()));
+    assert_eq!(first.fencing(at(3200)), None);
+    let holder = first.holder().map(|holder| holder.instance.as_str());
+    assert_eq!(holder, Some("b"));
+}
+
 fn successor() -> Record {
     lease("b", true).me().clone()
 }
@@ -469,6 +486,8 @@
     same_name_elsewhere => instance_at_another_address_waits();
     /// A link to the steward ends. Counting the term only from then on would leave models cold for a second more.
     term_by_the_steward_s_word => steward_s_word_of_the_record_s_end_starts_the_term();
+    /// A steward that the store turns away believes for long that it is one, and serves an old configuration.
+    overtaken => holder_that_hears_of_a_later_one();
     /// Any order of acts, pauses and lost answers.
     any_order => any_order_leaves_one_holder();
 }
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -81,6 +81,14 @@
             steward.demand(&steward.node.settings.instance, demand);
             let mut due = talk::Due::new(steward.node.now(), steward::BEAT);
             wait_until(&mut due, &steward).await;
+            if let Some(other) = steward.doubts() {
+                let result = connect(&steward, &other, OPEN).await;
+                let why = result.err().map(|error| error.to_string());
+                log::debug!(instance = other.instance.as_str(), why = why.unwrap_or_default().as_str(); "asked who is steward");
+                if !steward.acts() {
+                    lose(&steward);
+                }
+            }
             continue;
         }
         if let Some(holder) = steward.other() {
@@ -309,11 +317,15 @@
             ..
         } => {
             steward.node.platform.learn_era(era);
-            steward.found(holder);
-            steward.heard(Position {
+            let end = Position {
                 era: lease_era,
                 offset: lease_end,
-            });
+            };
+            if steward.acts() && !steward.is_overtaken(holder, end) {
+                anyhow::bail!("this instance has the lease");
+            }
+            steward.found(holder);
+            steward.heard(end);
             if standbys_read && steward.node.is_standby() {
                 steward.node.relayed.send_replace(node::Relayed {
                     version: config_version,
@@ -343,7 +355,11 @@
             anyhow::bail!("another instance is steward");
         }
         frame::Frame::Steward(holder) => {
-            steward.pointed_to(holder);
+            if steward.acts() {
+                steward.hear_of_rival(holder);
+            } else {
+                steward.pointed_to(holder);
+            }
             anyhow::bail!("another instance is steward");
         }
         frame::Frame::Standbys(standbys) => steward.name_standbys(standbys),
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -103,6 +103,7 @@
             fetches: VecDeque::new(),
             pace: plan::pace::Pace::default(),
             standbys: Vec::new(),
+            rival: None,
             acting: None,
             turned: clock::Instant::default(),
             beat: None,
@@ -330,6 +331,35 @@
         self.node.set_standby(standby == Some(true));
     }
 
+    /// Whom to ask whether there is another steward: this one acts, but nobody has a link to it and the store doesn't answer.
+    #[must_use]
+    pub fn doubts(&self) -> Option<Record> {
+        let mut state = self.lock();
+        if !state.links.is_empty() || !self.node.store_fails() {
+            return None;
+        }
+        let rival = state.rival.take();
+        drop(state);
+        rival.or_else(|| self.standby())
+    }
+
+    /// Whether another instance, which acts and whose record ends at `end`, has taken the lease from this one.
+    #[must_use]
+    pub fn is_overtaken(&self, holder: &Record, end: Position) -> bool {
+        let now = self.node.now();
+        let overtaken = self.lock().lease.overtaken(now, end, holder.clone());
+        if overtaken {
+            log::info!(steward = holder.instance.as_str(); "another instance has taken the lease");
+            self.wake.notify_one();
+        }
+        overtaken
+    }
+
+    /// Another instance has a link to this steward, which this one doesn't know of.
+    pub fn hear_of_rival(&self, rival: Record) {
+        self.lock().rival = Some(rival);
+    }
+
     /// One of the standbys that were named last, at random.
     #[must_use]
     pub fn standby(&self) -> Option<Record> {
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -61,6 +61,8 @@
     pub(super) pace: plan::pace::Pace,
     /// Standbys as they were told last, by this instance or by the steward.
     pub(super) standbys: Vec<lease::Record>,
+    /// An instance that is steward as another one says, while this one believes that it is.
+    pub(super) rival: Option<lease::Record>,
     pub(super) acting: Option<u64>,
     /// Since when it acts, or doesn't.
     pub(super) turned: clock::Instant,
--- a/crates/fireflywheel_daemon/src/fleet/steward/tell.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/tell.rs
@@ -242,7 +242,8 @@
             .take(STANDBYS)
             .map(|link| link.peer.clone())
             .collect();
-        if standbys != self.standbys {
+        // One that has lost all links asks those that it named who is steward now.
+        if !standbys.is_empty() && standbys != self.standbys {
             self.standbys = standbys;
             self.broadcast(&frame::Frame::Standbys(self.standbys.clone()));
         }
