A lease that was handed over isn't taken again by another process of the same instance

Callers of sites whose engines take any number would see orders of two holders: models unloaded under their requests. Found by drawn histories of the lease, also without a return of the store. Cause: a process that was killed and starts again goes on with the number in its instance's record, if engines take any number. Change: a hand-over names the process that hands over, and a successor goes on only from that process's record; a number that was given up isn't taken from a record of the process before either.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -152,8 +152,15 @@
     unanswered: Option<clock::Instant>,
     /// It is known that nobody else held it when this instance got it.
     certain: bool,
-    /// The number of the holder that handed it over, until this one has renewed it.
-    from: Option<u64>,
+    /// The holder that handed it over, until this one has renewed it.
+    from: Option<Predecessor>,
+}
+
+/// A process that handed the lease over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Predecessor {
+    fencing: u64,
+    incarnation: u64,
 }
 
 /// What a holder hands to its successor, without the store.
@@ -163,6 +170,9 @@
     pub fencing: u64,
     /// The end of the lease's record.
     pub end: Position,
+    /// The process that hands over. Another one of the same instance may have gone on with its number since.
+    #[serde(default)]
+    pub incarnation: u64,
 }
 
 impl Held {
@@ -262,8 +272,7 @@
             .filter(|(_, record)| self.is_mine(record) && !record.released)
             .map(|(offset, record)| record.number(*offset));
         // Until its successor has renewed the record, that still names this instance. Believed, two would act.
-        let given_up = |number: u64| self.given_up.is_some_and(|given_up| number <= given_up);
-        if let Some(fencing) = mine.filter(|number| !given_up(*number)) {
+        if let Some(fencing) = mine.filter(|number| !self.has_given_up(*number)) {
             // A write of ours whose answer was lost. It gives no time to act: only a renewal does.
             let before = self.held.filter(|held| held.fencing == fencing);
             self.held = Some(Held {
@@ -330,12 +339,15 @@
         let Some(held) = self.held else {
             return false;
         };
-        let number = reading
+        let from = reading
             .record
             .as_ref()
             .filter(|(_, record)| !record.released)
-            .map(|(offset, record)| record.number(*offset));
-        held.end == reading.end || (held.from.is_some() && held.from == number)
+            .map(|(offset, record)| Predecessor {
+                fencing: record.number(*offset),
+                incarnation: record.incarnation,
+            });
+        held.end == reading.end || (held.from.is_some() && held.from == from)
     }
 
     /// The lease that an earlier process of this instance held when it ended, and that nobody has taken since.
@@ -350,6 +362,9 @@
         if !same_place || record.released || self.is_mine(record) || self.fenced {
             return None;
         }
+        if self.has_given_up(record.number(*offset)) {
+            return None;
+        }
         Some(Held {
             fencing: record.number(*offset),
             end: reading.end,
@@ -506,6 +521,7 @@
         Some(HandOver {
             fencing: held.fencing + 1,
             end: held.end,
+            incarnation: self.me.incarnation,
         })
     }
 
@@ -524,7 +540,10 @@
             sent: None,
             unanswered: Some(now),
             certain: true,
-            from: Some(given.fencing - 1),
+            from: Some(Predecessor {
+                fencing: given.fencing - 1,
+                incarnation: given.incarnation,
+            }),
         });
     }
 
@@ -646,6 +665,10 @@
         Some(at.since(now))
     }
 
+    fn has_given_up(&self, number: u64) -> bool {
+        self.given_up.is_some_and(|given_up| number <= given_up)
+    }
+
     fn is_mine(&self, record: &Record) -> bool {
         record.instance == self.me.instance && record.incarnation == self.me.incarnation
     }
--- a/crates/fireflywheel/tests/fleet/lease/eras.rs
+++ b/crates/fireflywheel/tests/fleet/lease/eras.rs
@@ -317,6 +317,10 @@
     late_answer => answer_of_an_earlier_era();
     /// A hand-over that comes after a return of the store.
     hand_over_and_return => drawn(130);
+    /// The predecessor's process is killed and starts again before its successor has renewed the record.
+    hand_over_and_restart => drawn(19_520);
+    /// A process that goes on with the lease of the one before it hands that over, and takes it again.
+    restart_and_hand_over => drawn(39_634);
     /// Any order of acts, pauses, kills, hand-overs, lost answers and returns.
     any_order => (0..SEEDS).for_each(drawn);
 }
