A holder that rests in a new era hands nothing over, and gives up in time

Change: only a lease that stands in the era is handed over; proposals use ends of the era only; where engines take any number, a resting holder writes its record again only while its old term lasts, in which nobody else can have taken it.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -150,6 +150,8 @@
     sent: Option<clock::Instant>,
     /// When the last renewal that had no answer was sent.
     unanswered: Option<clock::Instant>,
+    /// Until then it may be written again in a new era.
+    rewritable: Option<clock::Instant>,
     /// It is known that nobody else held it when this instance got it.
     certain: bool,
     /// The holder that handed it over, until this one has renewed it.
@@ -224,9 +226,10 @@
 
     /// The store is in this era at `now`. Returns whether it came back from an older copy.
     ///
-    /// A holder whose term isn't over knows that nobody has taken the lease before the new era, and nobody does within a term from
-    /// its beginning. Any other can't know: a record of a later holder may be among what is lost.
+    /// A holder whose term isn't over knows that nobody has taken the lease before the new era, and that nobody does before the end of
+    /// that term. Any other can't know: a record of a later holder may be among what is lost.
     pub fn enter(&mut self, now: clock::Instant, era: Era) -> bool {
+        self.give_up_resting(now);
         let before = self.era;
         if before.is_some_and(|before| before >= era) {
             return false;
@@ -237,10 +240,12 @@
             return false;
         }
         self.came_back = true;
+        let span = self.options.term - self.options.margin;
         self.held = match self.held.take() {
             Some(held) if acts => Some(Held {
                 sent: None,
                 unanswered: None,
+                rewritable: held.sent.map(|sent| sent.after(span)),
                 ..held
             }),
             Some(held) => {
@@ -258,6 +263,16 @@
         true
     }
 
+    /// A holder that couldn't write its record again in time has the lease no more. Where engines check numbers, it may go on trying.
+    fn give_up_resting(&mut self, now: clock::Instant) {
+        let (era, fenced) = (self.era, self.fenced);
+        let in_time = |until: clock::Instant| now < until;
+        let over = self.held.take_if(|held| {
+            !fenced && era != Some(held.era) && !held.rewritable.is_some_and(in_time)
+        });
+        self.given_up = self.given_up.max(over.map(|held| held.fencing));
+    }
+
     /// Takes in a reading that was asked for at `asked`.
     pub fn observe(&mut self, asked: clock::Instant, reading: Reading) {
         let era = reading.end.era;
@@ -281,6 +296,7 @@
                 era: before.map_or(era, |held| held.era),
                 sent: before.and_then(|held| held.sent),
                 unanswered: before.and_then(|held| held.unanswered),
+                rewritable: before.and_then(|held| held.rewritable),
                 certain: before.is_some_and(|held| held.certain),
                 from: None,
             });
@@ -371,6 +387,7 @@
             era: reading.end.era,
             sent: None,
             unanswered: None,
+            rewritable: None,
             certain: true,
             from: None,
         })
@@ -427,10 +444,14 @@
                 ..self.written()
             };
             let read = self.era == Some(held.end.era);
+            let in_time = held.rewritable.is_some_and(|until| now < until);
+            if self.era != Some(held.era) && !in_time && !self.fenced {
+                return None;
+            }
             return (read && held.is_due(now, self.options.renewal)).then_some((held.end, record));
         }
         let watched = self.watched.as_ref()?;
-        let end = watched.end?;
+        let end = watched.end.filter(|end| self.era == Some(end.era))?;
         let first = self.first_start && !self.came_back;
         let never_written = first && watched.holder.is_none() && end.offset == 0;
         let released = watched
@@ -466,6 +487,7 @@
             era: place.era,
             sent: Some(sent),
             unanswered: None,
+            rewritable: None,
             certain: true,
             from: None,
         });
@@ -508,9 +530,12 @@
     }
 
     /// Gives the lease at `now` to a successor that is reached without the store. This instance has it no more, unless it isn't
-    /// certain that it had it.
+    /// certain that it had it, or has it in another era.
     pub fn hand_over(&mut self, now: clock::Instant, successor: Record) -> Option<HandOver> {
-        let held = self.held.take_if(|held| held.certain)?;
+        let era = self.era;
+        let held = self
+            .held
+            .take_if(|held| held.certain && era == Some(held.era))?;
         self.given_up = Some(held.fencing);
         self.watched = Some(Watched {
             end: Some(held.end),
@@ -539,6 +564,7 @@
             era: given.end.era,
             sent: None,
             unanswered: Some(now),
+            rewritable: None,
             certain: true,
             from: Some(Predecessor {
                 fencing: given.fencing - 1,
--- a/crates/fireflywheel/tests/fleet/lease/eras.rs
+++ b/crates/fireflywheel/tests/fleet/lease/eras.rs
@@ -319,8 +319,12 @@
     hand_over_and_return => drawn(130);
     /// The predecessor's process is killed and starts again before its successor has renewed the record.
     hand_over_and_restart => drawn(19_520);
+    /// A holder that rests hands over what it may not have any more.
+    hand_over_while_resting => drawn(4244);
     /// A process that goes on with the lease of the one before it hands that over, and takes it again.
     restart_and_hand_over => drawn(39_634);
+    /// A holder that rests for longer than its term goes on after another, whose record a late write has replaced.
+    rested_too_long => drawn(36_358);
     /// Any order of acts, pauses, kills, hand-overs, lost answers and returns.
     any_order => (0..SEEDS).for_each(drawn);
 }
