--- a/crates/fireflywheel_standin/src/main.rs
+++ b/crates/fireflywheel_standin/src/main.rs
@@ -153,6 +153,16 @@
         .value_parser(value_parser!(path::PathBuf))
 }
 
+fn faults(args: &ArgMatches) -> trial::script::Faults {
+    if args.get_flag("planned") {
+        trial::script::Faults::Planned
+    } else if args.get_flag("drills") {
+        trial::script::Faults::Drills
+    } else {
+        trial::script::Faults::Any
+    }
+}
+
 fn soak_command() -> Command {
     Command::new("soak")
         .about("Runs instances under seeded faults and checks what must hold")
@@ -170,6 +180,13 @@
                 .help("Planned work only, by which no request may be lost")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("drills")
+                .long("drills")
+                .help("Also a store that comes back from an older copy")
+                .conflicts_with("planned")
+                .action(ArgAction::SetTrue),
+        )
 }
 
 fn replay_command() -> Command {
@@ -393,11 +410,7 @@
             let options = trial::soak::Options {
                 program: program.clone(),
                 seed,
-                faults: if args.get_flag("planned") {
-                    trial::script::Faults::Planned
-                } else {
-                    trial::script::Faults::Any
-                },
+                faults: faults(args),
                 time: time::Duration::from_secs(number(args, "seconds")),
                 instances: size(args, "instances"),
                 engines: size(args, "engines"),
--- a/crates/fireflywheel_standin/src/site/store.rs
+++ b/crates/fireflywheel_standin/src/site/store.rs
@@ -312,6 +312,11 @@
                     .await
             }
             "/v1/log-append" => self.append(topic, request.number("at"), &request.body),
+            "/v1/restore" => {
+                let age = request.number("ageMs").unwrap_or_default();
+                self.restore(Duration::from_millis(age));
+                bare(StatusCode::OK)
+            }
             _ => bare(StatusCode::NOT_FOUND),
         };
         let mut answer = answer;
--- a/crates/fireflywheel_standin/src/trial/deployment.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment.rs
@@ -162,7 +162,7 @@
             drawn: 0,
             options,
         };
-        deployment.configure().await?;
+        deployment.configure().await;
         for place in 0..deployment.options.engines + deployment.options.services {
             deployment.add_worker(place).await?;
         }
@@ -308,7 +308,11 @@
                 let change = fault::Change::new().with_lose_answers(count);
                 self.fault(&change).await?;
             }
-            Action::Configure => self.configure().await?,
+            Action::Restore(age) => self.restore(age).await,
+            Action::Configure => self.configure().await,
+            Action::Rewrite => {
+                self.publish(self.version).await;
+            }
         }
         Ok(())
     }
@@ -382,9 +386,16 @@
 
     // ---- The operator ----
 
-    async fn configure(&mut self) -> anyhow::Result<()> {
+    /// Writes the next configuration.
+    async fn configure(&mut self) {
         self.drawn += 1;
-        let version = self.drawn;
+        if self.publish(self.drawn).await {
+            self.version = self.drawn;
+        }
+    }
+
+    /// Writes a configuration; whether the store has accepted it for certain.
+    async fn publish(&self, version: u64) -> bool {
         let config = record(
             CONFIG.1,
             configuration::text(self.options.models, LOADS_PER_SECOND, version).as_bytes(),
@@ -395,11 +406,20 @@
         );
         let call = self.client.post(&url, config);
         // Not accepted in an outage. When only the answer was lost, it may be in force all the same.
-        if matches!(time::timeout(OPERATOR_PATIENCE, call).await, Ok(Ok(answer)) if answer.status.is_success())
+        matches!(time::timeout(OPERATOR_PATIENCE, call).await, Ok(Ok(answer)) if answer.status.is_success())
+    }
+
+    async fn restore(&self, age: Duration) {
+        let url = format!(
+            "http://{}/v1/restore?ageMs={}",
+            self.store_address,
+            age.as_millis()
+        );
+        let call = self.client.post(&url, Vec::new());
+        if !matches!(time::timeout(OPERATOR_PATIENCE, call).await, Ok(Ok(answer)) if answer.status.is_success())
         {
-            self.version = version;
+            eprintln!("the store has not come back from an older copy: it is out of order");
         }
-        Ok(())
     }
 
     async fn fault(&self, change: &fault::Change) -> anyhow::Result<()> {
--- a/crates/fireflywheel_standin/src/trial/script.rs
+++ b/crates/fireflywheel_standin/src/trial/script.rs
@@ -12,6 +12,10 @@
 const SERIES: u32 = 5;
 /// Between two faults of a series, in milliseconds.
 const SERIES_GAP_MS: std::ops::Range<u64> = 150..900;
+/// One fault in so many is a return of the store from an older copy, where these come.
+const DRILLS: u32 = 6;
+/// How old that copy is, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 200..5000;
 /// A process that is stopped as planned gets its whole time, and is killed then.
 const GRACE_MS: std::ops::Range<u64> = 2300..3200;
 
@@ -21,6 +25,8 @@
     /// Of every kind.
     #[default]
     Any,
+    /// The same, and a store that comes back from an older copy.
+    Drills,
     /// Planned work only: stops, reloads, configurations, workers that leave. No request may be lost by it.
     Planned,
 }
@@ -109,8 +115,12 @@
     StoreSlow(Duration),
     /// The store's next so many answers to writes are lost.
     StoreLoses(u64),
+    /// The store comes back from a copy that is so old.
+    Restore(Duration),
     /// The operator accepts a new configuration.
     Configure,
+    /// The operator writes the accepted configuration again.
+    Rewrite,
 }
 
 /// An action and when it is due, from the start.
@@ -136,6 +146,8 @@
         };
         let drawn = match faults {
             Faults::Any => fault(&mut draw, sizes),
+            Faults::Drills if draw.random_ratio(1, DRILLS) => drill(&mut draw),
+            Faults::Drills => fault(&mut draw, sizes),
             Faults::Planned => planned(&mut draw, sizes),
         };
         let mut begin = at;
@@ -229,6 +241,19 @@
     }
 }
 
+/// A store that is away for a moment and lacks what was written in the last seconds. The operator writes the configuration
+/// again; workers write their entries all the time.
+fn drill(draw: &mut StdRng) -> Vec<(Duration, Action)> {
+    let back = millis(draw, 100..1500);
+    let rewritten = back + millis(draw, 50..800);
+    vec![
+        (Duration::ZERO, Action::StoreOut(true)),
+        (back, Action::StoreOut(false)),
+        (back, Action::Restore(millis(draw, COPY_AGE_MS))),
+        (rewritten, Action::Rewrite),
+    ]
+}
+
 /// Planned work: what to do, and how long after its begin.
 fn planned(draw: &mut StdRng, sizes: Sizes) -> Vec<(Duration, Action)> {
     let instance = draw.random_range(0..sizes.instances);
