--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -50,9 +50,9 @@
     /// Requests that wait for permits, and that the steward wasn't asked for yet.
     #[serde(default)]
     pub permits: Vec<limit::Ask>,
-    /// The configuration in force at the instance; 0 for none.
+    /// The configuration in force at the instance, 0 for none; absent from releases that read each configuration for themselves.
     #[serde(default)]
-    pub config_version: u64,
+    pub config_version: Option<u64>,
     /// How old the instance's own reads of the store are, in milliseconds.
     #[serde(default = "never")]
     pub read_ms: u32,
--- a/crates/fireflywheel/src/fleet/limit/gate.rs
+++ b/crates/fireflywheel/src/fleet/limit/gate.rs
@@ -176,12 +176,14 @@
         }
     }
 
-    /// A request that can wait for `left` would go there: the steward is asked, unless it was a moment ago.
-    pub fn want(&mut self, view: View<'_>, left: Duration) {
+    /// A request that can wait for `left` would go there. Returns whether the steward is to be asked, and wasn't a moment ago.
+    pub fn want(&mut self, view: View<'_>, left: Duration) -> bool {
         self.forget(view.now);
-        if view.steward && self.is_limited() && !self.awaits_turn(view.now) {
+        let asks = view.steward && self.is_limited() && !self.awaits_turn(view.now);
+        if asks {
             self.pending = Some(Pending::Untold(left));
         }
+        asks
     }
 
     /// Whether the steward was asked, and need not be asked again yet.
--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -28,7 +28,7 @@
 //! | [`rate`] | how often something may be done |
 //! | [`settings`] | what one process is told at its start |
 //! | [`subscription`] | which instances are told of which engines |
-//! | [`talk`] | when an instance talks to the steward, and how long the steward's word stands |
+//! | [`talk`] | when an instance talks to the steward, and how long the steward's reads of the store stand |
 //! | [`work`] | how much engines still have to read |
 //! | [`frame`] | what instance and steward tell each other |
 
--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -20,7 +20,7 @@
 /// One engine, as the steward sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Site {
-    /// What it holds, by the newest word on it.
+    /// What it holds, by its newest report.
     pub held: server::Held,
     /// It takes requests and will go on to.
     pub usable: bool,
--- a/crates/fireflywheel/src/fleet/plan/pace.rs
+++ b/crates/fireflywheel/src/fleet/plan/pace.rs
@@ -1,7 +1,7 @@
-//! How many loads the weight store bears at once.
+//! How many loads the weight store runs at full speed at once.
 //!
 //! Nothing says so, and stores differ. Beyond it each load takes longer in proportion, so that all that run end late
-//! together: with four at a store that bears two, callers of the first model wait twice as long as they need to. So
+//! together: with four at a store that runs two at full speed, callers of the first model wait twice as long as they need to. So
 //! the number is learned from how long loads take.
 
 use std::time::Duration;
--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -23,7 +23,7 @@
 const REPLACED: Duration = Duration::from_secs(10);
 /// An engine gets requests beyond those that it runs at once up to this share of them. More would only wait there, late
 /// and bound to it, while another copy of their model is loaded; with none, places would stand empty for as long as the
-/// word of them takes.
+/// news of them takes.
 const QUEUE_SHARE: f64 = 0.5;
 /// A server that had no room isn't tried again for this long.
 const FULL: Duration = Duration::from_millis(40);
@@ -139,7 +139,7 @@
 
 impl Candidate<'_> {
     /// Whether it could run one more request within a short wait. Only what other instances have there tells that, so one
-    /// without a word of the steward has room until it says otherwise.
+    /// of which the steward tells nothing has room until it says otherwise.
     fn has_room(&self, now: clock::Instant) -> bool {
         let most = f64::from(self.slots) * (1.0 + QUEUE_SHARE);
         let known = f64::from(self.seen.in_flight + self.others);
--- a/crates/fireflywheel/src/fleet/talk.rs
+++ b/crates/fireflywheel/src/fleet/talk.rs
@@ -1,4 +1,4 @@
-//! When an instance talks to the steward, when it tries to link to it, and how long the steward's word stands.
+//! When an instance talks to the steward, when it tries to link to it, and how long the steward's reads of the store stand.
 
 use std::time::Duration;
 
@@ -32,7 +32,7 @@
     }
 }
 
-/// Until when the steward's reads stand for an instance's own. Its word follows a demand that the instance made
+/// Until when the steward's reads stand for an instance's own. A beat follows a demand that the instance made
 /// at `asked`, so it was made later than that, however long it was held up on the way. The reads were `read_age`
 /// old then, and must be obeyed within `obey`. None once it is too old.
 #[must_use]
--- a/crates/fireflywheel/src/fleet/track.rs
+++ b/crates/fireflywheel/src/fleet/track.rs
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Takes in the directory's word.
+    /// Takes in the directory's entry.
     pub fn follow(&mut self, server: server::Server) {
         if server.born != self.server.born || server.address != self.server.address {
             *self = Self::new(self.group.clone(), server);
@@ -118,7 +118,7 @@
 
     /// What a plan needs of it. An order counts from the moment it is sent: plans are made more often than answers
     /// come, and the next one would send the same load to another engine too. One notices it by loads of one model at
-    /// several engines within milliseconds, and by more loads from the weight store than it bears.
+    /// several engines within milliseconds, and by more loads from the weight store than it can run.
     pub fn site(
         &mut self,
         now: clock::Instant,
--- a/crates/fireflywheel/src/fleet/work.rs
+++ b/crates/fireflywheel/src/fleet/work.rs
@@ -21,7 +21,7 @@
 /// again takes less time than the way to another server.
 const KEPT_TOKENS: u32 = 512;
 
-/// Fewer tokens than this are read before the word of them has reached other instances.
+/// Fewer tokens than this are read before other instances have been told of them.
 const LEAST_UNREAD: u32 = 1000;
 
 /// Requests that the steward told of count for this long. It tells several times a second, so one that is silent for
@@ -108,7 +108,7 @@
         }
     }
 
-    /// How much it is worth telling, which it is from 1 on. What is read before the word of it arrives is nothing, and
+    /// How much it is worth telling, which it is from 1 on. What is read before that arrives is nothing, and
     /// neither are fewer requests than half a batch.
     fn weight(&self, slots: u32) -> f64 {
         let reading = f64::from(self.unread) / f64::from(LEAST_UNREAD);
@@ -142,7 +142,7 @@
         self.told = now;
     }
 
-    /// Requests of other instances there, as of the steward's last word; none once that is old.
+    /// Requests of other instances there, as the steward told last; none once that is old.
     #[must_use]
     pub fn others(&self, now: clock::Instant) -> u32 {
         let fresh = now.since(self.told) < WORD_USE;
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -81,7 +81,7 @@
             steward.demand(&steward.node.settings.instance, demand);
             let mut due = talk::Due::new(steward.node.now(), steward::BEAT);
             wait_until(&mut due, &steward).await;
-            if let Some(other) = steward.doubts() {
+            if let Some(other) = steward.suspect() {
                 let result = connect(&steward, &other, OPEN).await;
                 let why = result.err().map(|error| error.to_string());
                 log::debug!(instance = other.instance.as_str(), why = why.unwrap_or_default().as_str(); "asked who is steward");
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -96,15 +96,6 @@
     /// Where a request can go now.
     #[must_use]
     pub fn choose(&self, query: Query<'_>) -> Choice {
-        let choice = self.look_for(query);
-        if matches!(choice, Choice::Asked | Choice::Full(_) | Choice::Limited(_)) {
-            // The steward may have to be asked.
-            self.wanted.notify_one();
-        }
-        choice
-    }
-
-    fn look_for(&self, query: Query<'_>) -> Choice {
         let Query { lane, tried, .. } = query;
         let now = self.now();
         let mut state = self.lock();
@@ -117,6 +108,8 @@
         if let Some(model) = &lane.model
             && !state.knows_model(now, model)
         {
+            drop(state);
+            self.wanted.notify_one();
             return Choice::Asked;
         }
         let mut servers: Vec<&state::Known> = state.usable(now, lane).collect();
@@ -161,10 +154,12 @@
             let full = !open.is_empty() || !permitted.is_empty();
             let limited: Vec<SmolStr> = ids(&limited).cloned().collect();
             let expected = expected(&state, lane, now);
-            let turn = state.want_permit(view, query.left, &limited);
+            if state.want_permit(view, query.left, &limited) {
+                self.wanted.notify_one();
+            }
             return match full {
                 true => Choice::Full(expected),
-                false => Choice::Limited(turn),
+                false => Choice::Limited(state.expected_turn(now, &limited)),
             };
         };
         let chosen = Chosen {
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -48,14 +48,11 @@
                 model.clone()
             })
             .collect();
-        let servers = state.servers.iter_mut();
-        let limits = servers
-            .filter_map(|(id, known)| known.limit.take_notice(now, id))
-            .collect();
-        let servers = state.servers.iter_mut();
-        let permits = servers
-            .filter_map(|(id, known)| known.limit.take_ask(now, id))
-            .collect();
+        let (mut limits, mut permits) = (Vec::new(), Vec::new());
+        for (id, known) in &mut state.servers {
+            limits.extend(known.limit.take_notice(now, id));
+            permits.extend(known.limit.take_ask(now, id));
+        }
         let gates = state.gates.iter_mut();
         let usage = gates
             .filter_map(|(organisation, gate)| gate.take_usage(now, organisation))
@@ -77,7 +74,7 @@
             limits,
             permits,
             asks,
-            config_version: state.config.as_ref().map_or(0, |config| config.version),
+            config_version: Some(state.config.as_ref().map_or(0, |config| config.version)),
             read_ms: frame::millis(state.read_age(now)),
         }
     }
--- a/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/knowledge.rs
@@ -144,7 +144,7 @@
         self.wake();
     }
 
-    /// There is a word of the steward from now on, or there is none any more.
+    /// The steward tells what engines hold from now on, or doesn't any more.
     pub fn set_told(&self, told: bool) {
         let until = self.now().after(state::TOLD);
         let mut state = self.lock();
--- a/crates/fireflywheel_daemon/src/fleet/node/limit.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/limit.rs
@@ -76,6 +76,9 @@
 
     /// The steward answers asks for permits.
     pub fn learn_permits(&self, replies: &[limit::Reply]) {
+        if replies.is_empty() {
+            return;
+        }
         let now = self.now();
         let mut state = self.lock();
         for reply in replies {
@@ -89,27 +92,36 @@
 }
 
 impl state::State {
-    /// A request that can wait for `left` would go to one of some servers that name a limit. Returns when it can, as far as known. Permits
-    /// of several servers for one request would be lost for others, so only one of them is asked for.
+    /// A request that can wait for `left` would go to one of some servers that name a limit. Returns whether the steward is to be asked.
+    /// Permits of several servers for one request would be lost for others, so only one of them is asked for.
     pub(super) fn want_permit(
         &mut self,
         view: gate::View<'_>,
         left: Duration,
         servers: &[SmolStr],
-    ) -> Option<Duration> {
-        let gates = servers.iter().filter_map(|id| self.servers.get(id));
-        let mut gates = gates.map(|known| &known.limit);
-        let turn = gates
-            .clone()
-            .filter_map(|gate| gate.expected(view.now))
-            .min();
-        if !gates.any(|gate| gate.awaits_turn(view.now)) && !servers.is_empty() {
-            let id = &servers[rand::random_range(0..servers.len())];
-            if let Some(known) = self.servers.get_mut(id) {
-                known.limit.want(view, left);
-            }
+    ) -> bool {
+        let waits = |gate: &gate::Gate| gate.awaits_turn(view.now);
+        if servers.is_empty() || self.gates_of(servers).any(waits) {
+            return false;
         }
-        turn
+        let id = &servers[rand::random_range(0..servers.len())];
+        let known = self.servers.get_mut(id);
+        known.is_some_and(|known| known.limit.want(view, left))
+    }
+
+    /// When a request can go to one of some servers that name a limit, as far as the steward tells.
+    pub(super) fn expected_turn(
+        &self,
+        now: clock::Instant,
+        servers: &[SmolStr],
+    ) -> Option<Duration> {
+        let turns = self.gates_of(servers);
+        turns.filter_map(|gate| gate.expected(now)).min()
+    }
+
+    fn gates_of(&self, servers: &[SmolStr]) -> impl Iterator<Item = &gate::Gate> {
+        let known = servers.iter().filter_map(|id| self.servers.get(id));
+        known.map(|known| &known.limit)
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -27,7 +27,7 @@
 /// Instances that share limits while it isn't known how many there are: too many only makes parts small.
 pub(super) const UNKNOWN_INSTANCES: usize = 24;
 
-/// After the steward's last word, entries of the directory are as new as that after this time: two heartbeats
+/// After the steward's last frame, entries of the directory are as new as that after this time: two heartbeats
 /// and the time until they are read.
 pub(super) const TOLD: Duration = Duration::from_millis(1600);
 
@@ -82,7 +82,7 @@
     /// The steward has told of entries since the directory was last read whole.
     pub(super) entries_told: bool,
     pub(super) relaying: bool,
-    /// When the directory has become as new as the steward's last word; none while there is a link to it.
+    /// When the directory has become as new as the steward's last frame; none while there is a link to it.
     pub(super) told_until: Option<clock::Instant>,
     pub(super) next_waiting: u64,
     /// When a planned stop will be over, once one has begun.
@@ -144,7 +144,7 @@
         }
     }
 
-    /// What it holds; `told_stands` says whether the steward's word goes before the directory's.
+    /// What it holds; `told_stands` says whether what the steward told goes before the directory's entries.
     pub(super) fn held(&self, told_stands: bool) -> &server::Held {
         self.told
             .as_ref()
@@ -225,7 +225,7 @@
             known.running.clear();
             known.told = None;
         } else if server.held == server::Held::default() {
-            // The steward's word on entries leaves out what they hold.
+            // Entries that the steward tells leave out what they hold.
             let held = std::mem::take(&mut known.server.held);
             known.server = server::Server { held, ..server };
             return;
@@ -364,7 +364,7 @@
             .filter(in_time)
     }
 
-    /// Whether the steward's word goes before the directory's. Without a link it does until the directory was read
+    /// Whether what the steward told goes before the directory's entries. Without a link it does until the directory was read
     /// after it has become newer: a store that is away would leave an instance with entries from before most swaps.
     pub(super) fn told_stands(&self, now: clock::Instant) -> bool {
         self.told_until
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -83,7 +83,7 @@
     pub id: Option<SmolStr>,
     /// The id of the server that answers, if it says so.
     pub server: Option<SmolStr>,
-    /// It bears the proof that a backend server made it.
+    /// It carries the proof that a backend server made it.
     pub sealed: bool,
     /// It states that the request hasn't run and won't.
     pub not_run: bool,
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -219,7 +219,7 @@
             leaving: false,
             stamp_ms: 0,
             read_age: Duration::MAX,
-            config_version: 0,
+            config_version: None,
             waits: false,
             whole,
             untold: BTreeSet::new(),
@@ -250,10 +250,16 @@
             links,
             meter,
             config,
+            pacer,
             ..
         } = &mut *state;
         if let Some(link) = links.get_mut(&number) {
+            let is_new = link.config_version.is_none();
             link.config_version = link.config_version.max(demand.config_version);
+            if is_new && link.config_version.is_some() {
+                // The queue of a new link has room.
+                let _ = link.send(&frame::Frame::Limits(pacer.notices()));
+            }
             // Before the version is named, at which the instance would read the store.
             if word.acts && !link.send_config(config.as_ref()) {
                 links.remove(&number);
@@ -331,9 +337,9 @@
         self.node.set_standby(standby == Some(true));
     }
 
-    /// Whom to ask whether there is another steward: this one acts, but nobody has a link to it and the store doesn't answer.
+    /// The instance to ask whether another one is steward: this one acts, but nobody has a link to it and the store doesn't answer.
     #[must_use]
-    pub fn doubts(&self) -> Option<Record> {
+    pub fn suspect(&self) -> Option<Record> {
         let mut state = self.lock();
         if !state.links.is_empty() || !self.node.store_fails() {
             return None;
--- a/crates/fireflywheel_daemon/src/fleet/steward/limits.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/limits.rs
@@ -55,7 +55,10 @@
         }
         self.limits_changed = false;
         self.limits_told = now;
-        self.broadcast(&frame::Frame::Limits(notices.clone()));
+        let bytes = frame::Frame::Limits(notices.clone()).encode();
+        self.links.retain(|_, link| {
+            link.config_version.is_none() || link.sender.try_send(bytes.clone()).is_ok()
+        });
         Some(notices)
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -24,8 +24,9 @@
     pub(super) stamp_ms: u64,
     /// How old its own reads of the store are.
     pub(super) read_age: Duration,
-    /// The newest configuration that it has, or that was sent to it.
-    pub(super) config_version: u64,
+    /// The newest configuration that it has, or that was sent to it. None before it has told, or if its release takes no configurations
+    /// and no limits from a link: a frame that it can't read would end the link.
+    pub(super) config_version: Option<u64>,
     /// Requests wait there, so that each change of an engine may matter to it at once.
     pub(super) waits: bool,
     /// It is told of all engines.
@@ -78,11 +79,11 @@
 
     /// Sends the configuration if the instance has an earlier one; whether the link still has room.
     pub(super) fn send_config(&mut self, config: Option<&(u64, Bytes)>) -> bool {
-        let Some((version, bytes)) = config.filter(|(version, _)| *version > self.config_version)
-        else {
+        let is_later = |known: u64| config.filter(|(version, _)| *version > known);
+        let Some((version, bytes)) = self.config_version.and_then(is_later) else {
             return true;
         };
-        self.config_version = *version;
+        self.config_version = Some(*version);
         self.sender.try_send(bytes.clone()).is_ok()
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/tell.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/tell.rs
@@ -90,8 +90,7 @@
         let bytes = frame::Frame::Configuration(Arc::clone(config)).encode();
         self.config = Some((config.version, bytes));
         let config = self.config.as_ref();
-        self.links
-            .retain(|_, link| link.stamp_ms == 0 || link.send_config(config));
+        self.links.retain(|_, link| link.send_config(config));
     }
 
     /// A beat at its time, and at once when there is a new configuration.
