A large configuration goes by link only to instances that the store doesn't answer

The steward sent each configuration to 302 instances; while that went out, beats and changes of servers waited. Change: all get it at once only if that is a megabyte at most in all ([steward] config_bytes); beyond, an instance reads it when it hears of the version, and asks the steward once the store doesn't answer.

--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -53,6 +53,9 @@
     /// The configuration in force at the instance, 0 for none; absent from releases that read each configuration for themselves.
     #[serde(default)]
     pub config_version: Option<u64>,
+    /// The store doesn't answer the instance, which needs the configuration from the steward.
+    #[serde(default)]
+    pub needs_config: bool,
     /// How old the instance's own reads of the store are, in milliseconds.
     #[serde(default = "never")]
     pub read_ms: u32,
--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -54,6 +54,7 @@
 const WINDOW_MS: RangeInclusive<u64> = 100..=600_000;
 const DESCRIPTORS: RangeInclusive<u64> = 64..=10_000_000;
 const TELL_ALL: RangeInclusive<u64> = 0..=1_000_000_000;
+const CONFIG_BYTES: RangeInclusive<u64> = 0..=1_000_000_000;
 const LINES: RangeInclusive<u64> = 1..=1_000_000;
 const CPU_SHARE: RangeInclusive<f64> = 0.001..=1024.0;
 const RATIO: RangeInclusive<f64> = 0.0..=10.0;
@@ -99,6 +100,9 @@
     /// engines. Then one that loses the steward while the store is away still knows where each model is; beyond, what is
     /// told would grow faster than links carry.
     pub tell_all: usize,
+    /// `[steward] config_bytes`, a megabyte if left out: a new configuration is sent to all instances if that is no more in all, and else to
+    /// those only that the store doesn't answer.
+    pub config_bytes: usize,
     /// `[repeats] ratio`, `extra` and `window_ms`: how much may be repeated; a tenth and nothing more if left out.
     pub repeats: budget::Options,
     /// `[quotas]`: how quotas of organisations are held.
@@ -181,6 +185,7 @@
         fenced: steward.fenced,
         first_start: steward.first_start,
         tell_all: steward.tell_all,
+        config_bytes: steward.config_bytes,
         repeats,
         quotas,
         obey: obey.unwrap_or(Duration::from_secs(2)),
@@ -227,6 +232,7 @@
     fenced: bool,
     first_start: bool,
     tell_all: usize,
+    config_bytes: usize,
 }
 
 fn read_steward(section: &ini_text::Section, faults: &mut fault::List) -> Steward {
@@ -235,6 +241,7 @@
     let fenced = reader.optional_word("fenced", &YES_NO);
     let first_start = reader.optional_word("first_start", &YES_NO);
     let tell_all = reader.optional_whole("tell_all", TELL_ALL);
+    let config_bytes = reader.optional_whole("config_bytes", CONFIG_BYTES);
     reader.finish();
     let term = term.unwrap_or(Duration::from_secs(3));
     let tell_all = tell_all.and_then(|most: u64| usize::try_from(most).ok());
@@ -243,6 +250,9 @@
         fenced: fenced.unwrap_or(false),
         first_start: first_start.unwrap_or(true),
         tell_all: tell_all.unwrap_or(50_000),
+        config_bytes: config_bytes
+            .and_then(|most: u64| usize::try_from(most).ok())
+            .unwrap_or(1 << 20),
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -170,7 +170,15 @@
 
     /// The configuration was read at this time.
     pub fn read_config(&self, asked: Instant) {
-        self.lock().config_read = Some(asked);
+        let mut state = self.lock();
+        state.config_read = Some(asked);
+        state.needs_config = false;
+    }
+
+    /// The store didn't answer a read of the configuration: the steward is to send it.
+    pub fn config_unread(&self) {
+        self.lock().needs_config = true;
+        self.wanted.notify_one();
     }
 
     /// The configuration in force, if it is later than the steward's and than `sent`.
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -75,6 +75,7 @@
             permits,
             asks,
             config_version: Some(state.config.as_ref().map_or(0, |config| config.version)),
+            needs_config: state.needs_config,
             read_ms: frame::millis(state.read_age(now)),
         }
     }
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -76,6 +76,8 @@
     /// Pauses between calls to the store while it fails.
     pub(super) store: backoff::Backoff,
     pub(super) config_read: Option<clock::Instant>,
+    /// The store didn't answer the last read of the configuration.
+    pub(super) needs_config: bool,
     pub(super) directory_read: Option<clock::Instant>,
     /// The store's era when the directory was read last.
     pub(super) era: Era,
@@ -178,6 +180,7 @@
             standby: false,
             store: backoff::Backoff::default(),
             config_read: None,
+            needs_config: false,
             directory_read: None,
             era: Era::default(),
             entries_told: false,
@@ -281,6 +284,7 @@
             self.forget_gates(organisations);
         }
         self.config = Some(config);
+        self.needs_config = false;
         true
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -109,6 +109,7 @@
             beat: None,
             told_version: 0,
             config: None,
+            config_bytes: settings.config_bytes,
             entries: BTreeMap::new(),
             load: (clock::Instant::default(), false),
             forecast: clock::Instant::default(),
@@ -220,6 +221,7 @@
             stamp_ms: 0,
             read_age: Duration::MAX,
             config_version: None,
+            needs_config: false,
             waits: false,
             whole,
             untold: BTreeSet::new(),
@@ -256,12 +258,13 @@
         if let Some(link) = links.get_mut(&number) {
             let is_new = link.config_version.is_none();
             link.config_version = link.config_version.max(demand.config_version);
+            link.needs_config = demand.needs_config;
             if is_new && link.config_version.is_some() {
                 // The queue of a new link has room.
                 let _ = link.send(&frame::Frame::Limits(pacer.notices()));
             }
             // Before the version is named, at which the instance would read the store.
-            if word.acts && !link.send_config(config.as_ref()) {
+            if word.acts && link.needs_config && !link.send_config(config.as_ref()) {
                 links.remove(&number);
                 return;
             }
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -27,6 +27,8 @@
     /// The newest configuration that it has, or that was sent to it. None before it has told, or if its release takes no configurations
     /// and no limits from a link: a frame that it can't read would end the link.
     pub(super) config_version: Option<u64>,
+    /// The store doesn't answer it.
+    pub(super) needs_config: bool,
     /// Requests wait there, so that each change of an engine may matter to it at once.
     pub(super) waits: bool,
     /// It is told of all engines.
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -70,6 +70,8 @@
     pub(super) told_version: u64,
     /// The newest configuration in the form in which it is sent, with its version.
     pub(super) config: Option<(u64, Bytes)>,
+    /// A new one is sent to all if that is no more: more would hold up beats until links are taken for dead.
+    pub(super) config_bytes: usize,
     /// The directory as it was told last.
     pub(super) entries: BTreeMap<SmolStr, frame::Entry>,
     /// When it was last told what engines have to read, and whether that was anything.
--- a/crates/fireflywheel_daemon/src/fleet/steward/tell.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/tell.rs
@@ -81,16 +81,19 @@
         (NEWS_A_LINK * links).clamp(SHORTEST_NEWS, BEAT)
     }
 
-    /// Sends a configuration that is new here to all instances that have told which one they have.
+    /// Sends a configuration that is new here to all instances, if that isn't much, or else to those that the store doesn't answer. The
+    /// others read it.
     pub(super) fn tell_config(&mut self, config: &Arc<config::Config>) {
         let known = self.config.as_ref().map(|(version, _)| *version);
         if known == Some(config.version) {
             return;
         }
         let bytes = frame::Frame::Configuration(Arc::clone(config)).encode();
+        let all = self.links.len() * bytes.len() <= self.config_bytes;
         self.config = Some((config.version, bytes));
         let config = self.config.as_ref();
-        self.links.retain(|_, link| link.send_config(config));
+        self.links
+            .retain(|_, link| !(all || link.needs_config) || link.send_config(config));
     }
 
     /// A beat at its time, and at once when there is a new configuration.
--- a/crates/fireflywheel_daemon/src/fleet/watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/watch.rs
@@ -111,6 +111,7 @@
             }
             Err(fault) => {
                 contact.bad(node.now(), &fault.to_string());
+                node.config_unread();
             }
         }
     }
