The stand-in worker refuses orders and reports that are for another worker

Traced by its logs: a worker was replaced at its address, an order for the one before was sent until that one's entry was gone, and the stand-in carried it out as its own. The platform's protocol answers 421 to what names another server in its header, which our orders do; the stand-in looked at that for requests only.

--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -100,7 +100,7 @@
     switches: Switches,
     /// Requests a second that it says it takes.
     limit: Option<f64>,
-    /// When requests came, also those that it refused.
+    /// When requests for it came, also those that it refused.
     arrivals: Vec<time::Instant>,
 }
 
@@ -248,7 +248,7 @@
         self.lock().limit = per_second;
     }
 
-    /// When requests came, also those that it refused.
+    /// When requests for it came, also those that it refused.
     #[must_use]
     pub fn arrivals(&self) -> Vec<time::Instant> {
         self.lock().arrivals.clone()
@@ -365,14 +365,17 @@
         state.models.insert(model, BTreeSet::new());
     }
 
+    /// The refusal of a call that is for another worker.
+    fn misdirected(&self, request: &http::Request) -> Option<http::Answer> {
+        let expected = request.header("x-expect-instance");
+        expected.filter(|expected| *expected != self.inner.id)?;
+        let mut answer = bare(StatusCode::MISDIRECTED_REQUEST);
+        set(&mut answer, "x-instance-id", &self.inner.id);
+        Some(answer)
+    }
+
     /// A response that says that nothing has run, if this request can't.
     fn refusal(&self, request: &http::Request) -> Option<http::Answer> {
-        let expected = request.header("x-expect-instance");
-        if expected.is_some_and(|expected| expected != self.inner.id) {
-            let mut answer = bare(StatusCode::MISDIRECTED_REQUEST);
-            set(&mut answer, "x-instance-id", &self.inner.id);
-            return Some(answer);
-        }
         let mut state = self.lock();
         if take(&mut state.switches.refuse) {
             return Some(not_run());
@@ -503,6 +506,9 @@
     }
 
     async fn call(self: Arc<Self>, request: http::Request) -> Result<http::Answer, http::Lost> {
+        if let Some(refusal) = self.misdirected(&request) {
+            return Ok(refusal);
+        }
         match request.path.as_str() {
             "/v1/report" => return Ok(http::json(StatusCode::OK, &self.report())),
             "/v1/order" => {
