A plan sums rates only for engines that name a limit

Each plan summed the rates of all models of all engines, several times, to find out whether an engine names less than that; no engine named a limit. Change: the sum is taken for engines with a limit only.

--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -48,8 +48,8 @@
     /// Whether more is asked for of the models that it holds than it takes.
     fn is_short(&self, rates: &BTreeMap<SmolStr, f64>) -> bool {
         let rate = |model: &SmolStr| rates.get(model).copied().unwrap_or_default();
-        let asked: f64 = self.held.models.keys().map(rate).sum();
-        self.limit.is_some_and(|limit| asked > limit)
+        let asked = || self.held.models.keys().map(rate).sum::<f64>();
+        self.limit.is_some_and(|limit| asked() > limit)
     }
 
     /// It loads from the weight store, or makes room to do so.
