The first era that is heard of is no return of the store

Found in the reading of the change: an instance took era 0 for known before the store's first answer. Where the store begins with a later era, each instance would log a return at its start, and the first steward would wait a term for its lease. Change: no era is known before the first answer; beats and demands tell one only when there is one.

--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -43,7 +43,7 @@
     pub usage: Vec<quota::Usage>,
     /// The store's era, as far as known.
     #[serde(default)]
-    pub era: Era,
+    pub era: Option<Era>,
     /// What servers' answers have said of their limits since the last demand.
     #[serde(default)]
     pub limits: Vec<limit::Notice>,
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -59,7 +59,7 @@
         lease_era: Era,
         /// The store's era, as far as known.
         #[serde(default)]
-        era: Era,
+        era: Option<Era>,
         /// The newest configuration that it knows of.
         config_version: u64,
         /// How old the oldest is of what it last read of the directory and the configuration, in milliseconds.
--- a/crates/fireflywheel_daemon/src/fleet/door.rs
+++ b/crates/fireflywheel_daemon/src/fleet/door.rs
@@ -56,7 +56,8 @@
     P: platform::Platform,
 {
     node.metrics.set_config_age(node.edition().age);
-    node.metrics.set_era(node.platform.era());
+    node.metrics
+        .set_era(node.platform.era().unwrap_or_default());
     match node.metrics.text() {
         Ok(text) => {
             let mut response = Response::new(door::Body::whole(text));
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -7,7 +7,7 @@
 use anyhow::Context as _;
 use bytes::Bytes;
 use fireflywheel::clock;
-use fireflywheel::fleet::era::Position;
+use fireflywheel::fleet::era::{Era, Position};
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease;
 use fireflywheel::fleet::talk;
@@ -193,7 +193,7 @@
                 heard = steward.node.now();
                 match frame {
                     Ok(frame::Frame::Demand(demand)) => {
-                        steward.node.platform.learn_era(demand.era);
+                        learn_era(steward, demand.era);
                         steward.hear(number, &demand);
                         steward.demand(&key, demand);
                     }
@@ -278,6 +278,15 @@
     }
 }
 
+fn learn_era<P>(steward: &steward::Steward<P>, era: Option<Era>)
+where
+    P: platform::Platform,
+{
+    if let Some(era) = era {
+        steward.node.platform.learn_era(era);
+    }
+}
+
 /// The chance with which an instance tells the steward of a later configuration after a beat: most of them have it at the same time.
 fn told_by(instances: usize) -> f64 {
     (TELLERS / instances.max(1) as f64).min(1.0)
@@ -316,7 +325,7 @@
             standbys_read,
             ..
         } => {
-            steward.node.platform.learn_era(era);
+            learn_era(steward, era);
             let end = Position {
                 era: lease_era,
                 offset: lease_end,
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -35,7 +35,7 @@
 
     /// All that this instance wants and has running. `era` is the store's, as far as known.
     #[must_use]
-    pub fn demand(&self, era: Era) -> demand::Demand {
+    pub fn demand(&self, era: Option<Era>) -> demand::Demand {
         let now = self.now();
         let mut state = self.lock();
         let arrived = std::mem::take(&mut state.arrived);
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -201,8 +201,8 @@
     /// What is wrong with it.
     fn read_report(&self, body: &[u8]) -> anyhow::Result<server::Report>;
 
-    /// The era of the store, as far as known.
-    fn era(&self) -> Era;
+    /// The era of the store; none before anything was heard of it.
+    fn era(&self) -> Option<Era>;
 
     /// Another instance knows that the store is in this era: answers of an earlier one don't count any more.
     fn learn_era(&self, era: Era);
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -187,7 +187,9 @@
 
     /// Takes in what is known of the store's era. A steward rests until its lease stands in that era.
     pub(super) fn follow_era(&self, now: clock::Instant, state: &mut State) {
-        let era = self.node.platform.era();
+        let Some(era) = self.node.platform.era() else {
+            return;
+        };
         let acted = state.lease.fencing(now).is_some();
         if !state.lease.enter(now, era) {
             return;
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -44,7 +44,7 @@
     pub(super) acts: bool,
     pub(super) instances: usize,
     pub(super) lease_end: Position,
-    pub(super) era: Era,
+    pub(super) era: Option<Era>,
     pub(super) config_version: u64,
     pub(super) read_age: Duration,
     pub(super) standbys_read: bool,
--- a/crates/fireflywheel_daemon/src/fleet/watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/watch.rs
@@ -154,7 +154,7 @@
             Ok(news) => {
                 contact.good(now);
                 first = false;
-                let era = node.platform.era();
+                let era = node.platform.era().unwrap_or_default();
                 node.read_directory(asked, era);
                 copy.read(now, era);
                 let patience = if contact.is_fresh(now) || copy.is_fresh(now) {
