--- a/crates/fireflywheel/src/fleet/limit/gate.rs
+++ b/crates/fireflywheel/src/fleet/limit/gate.rs
@@ -104,7 +104,7 @@
     }
 
     /// An answer of the server to a request that was sent at `sent` names no limit. Returns whether that is news. One that was sent before
-    /// the limit was known here may have been answered before the server was in need.
+    /// the limit was known here may have been answered before the server was overloaded.
     pub fn named_none(&mut self, sent: clock::Instant) -> bool {
         let since = [self.own, self.told].into_iter().flatten();
         let Some(since) = since.map(|known| known.since).min() else {
--- a/crates/fireflywheel_daemon/src/fleet/watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/watch.rs
@@ -67,12 +67,12 @@
 
 /// Tells when the store came back from an older copy, whose entries the servers write again.
 #[derive(Default)]
-struct Copy {
+struct Restored {
     era: Option<Era>,
     since: Option<clock::Instant>,
 }
 
-impl Copy {
+impl Restored {
     fn read(&mut self, now: clock::Instant, era: Era) {
         let before = self.era.replace(era);
         if before.is_some_and(|before| before < era) {
@@ -125,7 +125,7 @@
     let mut cursor = P::DirectoryCursor::default();
     let mut contact = Contact::new("directory");
     let mut first = true;
-    let mut copy = Copy::default();
+    let mut restored = Restored::default();
     let interval = node.settings.obey / READS;
     loop {
         let relayed = node.is_relayed();
@@ -156,8 +156,8 @@
                 first = false;
                 let era = node.platform.era().unwrap_or_default();
                 node.read_directory(asked, era);
-                copy.read(now, era);
-                let patience = if contact.is_fresh(now) || copy.is_fresh(now) {
+                restored.read(now, era);
+                let patience = if contact.is_fresh(now) || restored.is_fresh(now) {
                     LAPSED
                 } else {
                     Duration::ZERO
