--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use fireflywheel::clock::Instant;
+use fireflywheel::clock::{self, Instant};
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::era::Era;
 use fireflywheel::fleet::settings;
@@ -160,12 +160,21 @@
     /// Applies a configuration, unless that one or a later one is in force.
     pub fn apply_config(&self, config: Arc<config::Config>, source: ConfigSource) {
         let (version, routes) = (config.version, config.routes.len() as u64);
-        let is_new = self.lock().apply_config(config);
+        let now = self.now();
+        let mut state = self.lock();
+        let is_new = state.apply_config(config);
+        let own_read_age = state
+            .config_read_at
+            .map_or(0, |at| clock::millis(now.since(at)));
+        drop(state);
         if is_new {
             self.metrics.set_config_version(version);
             self.wake();
         }
-        log::info!(version = version, routes = routes, taken = is_new, reader = source.as_str(); "configuration read");
+        log::info!(
+            version = version, routes = routes, taken = is_new, reader = source.as_str(), own_read_age_ms = own_read_age;
+            "configuration read"
+        );
     }
 
     /// Records a read of the configuration that was requested at this time.
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -214,6 +214,7 @@
     P: platform::Platform,
 {
     let mut changes = node.steward_reads.subscribe();
+    let mut were_valid = false;
     loop {
         let steward_reads = *changes.borrow_and_update();
         let now = node.now();
@@ -221,6 +222,12 @@
             .valid_until
             .map_or(Duration::ZERO, |until| until.since(now));
         if left.is_zero() {
+            if for_config && were_valid {
+                let age = steward_reads
+                    .read
+                    .map_or(Duration::ZERO, |read| now.since(read));
+                log::info!(age_ms = clock::millis(age); "steward's reads expired; reading the configuration from the store");
+            }
             let polls = if node.is_acting_steward() {
                 STEWARD_POLLS_PER_CONFIG_DEADLINE
             } else {
@@ -231,6 +238,7 @@
             let may_wait = !node.is_standby() || node.config_age() < wait;
             return if may_wait { wait } else { Duration::ZERO };
         }
+        were_valid = true;
         let newest = node.config().map_or(0, |config| config.version);
         if for_config && steward_reads.version > newest {
             return Duration::ZERO;
