A read that returns a change counts as of its start

What callers may have seen: an instance refused or ran a request as only an older configuration says, later than a change may take to be in force.

What the store accepted between its answer and the receipt is not in the answer. The steward's heartbeat then says that it knows the newest, and all other instances rely on that instead of reading. With a quarter of the deadline as wait and three quarters as validity, nothing of the deadline remained for an instance's own read.

The decision moves to the core (fleet::freshness), where 200 drawn series of changes and delays check that no read counts as newer than what it contains.

Change: only a read that found nothing and lasted as long as its wait counts as of the end of the wait; all others count as of their start. After a change the steward reads once more without waiting, so that its reads stay young for the others. The stand-ins get a switch that delays all answers, also those without an effect.

--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 //! | [`size`] | the number of instances that share a limit |
 //! | [`events`] | splitting of a stream into whole events |
 //! | [`rate`] | rate limits and measured rates |
+//! | [`freshness`] | as of when a read of the platform's store shows its state |
 //! | [`settings`] | the settings of one process |
 //! | [`subscription`] | which instances receive updates of which engines |
 //! | [`link`] | timing of the link to the steward and of the steward's reads of the store |
@@ -39,6 +40,7 @@
 pub mod era;
 pub mod events;
 pub mod frame;
+pub mod freshness;
 pub mod lease;
 pub mod limit;
 pub mod link;
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod demand;
 mod events;
+mod freshness;
 mod lease;
 mod limit;
 mod link;
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -177,10 +177,10 @@
         );
     }
 
-    /// Records a read of the configuration that was requested at this time.
-    pub fn record_config_read(&self, requested_at: Instant) {
+    /// Records a read of the configuration that shows the store's state as of this time.
+    pub fn record_config_read(&self, as_of: Instant) {
         let mut state = self.lock();
-        state.config_read_at = Some(requested_at);
+        state.config_read_at = Some(as_of);
         state.needs_config = false;
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -10,6 +10,7 @@
 
 use fireflywheel::clock;
 use fireflywheel::fleet::era::Era;
+use fireflywheel::fleet::freshness;
 use tokio::time;
 
 use super::node;
@@ -97,18 +98,31 @@
 {
     let mut cursor = P::ConfigCursor::default();
     let mut reachability = Reachability::new("configuration");
+    let mut has_changed = false;
     loop {
         let wait = wait_until_read_needed(&node, true).await;
         node.wait_for_store().await;
-        let wait = node.store_wait(wait);
+        // A read that returns a change counts as of its start. The next one doesn't wait, so that other instances can
+        // go on to rely on the steward's reads.
+        let wait = if has_changed && node.is_acting_steward() {
+            Duration::ZERO
+        } else {
+            node.store_wait(wait)
+        };
         let read_started = node.now();
         let result = node.platform.poll_config(&mut cursor, wait).await;
         node.record_store_call("configuration", result.is_ok());
         match result {
             Ok(config) => {
                 reachability.record_success(node.now());
-                // A long poll that found nothing new shows the state at the end of its wait.
-                node.record_config_read(read_started.after(wait).min(node.now()));
+                let read = freshness::Read {
+                    started: read_started,
+                    ended: node.now(),
+                    wait,
+                    has_change: config.is_some(),
+                };
+                node.record_config_read(read.as_of());
+                has_changed = read.has_change;
                 if let Some(config) = config {
                     node.apply_config(Arc::new(config), node::ConfigSource::Own);
                 }
--- a/crates/fireflywheel_standin/src/fault.rs
+++ b/crates/fireflywheel_standin/src/fault.rs
@@ -63,6 +63,8 @@
     cut_answers / with_cut_answers: u64;
     /// Delay between an effect and its answer in milliseconds.
     late_ms / with_late_ms: u64;
+    /// Delay of every answer in milliseconds, also of one without an effect.
+    transit_ms / with_transit_ms: u64;
     /// Number of next streams that send one chunk twice.
     duplicate_answers / with_duplicate_answers: u64;
     /// Refuses new requests as draining, and reports so in the load report.
@@ -155,6 +157,11 @@
         sleep_ms(self.switches().slow_ms).await;
     }
 
+    /// Waits for the delay `transit_ms`.
+    pub async fn delay_transit(&self) {
+        sleep_ms(self.switches().transit_ms).await;
+    }
+
     /// Waits for the delay `late_ms`.
     pub async fn delay_answer(&self) {
         sleep_ms(self.switches().late_ms).await;
--- a/crates/fireflywheel_standin/src/http.rs
+++ b/crates/fireflywheel_standin/src/http.rs
@@ -355,6 +355,7 @@
     if has_effect {
         handler.injector().delay_answer().await;
     }
+    handler.injector().delay_transit().await;
     handler.injector().wait_until_unfrozen().await;
     if has_effect
         && handler
