An outdated configuration denies no route

What callers saw: an instance that reached neither the store nor a steward refused a route that had been added since with 404. Callers don't try again after a 404, here or elsewhere.

Cause: what an old configuration lacks counted as absent. For an unknown key the age of the configuration was checked; for a route and for a request without a key it was not.

Evidence, before: outdated_configuration_does_not_deny_a_route fails with 404 where 503 is expected; after: passes, with 65 tests of the site green.

Change: all denials by what a configuration lacks are decided in one place, which asks the caller to come back once the configuration is older than a change may take to be in force. Routes and keys that are known go on being served meanwhile.

--- a/crates/fireflywheel_daemon/src/fleet/access.rs
+++ b/crates/fireflywheel_daemon/src/fleet/access.rs
@@ -36,28 +36,33 @@
         if route.allow_anonymous {
             return Ok(None);
         }
-        match call.identity {
-            platform::Identity::Missing => Err(unauthorized("no_key", "the request has no key")),
+        let problem = match call.identity {
+            platform::Identity::Missing => unauthorized("no_key", "the request has no key"),
             platform::Identity::Malformed => {
-                Err(unauthorized("bad_key", "the request's key can't be read"))
+                unauthorized("bad_key", "the request's key can't be read")
             }
             platform::Identity::Key(credential) => {
                 log::info!(request = call.id.as_str(), key_hash = credential.to_string().as_str(); "unknown key");
-                Err(self.unknown_key(call))
+                unauthorized("unknown_key", "no organisation has this key")
             }
-        }
+        };
+        Err(self.deny(call, problem))
     }
 
-    /// Returns the refusal for an unknown key. The key may be new if the configuration was last read longer ago than a
-    /// new configuration may take to be in force.
-    fn unknown_key(&self, call: &platform::Call) -> errors::Problem {
+    /// Returns the refusal of a request because the configuration lacks what it names. What is missing may be newer if
+    /// the configuration was last read longer ago than a new one may take to be in force. The denial would be final for
+    /// the caller, so it is then asked to come back.
+    pub(super) fn deny(&self, call: &platform::Call, problem: errors::Problem) -> errors::Problem {
         let age = self.node.config_age();
         if age <= self.node.settings.config_deadline {
-            return unauthorized("unknown_key", "no organisation has this key");
+            return problem;
         }
         let left = call.deadline.unwrap_or(age);
-        unavailable("stale", "the key may be newer than the configuration")
-            .with_retry_after(retry_after(timeout::remaining_outage(age), left))
+        unavailable(
+            "stale",
+            "what the request names may be newer than the configuration",
+        )
+        .with_retry_after(retry_after(timeout::remaining_outage(age), left))
     }
 
     /// Charges a request to its organisation's quota.
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -103,11 +103,12 @@
             return Err(problem.with_retry_after(retry_after(wait, left)));
         };
         let Some(route) = config.route(&call.host, head.uri.path()) else {
-            return Err(errors::Problem::new(
+            let problem = errors::Problem::new(
                 StatusCode::NOT_FOUND,
                 "unknown_route",
                 "no route has this host and path",
-            ));
+            );
+            return Err(self.deny(call, problem));
         };
         let organisation = self.identify_organisation(&config, route, call)?;
         let body = incoming::read(body, &body_limits(&config.limits)).await?;
