--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -103,8 +103,14 @@
     switches: Switches,
     /// Limit in requests per second that answers contain, if any.
     limit: Option<f64>,
+    /// Whether all answers say that the worker leaves.
+    leaving: bool,
+    /// The rest that the worker asks for when it turns a call away; `None` while it accepts calls.
+    rest: Option<Duration>,
     /// Times at which requests arrived, including refused ones.
     arrivals: Vec<time::Instant>,
+    /// Times at which any calls arrived: requests, orders and requests for reports.
+    calls: Vec<time::Instant>,
 }
 
 /// The faults of a worker. Each switch counts down by one when its fault occurs.
@@ -251,6 +257,22 @@
         self.lock().limit = per_second;
     }
 
+    /// Sets whether all further answers say that the worker leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.lock().leaving = leaving;
+    }
+
+    /// Turns all further calls away and asks for this rest; `None` accepts them again.
+    pub fn set_rest(&self, rest: Option<Duration>) {
+        self.lock().rest = rest;
+    }
+
+    /// Returns the times at which any calls arrived: requests, orders and requests for reports.
+    #[must_use]
+    pub fn calls(&self) -> Vec<time::Instant> {
+        self.lock().calls.clone()
+    }
+
     /// Returns the times at which requests arrived, including refused ones.
     #[must_use]
     pub fn arrivals(&self) -> Vec<time::Instant> {
@@ -377,8 +399,19 @@
         Some(answer)
     }
 
+    /// Turns a call away while the worker asks for a rest.
+    fn shed(&self) -> Option<http::Answer> {
+        let rest = self.lock().rest?;
+        let mut answer = not_executed();
+        set_header(&mut answer, "retry-after", &rest.as_secs_f64().to_string());
+        Some(answer)
+    }
+
     /// Refuses a request that cannot run here, with an answer that shows that it was not executed.
     fn refuse_before_run(&self, request: &http::Request) -> Option<http::Answer> {
+        if let Some(refusal) = self.shed() {
+            return Some(refusal);
+        }
         let mut state = self.lock();
         if try_consume(&mut state.switches.refuse) {
             return Some(not_executed());
@@ -512,25 +545,32 @@
         if let Some(refusal) = self.refuse_misdirected(&request) {
             return Ok(refusal);
         }
-        match request.path.as_str() {
-            "/v1/report" => return Ok(http::json(StatusCode::OK, &self.build_report())),
-            "/v1/order" => {
-                let order = match request.json::<Order>() {
-                    Ok(order) => order,
-                    Err(answer) => return Ok(answer),
-                };
-                return Ok(empty_answer(self.execute_order(&order)));
+        self.lock().calls.push(time::Instant::now());
+        let mut answer = match request.path.as_str() {
+            "/v1/report" => match self.shed() {
+                Some(refusal) => refusal,
+                None => http::json(StatusCode::OK, &self.build_report()),
+            },
+            "/v1/order" => match (self.shed(), request.json::<Order>()) {
+                (Some(refusal), _) | (None, Err(refusal)) => refusal,
+                (None, Ok(order)) => empty_answer(self.execute_order(&order)),
+            },
+            _ => {
+                self.lock().arrivals.push(time::Instant::now());
+                match self.refuse_before_run(&request) {
+                    Some(refusal) => refusal,
+                    None => self.run(&request).await.unwrap_or_else(not_executed),
+                }
             }
-            _ => {}
-        }
-        self.lock().arrivals.push(time::Instant::now());
-        let mut answer = match self.refuse_before_run(&request) {
-            Some(refusal) => refusal,
-            None => self.run(&request).await.unwrap_or_else(not_executed),
         };
-        if let Some(limit) = self.lock().limit {
+        let state = self.lock();
+        if let Some(limit) = state.limit {
             set_header(&mut answer, "server-limit", &limit.to_string());
         }
+        if state.leaving {
+            set_header(&mut answer, "server-leaving", "1");
+        }
+        drop(state);
         Ok(answer)
     }
 }
