A server that says that it leaves is out of use at once

What callers saw: requests went on to servers that had said, in the head of each answer, that they leave: 5.4 s after such an answer, where 2 s are allowed.

Cause: a fact that a server tells of itself in an answer wasn't read. The directory tells the same, and was away for 12 s with the store.

Six tests of the site failed before (19 requests after the answer where none is expected; 30 after the directory had listed the server anew; 30 at other instances) and pass now, with four of the core and two of the translation.

Change: platform/ decodes the header once; fleet::announcement of the core decides on it, for requests, resumed streams, orders and requests for reports alike. Leaving is final for one process of a server: no entry brings it back, and another process under the same id or at the same address is another server. All that is sent to servers goes through one function, which asks again once the connection is open. Other instances learn of it over the links, and the steward has the models loaded elsewhere.

--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 
 use super::era::Era;
-use super::{limit, load, quota, rate};
+use super::{announcement, limit, load, quota, rate};
 use crate::clock;
 
 /// The half-life of arrival rates. Demand moves within seconds, and a rarely used model receives a request
@@ -51,6 +51,9 @@
     /// The limits that servers' answers have reported since the last report.
     #[serde(default, rename = "limits")]
     pub limit_notices: Vec<limit::Notice>,
+    /// The servers that have announced since the last report that they leave.
+    #[serde(default)]
+    pub leaving_servers: Vec<announcement::Process>,
     /// The requests that wait for permits and have not been reported to the steward yet.
     #[serde(default, rename = "permits")]
     pub permit_requests: Vec<limit::Request>,
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 
 use super::era::Era;
-use super::{config, demand, lease, limit, load, quota, server};
+use super::{announcement, config, demand, lease, limit, load, quota, server};
 use crate::clock;
 
 /// A duration in whole milliseconds, as frames carry it; longer durations saturate.
@@ -164,6 +164,9 @@
     /// them.
     #[serde(default, rename = "count")]
     pub revision: u64,
+    /// The server has announced in an answer that it leaves.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 impl Entry {
@@ -181,9 +184,26 @@
             stops_in_ms: server.stops_at.map(left),
             started_ms: server.started_ms,
             revision: server.revision,
+            leaving: false,
         }
     }
 
+    /// Sets whether the server has announced in an answer that it leaves.
+    #[must_use]
+    pub fn with_leaving(mut self, leaving: bool) -> Self {
+        self.leaving = leaving;
+        self
+    }
+
+    /// The process of the server, if it has announced that it leaves.
+    #[must_use]
+    pub fn leaving_process(&self) -> Option<announcement::Process> {
+        self.leaving.then(|| announcement::Process {
+            server: self.id.clone(),
+            started_ms: self.started_ms,
+        })
+    }
+
     /// The server, received at `now`, without its holdings.
     #[must_use]
     pub fn server(self, now: clock::Instant) -> server::Server {
--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 //! | [`tracker`] | the steward's view of one engine |
 //! | [`routing`] | the backend server that a request is sent to |
 //! | [`timeout`] | how long a request is kept, and when a refused caller should retry |
+//! | [`announcement`] | what servers announce of themselves in their answers |
 //! | [`backoff`] | delays between calls to the platform's store after failed calls |
 //! | [`organisation`] | the organisations and the keys that identify them |
 //! | [`quota`] | limits of the requests of an organisation, over all instances |
@@ -34,6 +35,7 @@
 //! | [`frame`] | the messages between instances and the steward |
 
 pub mod adaptive_timeout;
+pub mod announcement;
 pub mod backoff;
 pub mod config;
 pub mod demand;
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the `fleet` modules.
 
 mod adaptive_timeout;
+mod announcement;
 mod backoff;
 mod concurrency;
 mod config;
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -112,9 +112,8 @@
     let server = &chosen.server;
     let mut in_flight = node.register_in_flight(chosen, &job.queue);
     let request = build_request(&node.platform, job, chosen, remaining, last_event);
-    let pending = node
-        .pool
-        .send(now, chosen.address, chosen.connections, request);
+    let process = chosen.process();
+    let pending = node.send_to(&process, chosen.address, chosen.connections, request);
     tokio::pin!(pending);
     let timeout = node.response_timeout(&job.route.name).unwrap_or(remaining);
     let within_timeout = time::timeout(remaining.min(timeout), &mut pending).await;
@@ -138,6 +137,7 @@
     };
     let (head, body) = response.into_parts();
     let reply = node.platform.read_reply(&head);
+    node.observe_announcement(&process, &reply);
     if let Some(load) = reply.load {
         node.record_load_report(server, load);
     }
@@ -252,7 +252,7 @@
             node.record_outcome(server, node::ServerOutcome::Full);
             Outcome::NotRun(error.as_str())
         }
-        pool::Error::Unsent => Outcome::NotRun(error.as_str()),
+        pool::Error::Withheld | pool::Error::Unsent => Outcome::NotRun(error.as_str()),
         pool::Error::Lost => {
             node.record_outcome(server, node::ServerOutcome::Failed);
             Outcome::Lost(error.as_str())
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -1,5 +1,6 @@
 //! The state of an instance, behind one lock that is never held across an await point.
 
+mod announcement;
 mod choice;
 mod demand;
 mod guard;
--- /dev/null
+++ b/crates/fireflywheel_daemon/src/fleet/node/announcement.rs
@@ -0,0 +1,120 @@
+//! What backend servers announce of themselves, at this instance.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use fireflywheel::fleet::announcement::Process;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+
+use super::{Node, state};
+use crate::fleet::{platform, pool};
+
+impl<P> Node<P>
+where
+    P: Send + Sync,
+{
+    /// Records what an answer to a request that was addressed to `process` announces. If another server has made it, it
+    /// announces that server's state.
+    pub fn observe_announcement(&self, process: &Process, reply: &platform::Reply) {
+        let now = self.now();
+        let mut state = self.lock();
+        let other = reply
+            .server
+            .as_ref()
+            .filter(|server| **server != process.server);
+        let process = match other {
+            None => process.clone(),
+            Some(other) => {
+                let Some(known) = state.servers.get(other) else {
+                    return;
+                };
+                Process {
+                    server: other.clone(),
+                    started_ms: known.server.started_ms,
+                }
+            }
+        };
+        if !state
+            .announcements
+            .observe(now, &process, reply.announcement)
+        {
+            return;
+        }
+        state.withdraw(&process);
+        drop(state);
+        log_leaving(&process, "own");
+        self.wake();
+        self.demand_changed.notify_one();
+    }
+
+    /// Records servers that leave, as reported by another instance.
+    pub fn record_leaving(&self, processes: &[Process]) {
+        if processes.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut state = self.lock();
+        let processes = processes.iter();
+        let new: Vec<&Process> = processes
+            .filter(|process| state.announcements.record_leaving(now, process))
+            .collect();
+        for process in &new {
+            state.withdraw(process);
+        }
+        drop(state);
+        for process in &new {
+            log_leaving(process, "linked");
+        }
+        if !new.is_empty() {
+            self.wake();
+        }
+    }
+
+    /// Sends a request, an order or a request for a report to a process, with at most `connections` connections to it. All
+    /// that is sent to backend servers goes this way.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no response.
+    pub async fn send_to(
+        &self,
+        process: &Process,
+        address: SocketAddr,
+        connections: usize,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, pool::Connection), pool::Error> {
+        let connection = self.pool.connect(self.now(), address, connections).await?;
+        // An answer may have come while the connection was opened.
+        if !self.may_send(process) {
+            self.pool.release(self.now(), connection, None);
+            return Err(pool::Error::Withheld);
+        }
+        connection.send(request).await
+    }
+
+    /// Whether a process may be sent a request, an order or a request for a report now.
+    fn may_send(&self, process: &Process) -> bool {
+        let state = self.lock();
+        !state
+            .announcements
+            .is_leaving(&process.server, process.started_ms)
+    }
+}
+
+impl state::State {
+    /// Takes a server that leaves out of use.
+    fn withdraw(&mut self, process: &Process) {
+        self.directory_version += 1;
+        if let Some(known) = self.servers.get_mut(&process.server)
+            && known.server.started_ms == process.started_ms
+        {
+            known.server.ready = false;
+        }
+    }
+}
+
+fn log_leaving(process: &Process, by: &str) {
+    log::info!(server = process.server.as_str(), by = by; "backend server leaves");
+}
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fireflywheel::clock;
+use fireflywheel::fleet::announcement::Process;
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::limit::gate as limit;
 use fireflywheel::fleet::load;
@@ -24,6 +25,8 @@
 pub struct Chosen {
     /// Its id.
     pub server: SmolStr,
+    /// When its process started, in Unix milliseconds.
+    pub started_ms: u64,
     /// The address that it listens on.
     pub address: SocketAddr,
     /// Maximum number of connections of this instance to it.
@@ -91,6 +94,17 @@
     Replaced,
 }
 
+impl Chosen {
+    /// The process that the request is for.
+    #[must_use]
+    pub fn process(&self) -> Process {
+        Process {
+            server: self.server.clone(),
+            started_ms: self.started_ms,
+        }
+    }
+}
+
 impl<P> Node<P>
 where
     P: Send + Sync,
@@ -166,6 +180,7 @@
         };
         let chosen = Chosen {
             server: picked.known.server.id.clone(),
+            started_ms: picked.known.server.started_ms,
             address: picked.known.server.address,
             connections: (group.connections / state.instances.count()).max(1),
             prefill_tokens: picked.prefill_tokens,
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -16,13 +16,19 @@
 where
     P: Send + Sync,
 {
-    /// The engines of a group, for the steward.
+    /// The engines of a group, for the steward. One that has announced that it leaves gets no orders, and counts as gone.
     #[must_use]
     pub fn engines(&self, group: &str) -> Vec<server::Server> {
         let state = self.lock();
         let known = state.servers.values();
         known
             .filter(|known| known.server.group == group)
+            .filter(|known| {
+                let server = &known.server;
+                !state
+                    .announcements
+                    .is_leaving(&server.id, server.started_ms)
+            })
             .map(|known| known.server.clone())
             .collect()
     }
@@ -58,6 +64,7 @@
             limit_notices.extend(known.limit.take_notice(now, id));
             permit_requests.extend(known.limit.take_request(now, id));
         }
+        let leaving_servers = state.announcements.take_leaving_notices();
         let gates = state.quota_gates.iter_mut();
         let usage = gates
             .filter_map(|(organisation, gate)| gate.take_usage(now, organisation))
@@ -81,6 +88,7 @@
             usage,
             era,
             limit_notices,
+            leaving_servers,
             permit_requests,
             subscriptions,
             config_version: Some(state.config.as_ref().map_or(0, |config| config.version)),
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -6,6 +6,7 @@
 
 use fireflywheel::clock;
 use fireflywheel::fleet::adaptive_timeout;
+use fireflywheel::fleet::announcement;
 use fireflywheel::fleet::backoff;
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::era::Era;
@@ -48,6 +49,8 @@
     pub(super) servers: BTreeMap<SmolStr, ServerState>,
     /// Servers whose entries are gone: an older copy of the directory may list them again.
     pub(super) gone_servers: BTreeMap<SmolStr, GoneServer>,
+    /// What servers have announced in their answers.
+    pub(super) announcements: announcement::Registry,
     /// Requests that wait for a server, by number in each queue.
     pub(super) queues: BTreeMap<QueueKey, BTreeMap<u64, Waiting>>,
     /// Requests that arrived since the last demand, by group and model.
@@ -175,6 +178,7 @@
             config: None,
             servers: BTreeMap::new(),
             gone_servers: BTreeMap::new(),
+            announcements: announcement::Registry::default(),
             queues: BTreeMap::new(),
             arrived: BTreeMap::new(),
             finished: BTreeMap::new(),
@@ -205,7 +209,9 @@
     }
 
     /// Adds or updates a server, unless the entry is older than what is known of the server.
-    pub(super) fn upsert_server(&mut self, server: server::Server) {
+    pub(super) fn upsert_server(&mut self, mut server: server::Server) {
+        // The directory may list a leaving server as ready until it is gone.
+        server.ready &= !self.announcements.is_leaving(&server.id, server.started_ms);
         let known = self.servers.get_mut(&server.id);
         if let Some(known) = known.filter(|known| {
             let last = &known.server;
@@ -252,6 +258,9 @@
     /// Stores what an engine holds, as sent by the steward.
     pub(super) fn store_holding(&mut self, holding: frame::EngineHoldings, now: clock::Instant) {
         let id = holding.entry.id.clone();
+        if let Some(process) = holding.entry.leaving_process() {
+            self.announcements.record_leaving(now, &process);
+        }
         self.upsert_server(holding.entry.server(now));
         if let Some(known) = self.servers.get_mut(&id) {
             known.steward_held = Some(server::Held {
@@ -342,6 +351,8 @@
             }
             stays
         });
+        let servers = &self.servers;
+        self.announcements.prune(now, |id| servers.contains_key(id));
         if self.servers.len() != before {
             self.directory_version += 1;
         }
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -56,13 +56,21 @@
         let state = self.lock();
         let servers = state.servers.iter();
         servers
-            .map(|(id, known)| (id.clone(), frame::Entry::new(&known.server, now)))
+            .map(|(id, known)| {
+                let server = &known.server;
+                let leaving = state.announcements.is_leaving(id, server.started_ms);
+                let entry = frame::Entry::new(server, now).with_leaving(leaving);
+                (id.clone(), entry)
+            })
             .collect()
     }
 
     /// Applies the changes of the directory that the steward has sent.
     pub fn apply_directory_changes(&self, changes: frame::Changes) {
         let now = self.now();
+        let entries = changes.entries.iter();
+        let leaving: Vec<_> = entries.filter_map(frame::Entry::leaving_process).collect();
+        self.record_leaving(&leaving);
         let mut state = self.lock();
         state.steward_entries_received = true;
         let named: BTreeSet<&SmolStr> = changes.entries.iter().map(|entry| &entry.id).collect();
@@ -133,6 +141,7 @@
         for known in state.servers.values_mut() {
             known.limit.link_opened();
         }
+        state.announcements.link_opened();
     }
 
     /// Sets whether the steward sends all engines, or only those that hold the models this instance
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use fireflywheel::clock;
 use fireflywheel::fleet::era::{Era, Position};
-use fireflywheel::fleet::{config, lease, organisation, routing, server};
+use fireflywheel::fleet::{announcement, config, lease, organisation, routing, server};
 use http_body_util::Full;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request};
@@ -92,6 +92,8 @@
     pub load: Option<routing::Report>,
     /// The server's rate limit in requests per second from all instances together, if it sets one.
     pub rate_limit: Option<f64>,
+    /// What the server announces of itself.
+    pub announcement: announcement::Announcement,
     /// How long the server keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/fireflywheel_daemon/src/fleet/pool.rs
+++ b/crates/fireflywheel_daemon/src/fleet/pool.rs
@@ -79,6 +79,24 @@
 }
 
 impl Connection {
+    /// Sends a request, and returns its response with the connection that carries it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if there is no response.
+    pub async fn send(
+        mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Self), Error> {
+        let host = HeaderValue::from_str(&self.address.to_string()).ok();
+        if let (false, Some(host)) = (request.headers().contains_key(HOST), host) {
+            request.headers_mut().insert(HOST, host);
+        }
+        let response = self.sender.send_request(request).await;
+        let response = response.map_err(|error| classify_error(&error))?;
+        Ok((response, self))
+    }
+
     /// Closes the connection immediately.
     pub fn close(&self) {
         self.task.abort();
@@ -98,6 +116,8 @@
     Unreachable,
     /// This instance's share of the server's connections is in use.
     NoConnectionFree,
+    /// The server has announced meanwhile that it wants nothing more.
+    Withheld,
     /// The connection ended before any byte of the request was written.
     Unsent,
     /// The connection ended later, or the response was invalid: the request may have arrived.
@@ -111,6 +131,7 @@
         match self {
             Self::Unreachable => "unreachable",
             Self::NoConnectionFree => "no connection free",
+            Self::Withheld => "withheld from the server",
             Self::Unsent => "connection ended unused",
             Self::Lost => "connection ended",
         }
@@ -118,31 +139,23 @@
 }
 
 impl Pool {
-    /// Sends a request on an idle connection or a new one, with at most `limit` connections to that server.
+    /// Takes an idle connection or opens a new one, with at most `limit` connections to that server.
     /// Nothing is awaited between the check of the count and its increase, so concurrent calls on a single-threaded
     /// runtime can't exceed the limit; only calls on several threads can. Dropping the future closes the connection.
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`] if there is no response.
-    pub async fn send(
+    /// Returns an [`Error`] if there is no connection.
+    pub async fn connect(
         &self,
         now: clock::Instant,
         address: SocketAddr,
         limit: usize,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, Connection), Error> {
-        let host = HeaderValue::from_str(&address.to_string()).ok();
-        if let (false, Some(host)) = (request.headers().contains_key(HOST), host) {
-            request.headers_mut().insert(HOST, host);
+    ) -> Result<Connection, Error> {
+        match self.take_idle(now, address) {
+            Some(connection) => Ok(connection),
+            None => self.open(address, limit).await,
         }
-        let mut connection = match self.take_idle(now, address) {
-            Some(connection) => connection,
-            None => self.open(address, limit).await?,
-        };
-        let response = connection.sender.send_request(request).await;
-        let response = response.map_err(|error| classify_error(&error))?;
-        Ok((response, connection))
     }
 
     /// Returns a connection to the pool after its response was read to the end. `keep_alive` is how long the server
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -182,6 +182,7 @@
     /// Records the demand of an instance.
     pub fn update_demand(&self, instance: &SmolStr, demand: demand::Demand) {
         let now = self.node.now();
+        self.node.record_leaving(&demand.leaving_servers);
         let mut state = self.lock();
         for server in &demand.servers_to_check {
             if let Some(tracker) = state.trackers.get_mut(server) {
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fireflywheel::fleet::announcement::Process;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::plan;
 use fireflywheel::fleet::server;
@@ -261,14 +262,19 @@
         server: &server::Server,
         request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, Bytes), ExchangeError> {
+        let process = Process {
+            server: server.id.clone(),
+            started_ms: server.started_ms,
+        };
         let exchange = async {
-            let sending =
-                self.node
-                    .pool
-                    .send(self.node.now(), server.address, MAX_CONNECTIONS, request);
+            let sending = self
+                .node
+                .send_to(&process, server.address, MAX_CONNECTIONS, request);
             let (response, connection) = sending.await.map_err(ExchangeError::Pool)?;
             let (head, body) = response.into_parts();
-            let keep_alive = self.node.platform.read_reply(&head).keep_alive;
+            let reply = self.node.platform.read_reply(&head);
+            self.node.observe_announcement(&process, &reply);
+            let keep_alive = reply.keep_alive;
             let body = Limited::new(body, MAX_REPORT_BYTES).collect().await;
             let body = body.map_err(|_| ExchangeError::IncompleteBody)?.to_bytes();
             self.node
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -563,11 +563,12 @@
                 }
             }
         };
+        let is_leaving = self.inner.injector.switches().leaving;
         let state = self.lock();
         if let Some(limit) = state.limit {
             set_header(&mut answer, "server-limit", &limit.to_string());
         }
-        if state.leaving {
+        if state.leaving || is_leaving {
             set_header(&mut answer, "server-leaving", "1");
         }
         drop(state);
