Every instance confirms a change of the configuration with a read that doesn't wait

An instance that reads for itself waits for changes for half of the deadline. A read with a change counts as of its start now; with another wait after it, the configuration would have seemed older than the deadline for a moment, and unknown routes would have been refused with 503 instead of 404. So far only the steward read again at once.

--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -102,9 +102,9 @@
     loop {
         let wait = wait_until_read_needed(&node, true).await;
         node.wait_for_store().await;
-        // A read that returns a change counts as of its start. The next one doesn't wait, so that other instances can
-        // go on to rely on the steward's reads.
-        let wait = if has_changed && node.is_acting_steward() {
+        // A read that returns a change counts as of its start, which may be most of the deadline ago. The next one
+        // doesn't wait, so that the configuration doesn't seem outdated.
+        let wait = if has_changed {
             Duration::ZERO
         } else {
             node.store_wait(wait)
