The product's own path keeps a service that refused as leaving out of use

A plain service of fireflywheeld that refuses a request with 503 draining was marked as leaving, and the next reading of the platform's list, which lags, brought it back: one more request went there for each reading. Engines say the same in their reports and were hardly affected.

Change: the refusal counts until the list has shown that the server leaves or is gone, until an engine reports another start, or for as long as an absent server is kept, since a service has nothing by which to tell another process at its address.

--- a/crates/fireflywheel/src/node/attempts.rs
+++ b/crates/fireflywheel/src/node/attempts.rs
@@ -167,6 +167,7 @@
                 group.table.set_leaving(server, true);
                 if let Some(known) = group.servers.get_mut(&address) {
                     known.leaving = true;
+                    known.refused_as_leaving = Some(now);
                 }
             }
             request::Cause::NotLoaded => self.suspend_not_loaded(now, &address, queue),
--- a/crates/fireflywheel/src/node/servers.rs
+++ b/crates/fireflywheel/src/node/servers.rs
@@ -44,6 +44,7 @@
 
     fn update_listed_server(&mut self, now: clock::Instant, entry: &report::ListEntry) {
         let slots = self.slots_per_server(&entry.group);
+        let absence_timeout = self.options.timing.absence_timeout;
         let group = self.groups.entry(entry.group.clone()).or_default();
         let leaving = entry.state == report::State::Leaving;
         let key = match group.table.find(&entry.address) {
@@ -62,7 +63,11 @@
             .report
             .as_ref()
             .is_some_and(|(_, report)| report.leaving);
-        server.leaving = leaving || reports_leaving;
+        // The list lags behind the server's own answers. A server that leaves has ended after as long as an absent one
+        // is kept.
+        let is_current = |at: &clock::Instant| !leaving && now.since(*at) < 2 * absence_timeout;
+        server.refused_as_leaving = server.refused_as_leaving.filter(is_current);
+        server.leaving = leaving || reports_leaving || server.refused_as_leaving.is_some();
         group.table.set_leaving(key, server.leaving);
     }
 
@@ -85,6 +90,7 @@
                     server.absent_since = Some(now);
                     server.absent_offset = next_offset;
                 }
+                server.refused_as_leaving = None;
                 if let Some(key) = group.table.find(address) {
                     group.table.set_leaving(key, true);
                 }
@@ -144,6 +150,7 @@
             let last = known.report.as_ref().map(|(_, last)| &last.boot);
             if last.is_some_and(|boot| *boot != report.boot) {
                 group.table.clear_cache(key);
+                known.refused_as_leaving = None;
             }
             for event in &report.cache.events {
                 let prefix = routing::prefix(&event.prefix);
--- a/crates/fireflywheel/src/steward/mod.rs
+++ b/crates/fireflywheel/src/steward/mod.rs
@@ -29,6 +29,9 @@
     pub failure_domain: SmolStr,
     /// Whether the server is shutting down, by the list, its report or its refusal of a request.
     pub leaving: bool,
+    /// When the server refused a request because it is leaving; `None` once the list has shown that too, since the
+    /// address then belongs to another process when the list names it as live again.
+    pub refused_as_leaving: Option<clock::Instant>,
     /// The time since which the list has not contained the server; `None` while the list contains it.
     pub absent_since: Option<clock::Instant>,
     /// The first offset that was not folded here at `absent_since`. A right that changed since then may be about a
--- a/crates/fireflywheel/tests/world/engine.rs
+++ b/crates/fireflywheel/tests/world/engine.rs
@@ -19,6 +19,8 @@
     pub boot: u64,
     pub frozen: bool,
     pub leaving: bool,
+    /// The number of requests that were refused because the engine is leaving.
+    pub refused_as_leaving: u32,
     /// Orders that arrived while the engine was frozen: the sender's index and incarnation, the attempt and the
     /// command.
     pub queued_orders: Vec<(usize, u64, order::AttemptId, order::Command)>,
@@ -170,12 +172,13 @@
     }
 
     pub fn begin(&mut self, target: Option<&request::Target>) -> Result<(), request::Cause> {
-        let Some(request::Target::Model { model, adapter }) = target else {
-            return Ok(());
-        };
         if self.leaving {
+            self.refused_as_leaving += 1;
             return Err(request::Cause::Draining);
         }
+        let Some(request::Target::Model { model, adapter }) = target else {
+            return Ok(());
+        };
         let is_usable = self.loaded.iter().any(|(item, replica)| {
             item.model == *model && item.adapter == *adapter && replica.usable
         });
