A claim that a peer's state contains is settled

What callers saw: a booking that was refused as not run during an outage of the log could never be made again with its key: "how the first request with this key ended isn't known", for good.

Cause: the claim's append had no answer, its request was refused, and the record was in the log after all. The claim is settled as not run when its record is read back. An instance that can't read the log yet learns of newer records from a peer's state instead and skips them; after that it looked up only keys that a request waits for, and this one's request was gone. The claim stayed open, held by a process that lives.

Change: an instance remembers the keys whose claims may still reach the log without a request, and settles those that it holds after it skipped records. It can't take a request that ran for one of these: a claim that is read back, or that a new request with the key takes up, is no longer among them. Keys whose claim was rejected are dropped once nothing waits to be appended.

The world of the core's tests can now cut an instance's reads of the log alone.

--- a/crates/fireflywheel/src/node/claims.rs
+++ b/crates/fireflywheel/src/node/claims.rs
@@ -94,6 +94,8 @@
         if !self.log.readable {
             return Err(log_outage());
         }
+        // If an earlier claim of this process is in the log after all, this request holds it.
+        self.abandoned_claims.remove(&key);
         let fingerprint = self.requests[request].arrival.fingerprint;
         let entry = record::Entry::Claim {
             key: key.clone(),
@@ -120,6 +122,7 @@
         if !is_own {
             return;
         }
+        self.abandoned_claims.remove(key);
         let claimant = self
             .claims
             .get_mut(key)
@@ -191,8 +194,10 @@
         let mut held = true;
         if let Some(key_requests) = self.claims.get_mut(key) {
             if key_requests.claimant == Some(request) {
-                // The claim may still be appended; `run_claimed` then finds no request and settles it.
+                // The claim may still be appended. It is settled when it is read back, or when the ledger contains it
+                // after it skipped records.
                 key_requests.claimant = None;
+                self.abandoned_claims.insert(key.clone());
                 held = false;
             }
             let before = key_requests.followers.len();
@@ -342,8 +347,28 @@
         }
     }
 
+    /// Settles claims whose requests were refused before the claims were read back, and which the ledger contains after
+    /// it skipped records. These requests never ran.
+    fn settle_abandoned_claims(&mut self, out: &mut Vec<effect::Effect>) {
+        let is_written = self.log.is_written();
+        for key in std::mem::take(&mut self.abandoned_claims) {
+            match self.claim_status(&key) {
+                Status::Open(claim) if claim.by == self.options.incarnation => {
+                    let outcome = claim::Outcome::Failed(verdict::Verdict::NotRun);
+                    self.append_settlement(&key, outcome, out);
+                }
+                // The claim was rejected, as nothing is left to be appended.
+                Status::Open(_) | Status::Closed(..) | Status::Free if is_written => {}
+                Status::Open(_) | Status::Closed(..) | Status::Free => {
+                    self.abandoned_claims.insert(key);
+                }
+            }
+        }
+    }
+
     /// Looks up each key again after the ledger skipped records.
     pub(super) fn recheck_claims(&mut self, now: clock::Instant, out: &mut Vec<effect::Effect>) {
+        self.settle_abandoned_claims(out);
         let keys: Vec<claim::Key> = self.claims.keys().cloned().collect();
         for key in keys {
             match self.claim_status(&key) {
--- a/crates/fireflywheel/src/node/mod.rs
+++ b/crates/fireflywheel/src/node/mod.rs
@@ -159,6 +159,8 @@
     /// Number of queued requests at this instance by class.
     queued_by_class: BTreeMap<SmolStr, usize>,
     claims: BTreeMap<claim::Key, claims::KeyRequests>,
+    /// Keys whose claim may be in the log although its request was refused as not run.
+    abandoned_claims: BTreeSet<claim::Key>,
     /// Placements that a steward reported as ready before the ledger does, with the time of that report.
     ready_hints: BTreeMap<right::Key, clock::Instant>,
     /// Placements that receive no requests because their engine answered that the item isn't loaded or that it
@@ -213,6 +215,7 @@
             limits: limits::Limits::default(),
             queued_by_class: BTreeMap::new(),
             claims: BTreeMap::new(),
+            abandoned_claims: BTreeSet::new(),
             ready_hints: BTreeMap::new(),
             suspended_until: BTreeMap::new(),
             stewards: stewards::Stewards::default(),
--- a/crates/fireflywheel/tests/world/mod.rs
+++ b/crates/fireflywheel/tests/world/mod.rs
@@ -77,6 +77,8 @@
     pub cut_peers: bool,
     /// Whether the instance is disconnected from the log.
     pub cut_log: bool,
+    /// Whether the log answers none of the instance's reads.
+    pub cut_log_reads: bool,
     /// Events that arrived while the process was paused.
     inbox: Vec<event::Event>,
     /// Effects that the process requested before it was paused.
@@ -183,6 +185,7 @@
                 exited: false,
                 cut_peers: false,
                 cut_log: false,
+                cut_log_reads: false,
                 inbox: Vec::new(),
                 held_effects: Vec::new(),
                 read_position: None,
@@ -655,7 +658,7 @@
         let Some(from) = instance.read_position else {
             return;
         };
-        if self.log.is_down || instance.cut_log {
+        if self.log.is_down || instance.cut_log || instance.cut_log_reads {
             instance.is_polling = true;
             self.schedule(POLL_RETRY_DELAY_MS, Step::Poll(index, incarnation));
             return self.deliver(index, incarnation, event::Event::LogReadFailed);
