A refusal as leaving counts for plain services only

What callers would have seen: on the product's own path an engine that refused a request as draining and then started again at its address stayed out of use for up to twice the absence time-out, a minute by default. Before the next reading of the list brought it back.

Cause: kept the refusal of any server until the list had shown it. It was to end when an engine reports another start, but reports fail while the engine is down, and the start before was forgotten with them. Engines don't need it: their reports say that they leave, and which process they are.

Remembering the start separately was tried and didn't mend it: it may be unknown at the refusal. Found by reading the change once more.

--- a/crates/fireflywheel/src/node/attempts.rs
+++ b/crates/fireflywheel/src/node/attempts.rs
@@ -156,6 +156,7 @@
         let Some(group) = self.queues.get(queue).map(|queue| queue.group.clone()) else {
             return;
         };
+        let sends_reports = self.is_engine_group(&group);
         let Some(group) = self.groups.get_mut(&group) else {
             return;
         };
@@ -167,7 +168,7 @@
                 group.table.set_leaving(server, true);
                 if let Some(known) = group.servers.get_mut(&address) {
                     known.leaving = true;
-                    known.refused_as_leaving = Some(now);
+                    known.refused_as_leaving = (!sends_reports).then_some(now);
                 }
             }
             request::Cause::NotLoaded => self.suspend_not_loaded(now, &address, queue),
--- a/crates/fireflywheel/src/node/servers.rs
+++ b/crates/fireflywheel/src/node/servers.rs
@@ -150,7 +150,6 @@
             let last = known.report.as_ref().map(|(_, last)| &last.boot);
             if last.is_some_and(|boot| *boot != report.boot) {
                 group.table.clear_cache(key);
-                known.refused_as_leaving = None;
             }
             for event in &report.cache.events {
                 let prefix = routing::prefix(&event.prefix);
--- a/crates/fireflywheel/src/steward/mod.rs
+++ b/crates/fireflywheel/src/steward/mod.rs
@@ -29,8 +29,9 @@
     pub failure_domain: SmolStr,
     /// Whether the server is shutting down, by the list, its report or its refusal of a request.
     pub leaving: bool,
-    /// When the server refused a request because it is leaving; `None` once the list has shown that too, since the
-    /// address then belongs to another process when the list names it as live again.
+    /// When a plain service refused a request because it is leaving; `None` once the list has shown that too, since the
+    /// address then belongs to another process when the list names it as live again. Engines say in their reports that
+    /// they leave, and which process they are.
     pub refused_as_leaving: Option<clock::Instant>,
     /// The time since which the list has not contained the server; `None` while the list contains it.
     pub absent_since: Option<clock::Instant>,
--- a/crates/fireflywheel/tests/leaving.rs
+++ b/crates/fireflywheel/tests/leaving.rs
@@ -1,4 +1,4 @@
-//! Plain services that refuse requests because they are leaving, while the platform's list goes on naming them as live.
+//! Backend servers that refuse requests because they are leaving, while the platform's list goes on naming them as live.
 
 mod world;
 
@@ -72,3 +72,35 @@
     send_requests(&mut world);
     assert!(!world.engines[FIRST].runs.is_empty());
 }
+
+/// An engine refuses a request because it is leaving, ends, and starts again at its address before the list has noticed.
+/// Its reports fail in between. The refusal of the process before must not keep the new one out of use.
+#[test]
+fn engine_that_starts_again_is_used_at_once() {
+    let text = "[serving]\ncold_start_weight = 1\n\n[class interactive]\nin_flight = 1000\nqueue = 1000\n\n\
+                [tenant t]\nin_flight = 1000\n\n[group g]\nkind = engine\nfencing = checked\nmemory_mb = 20000\nslots = 16\n\n\
+                [model m0]\ngroup = g\nversion = 1\nmemory_mb = 8000\nreplicas = 1\nload_ms = 100\nservice_ms = 100\n";
+    let mut world = World::new(11, 2).with_engines("g", 1, true);
+    world.publish(0, text);
+    world.start_serving();
+    world.request_model(0, "m0", 2_000);
+    assert!(world.run_until(2_000, |world| world.replicas("m0") == 1, |_| {}));
+    world.run(500, |_| {});
+    engine(&mut world, FIRST).leaving = true;
+    // Before a report says so, a request is refused.
+    world.request_model(0, "m0", 2_000);
+    world.run(20, |_| {});
+    assert_eq!(world.engines[FIRST].refused_as_leaving, 1);
+    engine(&mut world, FIRST).frozen = true;
+    world.run(500, |_| {});
+    engine(&mut world, FIRST).restart();
+    engine(&mut world, FIRST).leaving = false;
+    engine(&mut world, FIRST).queued_orders.clear();
+    world.unfreeze(FIRST);
+    // Shorter than the time for which a refusal counts without a sign of another process.
+    world.run(1_000, |_| {});
+    let call = world.request_model(0, "m0", 1_500);
+    world.run(1_500, |_| {});
+    let ended = &world.calls[call].ended;
+    assert!(matches!(ended, Some((_, world::End::Served))), "{ended:?}");
+}
