--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -399,6 +399,28 @@
         Some(answer)
     }
 
+    /// Answers a call that is for this worker.
+    async fn answer(&self, request: &http::Request) -> http::Answer {
+        self.lock().calls.push(time::Instant::now());
+        match request.path.as_str() {
+            "/v1/report" => match self.shed() {
+                Some(refusal) => refusal,
+                None => http::json(StatusCode::OK, &self.build_report()),
+            },
+            "/v1/order" => match (self.shed(), request.json::<Order>()) {
+                (Some(refusal), _) | (None, Err(refusal)) => refusal,
+                (None, Ok(order)) => empty_answer(self.execute_order(&order)),
+            },
+            _ => {
+                self.lock().arrivals.push(time::Instant::now());
+                match self.refuse_before_run(request) {
+                    Some(refusal) => refusal,
+                    None => self.run(request).await.unwrap_or_else(not_executed),
+                }
+            }
+        }
+    }
+
     /// Turns a call away while the worker asks for a rest.
     fn shed(&self) -> Option<http::Answer> {
         let rest = self.lock().rest?;
@@ -542,26 +564,9 @@
     }
 
     async fn call(self: Arc<Self>, request: http::Request) -> Result<http::Answer, http::Lost> {
-        if let Some(refusal) = self.refuse_misdirected(&request) {
-            return Ok(refusal);
-        }
-        self.lock().calls.push(time::Instant::now());
-        let mut answer = match request.path.as_str() {
-            "/v1/report" => match self.shed() {
-                Some(refusal) => refusal,
-                None => http::json(StatusCode::OK, &self.build_report()),
-            },
-            "/v1/order" => match (self.shed(), request.json::<Order>()) {
-                (Some(refusal), _) | (None, Err(refusal)) => refusal,
-                (None, Ok(order)) => empty_answer(self.execute_order(&order)),
-            },
-            _ => {
-                self.lock().arrivals.push(time::Instant::now());
-                match self.refuse_before_run(&request) {
-                    Some(refusal) => refusal,
-                    None => self.run(&request).await.unwrap_or_else(not_executed),
-                }
-            }
+        let mut answer = match self.refuse_misdirected(&request) {
+            Some(refusal) => refusal,
+            None => self.answer(&request).await,
         };
         let is_leaving = self.inner.injector.switches().leaving;
         let state = self.lock();
