Announcements: a branch that was never taken, and two comments

What engines hold is sent without those that leave, so no such entry says that one leaves. Two comments say what a reader would look up. No change of behaviour.

--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -266,9 +266,6 @@
     /// Stores what an engine holds, as sent by the steward.
     pub(super) fn store_holding(&mut self, holding: frame::EngineHoldings, now: clock::Instant) {
         let id = holding.entry.id.clone();
-        if let Some(process) = holding.entry.leaving_process() {
-            self.announcements.record_leaving(now, &process);
-        }
         self.upsert_server(holding.entry.server(now));
         if let Some(known) = self.servers.get_mut(&id) {
             known.steward_held = Some(server::Held {
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -393,7 +393,7 @@
                         .with_retry_after(retry_after(expected, left)),
                 );
             }
-            // An engine that rests from this instance takes requests of others, which callers may reach.
+            // The server may still accept requests from other instances, so the caller should retry there.
             node::Choice::Resting(expected) if now.after(expected) > give_up_at => {
                 return Err(unavailable("resting", "the servers have asked for a rest")
                     .with_retry_after(retry_after(expected, left)));
