--- a/crates/fireflywheel_daemon/src/client.rs
+++ b/crates/fireflywheel_daemon/src/client.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -49,6 +49,17 @@
     pub body: Bytes,
 }
 
+/// How far the transfer of an answer has come.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Progress {
+    /// The time until the head of the answer arrived; `None` before that.
+    pub head: Option<Duration>,
+    /// The time from the head to the end of the body.
+    pub body: Duration,
+    /// The size of the part of the body that has arrived, in bytes.
+    pub received: usize,
+}
+
 #[derive(Deserialize)]
 struct Envelope {
     error: Content,
@@ -94,6 +105,42 @@
             .map_err(|error| to_error(&error))
     }
 
+    /// Sends a request once and reads an answer of at most `max_bytes`. Records in `progress` how far the transfer
+    /// has come, also when the future is dropped before its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when there is no complete answer.
+    pub async fn fetch(
+        &self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+        progress: &mut Progress,
+    ) -> Result<Answer, Error> {
+        let started = time::Instant::now();
+        let (head, mut incoming) = self.send(request).await?.into_parts();
+        progress.head = Some(started.elapsed());
+        let mut body = BytesMut::new();
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(|_| Error::Lost)?;
+            if let Some(data) = frame.data_ref() {
+                if body.len() + data.len() > max_bytes {
+                    return Err(Error::Lost);
+                }
+                body.extend_from_slice(data);
+                progress.received = body.len();
+            }
+        }
+        progress.body = started
+            .elapsed()
+            .saturating_sub(progress.head.unwrap_or_default());
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body: body.freeze(),
+        })
+    }
+
     /// Sends a request once and reads an answer of at most `max_bytes` within `timeout`.
     ///
     /// # Errors
