--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -43,6 +43,7 @@
     limited_servers: IntGauge,
     permits: IntCounterVec,
     steward: IntGauge,
+    linked: IntGauge,
 }
 
 impl Metrics {
@@ -105,6 +106,10 @@
                 &["outcome"],
             )?,
             steward: builder.gauge("fleet_steward", "1 while this instance orders engines")?,
+            linked: builder.gauge(
+                "fleet_steward_linked",
+                "1 while this instance has a link to the steward, or is it",
+            )?,
             registry: builder.registry,
         })
     }
@@ -197,6 +202,11 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Sets whether this instance has a link to the steward, or is the steward.
+    pub fn set_linked(&self, linked: bool) {
+        self.linked.set(linked.into());
+    }
+
     /// Sets whether this instance is the active steward, which sends orders to engines.
     pub fn set_steward(&self, active: bool) {
         self.steward.set(active.into());
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -157,6 +157,7 @@
 
     /// Sets whether there is a link to a steward, or this instance is the steward.
     pub fn set_has_steward(&self, has_steward: bool) {
+        self.metrics.set_linked(has_steward);
         let catches_up_at = self.now().after(state::DIRECTORY_CATCH_UP_TIME);
         let mut state = self.lock();
         state.has_steward = has_steward;
--- a/crates/fireflywheel_standin/src/site/store.rs
+++ b/crates/fireflywheel_standin/src/site/store.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time;
 
 use super::{empty_answer, set_header};
@@ -20,6 +20,8 @@
 pub const SERVERS: &str = "keyed.servers";
 /// Topic and key of the operator's configuration.
 pub const CONFIG: (&str, &str) = ("keyed.op", "config");
+/// Size of the chunks in which reads share the bandwidth.
+const READ_CHUNK_BYTES: usize = 16 << 10;
 /// Interval between checks for expired entries.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -45,6 +47,14 @@
     longest_wait: Duration,
     /// Maximum number of records that one read returns; 0 for no limit.
     max_page_records: usize,
+    /// The bandwidth that all reads share, in bytes per second; `None` for no limit.
+    read_rate: Option<f64>,
+    /// When the bandwidth is free again.
+    bandwidth_free_at: Option<time::Instant>,
+    /// Size of the answers to reads that were sent, in bytes, by topic.
+    sent_bytes: BTreeMap<SmolStr, u64>,
+    /// Number of next large answers to reads that stop after their first chunk and leave the connection open.
+    stalled_reads: u64,
 }
 
 #[derive(Debug, Default)]
@@ -177,6 +187,26 @@
         self.lock().max_page_records = records;
     }
 
+    /// Sets the bandwidth that all reads share, in bytes per second.
+    pub fn set_read_rate(&self, bytes_per_second: f64) {
+        self.lock().read_rate = Some(bytes_per_second);
+    }
+
+    /// Makes the next large answers to reads stop after their first chunk, with the connection left open.
+    pub fn stall_reads(&self, answers: u64) {
+        self.lock().stalled_reads = answers;
+    }
+
+    /// Returns the size of the answers to reads of a topic that were sent, in bytes.
+    #[must_use]
+    pub fn sent_bytes(&self, topic: &str) -> u64 {
+        self.lock()
+            .sent_bytes
+            .get(topic)
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// Returns the number of calls that reached the store; calls refused in an outage do not count.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -289,6 +319,58 @@
         Ok(end)
     }
 
+    /// Sends the body of an answer over the bandwidth that all reads share. Readers that read at the same time get equal
+    /// parts of it.
+    fn share_bandwidth(&self, topic: &str, mut answer: http::Answer) -> http::Answer {
+        let http::Body::Full(bytes) = std::mem::replace(answer.body_mut(), http::Body::Empty)
+        else {
+            return answer;
+        };
+        let mut state = self.lock();
+        // Waiting reads that end without a record are left alone.
+        let is_stalled = state.stalled_reads > 0 && bytes.len() > READ_CHUNK_BYTES;
+        state.stalled_reads -= u64::from(is_stalled);
+        drop(state);
+        let topic = SmolStr::new(topic);
+        let (sender, parts) = mpsc::channel(1);
+        let store = self.clone();
+        tokio::spawn(async move {
+            for chunk in bytes.chunks(READ_CHUNK_BYTES) {
+                time::sleep_until(store.reserve_bandwidth(chunk.len())).await;
+                if sender
+                    .send(Ok(Bytes::copy_from_slice(chunk)))
+                    .await
+                    .is_err()
+                {
+                    return;
+                }
+                store.count_sent(&topic, chunk.len());
+                if is_stalled {
+                    return sender.closed().await;
+                }
+            }
+        });
+        *answer.body_mut() = http::Body::Parts(parts);
+        answer
+    }
+
+    fn count_sent(&self, topic: &SmolStr, bytes: usize) {
+        let mut state = self.lock();
+        *state.sent_bytes.entry(topic.clone()).or_default() += bytes as u64;
+    }
+
+    /// Reserves the shared bandwidth for a chunk, and returns when the chunk is through.
+    fn reserve_bandwidth(&self, bytes: usize) -> time::Instant {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        let took = state.read_rate.map_or(Duration::ZERO, |rate| {
+            Duration::from_secs_f64(bytes as f64 / rate)
+        });
+        let free_at = state.bandwidth_free_at.map_or(now, |at| at.max(now)) + took;
+        state.bandwidth_free_at = Some(free_at);
+        free_at
+    }
+
     fn record_wait(&self, wait: Duration) {
         let mut state = self.lock();
         state.longest_wait = state.longest_wait.max(wait);
@@ -318,12 +400,13 @@
         self.lock().calls += 1;
         let topic = query_value(&request, "topic").unwrap_or_default();
         let answer = match request.path.as_str() {
-            "/v1/log-newest" => self.read_newest(topic),
+            "/v1/log-newest" => self.share_bandwidth(topic, self.read_newest(topic)),
             "/v1/log-read" => {
                 let wait = Duration::from_millis(request.number("waitMs").unwrap_or_default());
                 self.record_wait(wait);
-                self.read(topic, request.number("from").unwrap_or_default(), wait)
-                    .await
+                let from = request.number("from").unwrap_or_default();
+                let answer = self.read(topic, from, wait).await;
+                self.share_bandwidth(topic, answer)
             }
             "/v1/log-append" => self.append(topic, request.number("at"), &request.body),
             "/v1/restore" => {
