A read of the store ends when no byte arrives, not after a second

Seen: an instance whose read takes longer than a second never has the configuration; callers are served as an old one says. Cause: one timeout over the whole transfer, what had arrived was dropped, and the retry began at the same offset.

Now the head must come within the wait and a second, and after it at least a byte a second.

--- a/crates/fireflywheel_daemon/src/client.rs
+++ b/crates/fireflywheel_daemon/src/client.rs
@@ -49,15 +49,26 @@
     pub body: Bytes,
 }
 
-/// How far the transfer of an answer has come.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Progress {
-    /// The time until the head of the answer arrived; `None` before that.
-    pub head: Option<Duration>,
-    /// The time from the head to the end of the body.
-    pub body: Duration,
-    /// The size of the part of the body that has arrived, in bytes.
-    pub received: usize,
+/// How long a call waits for its answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Timeouts {
+    /// The longest time until the head of the answer.
+    pub head: Duration,
+    /// The longest time without a byte after that.
+    pub stall: Duration,
+}
+
+/// What has arrived of an answer.
+#[derive(Clone, Debug, Default)]
+pub struct Transfer {
+    /// The status and the headers; `None` before they have arrived.
+    pub head: Option<(StatusCode, HeaderMap)>,
+    /// The part of the body that has arrived.
+    pub body: BytesMut,
+    /// The time until the head arrived.
+    pub head_time: Duration,
+    /// The time from the head to the last byte.
+    pub body_time: Duration,
 }
 
 #[derive(Deserialize)]
@@ -105,8 +116,8 @@
             .map_err(|error| to_error(&error))
     }
 
-    /// Sends a request once and reads an answer of at most `max_bytes`. Records in `progress` how far the transfer
-    /// has come, also when the future is dropped before its end.
+    /// Sends a request once and reads an answer of at most `max_bytes`, however long that takes while bytes arrive.
+    /// `transfer` keeps what has arrived if the call fails or is dropped.
     ///
     /// # Errors
     ///
@@ -115,30 +126,31 @@
         &self,
         request: Request<Full<Bytes>>,
         max_bytes: usize,
-        progress: &mut Progress,
-    ) -> Result<Answer, Error> {
+        timeouts: Timeouts,
+        transfer: &mut Transfer,
+    ) -> Result<(), Error> {
         let started = time::Instant::now();
-        let (head, mut incoming) = self.send(request).await?.into_parts();
-        progress.head = Some(started.elapsed());
-        let mut body = BytesMut::new();
-        while let Some(frame) = incoming.frame().await {
+        let answer = time::timeout(timeouts.head, self.send(request))
+            .await
+            .unwrap_or(Err(Error::Lost))?;
+        transfer.head_time = started.elapsed();
+        let (head, mut body) = answer.into_parts();
+        transfer.head = Some((head.status, head.headers));
+        loop {
+            let frame = time::timeout(timeouts.stall, body.frame())
+                .await
+                .map_err(|_| Error::Lost)?;
+            transfer.body_time = started.elapsed().saturating_sub(transfer.head_time);
+            let Some(frame) = frame else {
+                return Ok(());
+            };
             let frame = frame.map_err(|_| Error::Lost)?;
-            if let Some(data) = frame.data_ref() {
-                if body.len() + data.len() > max_bytes {
-                    return Err(Error::Lost);
-                }
-                body.extend_from_slice(data);
-                progress.received = body.len();
+            let data = frame.data_ref().map_or(&[][..], |data| &data[..]);
+            if transfer.body.len() + data.len() > max_bytes {
+                return Err(Error::Lost);
             }
+            transfer.body.extend_from_slice(data);
         }
-        progress.body = started
-            .elapsed()
-            .saturating_sub(progress.head.unwrap_or_default());
-        Ok(Answer {
-            status: head.status,
-            headers: head.headers,
-            body: body.freeze(),
-        })
     }
 
     /// Sends a request once and reads an answer of at most `max_bytes` within `timeout`.
