The steward sends the change of a configuration, not each instance's read

Seen: on a deployment of 108 instances, requests were handled as a configuration said that had been replaced more than 3 s before. Cause: each change, also of one route of thousands, made every instance read the whole document from the store at the same moment, over a bandwidth that all reads share; what came over the slow connections then kept the steward's heartbeats from arriving, and lost links led to more reads.

Now only the steward (and an instance without one) reads the document. It sends each linked instance the update from the configuration that the instance has, or everything if it doesn't know that one, in parts of 128 routes, so that links with a slow connection aren't taken for dead. A configuration is identified by version and position in the store's log, with its era; parts take effect together, an update of another base is refused and requested anew, and the version never falls. An instance that hears of a version and has no update after a quarter of the deadline reads the store as before, and continues where the update's sender has read to. Unchanged routes are shared between configurations, and a route is found by host and prefix instead of a walk over all.

The setting config_bytes is gone: nothing is sent whole any more. Its test, of an instance without store whose configuration was too large to be sent unrequested, is replaced by one of an instance whose base the steward doesn't know, which has to be sent everything.

--- a/crates/fireflywheel/src/fleet/config.rs
+++ b/crates/fireflywheel/src/fleet/config.rs
@@ -1,5 +1,9 @@
 //! The operator's configuration as the core uses it.
 
+pub mod history;
+pub mod table;
+pub mod update;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -14,7 +18,7 @@
     /// The configuration's version, which rises with each configuration by any amount.
     pub version: u64,
     /// Routes that map requests to groups.
-    pub routes: Vec<Route>,
+    pub routes: table::Table,
     /// Groups of backend servers, by name.
     pub groups: BTreeMap<SmolStr, Group>,
     /// Limits on what callers may send.
@@ -164,12 +168,7 @@
     /// The route for `host` with the longest prefix of `path`. The port in `host` and its case are ignored.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        self.routes
-            .iter()
-            .filter(|route| route.host.eq_ignore_ascii_case(host))
-            .filter(|route| path.starts_with(route.prefix.as_str()))
-            .max_by_key(|route| route.prefix.len())
+        self.routes.find(host, path).map(AsRef::as_ref)
     }
 }
 
--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::config::update;
 use super::era::Era;
 use super::{announcement, limit, load, quota, rate};
 use crate::clock;
@@ -61,7 +62,11 @@
     /// which each instance reads all configurations for itself.
     #[serde(default)]
     pub config_version: Option<u64>,
-    /// Whether the store doesn't answer the instance, which then needs the configuration from the steward.
+    /// The configuration in force at the instance. It is absent from releases that accept no updates.
+    #[serde(default)]
+    pub config: Option<Holding>,
+    /// Whether the instance needs the configuration from the steward: the store doesn't answer it, or the last
+    /// update was based on another configuration.
     #[serde(default)]
     pub needs_config: bool,
     /// The age of the instance's own reads of the store, in milliseconds.
@@ -69,6 +74,13 @@
     pub read_age_ms: u32,
 }
 
+/// The configuration in force at an instance that accepts updates; none if it has none yet.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Holding {
+    /// The configuration.
+    pub revision: Option<update::Revision>,
+}
+
 /// The age that stands for reads that were never made.
 fn unread_age() -> u32 {
     u32::MAX
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::config::update;
 use super::era::Era;
 use super::{announcement, config, demand, lease, limit, load, quota, server};
 use crate::clock;
@@ -75,10 +76,16 @@
         /// Standbys are to read the store themselves, so that one that the store answers can take over.
         #[serde(default, rename = "standbys_read")]
         standbys_must_read: bool,
+        /// The newest configuration that the sender knows of. It is absent from releases that send no updates of
+        /// the configuration.
+        #[serde(default)]
+        config: Option<update::Revision>,
     },
-    /// The newest configuration that the sender knows, to a receiver with an older one. Instances that the
-    /// store does not answer get the configuration this way.
+    /// The newest configuration that the sender knows, from releases that send no updates.
     Configuration(Arc<config::Config>),
+    /// A part of an update to the newest configuration that the sender knows, to a receiver with an older one.
+    #[serde(rename = "Update")]
+    ConfigUpdate(update::Part),
     /// Changed entries of the directory, from the steward.
     Directory(Changes),
     /// The receiver is steward from now on; from its predecessor, which stops acting.
--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -54,7 +54,6 @@
 const WINDOW_MS_RANGE: RangeInclusive<u64> = 100..=600_000;
 const DESCRIPTORS_RANGE: RangeInclusive<u64> = 64..=10_000_000;
 const TELL_ALL_RANGE: RangeInclusive<u64> = 0..=1_000_000_000;
-const CONFIG_BYTES_RANGE: RangeInclusive<u64> = 0..=1_000_000_000;
 const LINES_PER_SECOND_RANGE: RangeInclusive<u64> = 1..=1_000_000;
 const CPU_SHARE_RANGE: RangeInclusive<f64> = 0.001..=1024.0;
 const RATIO_RANGE: RangeInclusive<f64> = 0.0..=10.0;
@@ -104,9 +103,6 @@
     /// unreachable then still knows where each model is. Above it, the reports would grow faster than links
     /// can carry.
     pub all_engines_limit: usize,
-    /// `[steward] config_bytes`, a megabyte if left out: a new configuration is sent to all instances if
-    /// the total size is at most this, and otherwise only to those that the store does not answer.
-    pub config_broadcast_limit: usize,
     /// `[repeats] ratio`, `extra` and `window_ms`: the retry budget; a tenth of the requests and nothing
     /// more if left out.
     pub retry_budget: retry_budget::Options,
@@ -191,7 +187,6 @@
         fenced: steward.fenced,
         first_start: steward.first_start,
         all_engines_limit: steward.all_engines_limit,
-        config_broadcast_limit: steward.config_broadcast_limit,
         retry_budget,
         quotas,
         leaving_deadline: leaving_deadline.unwrap_or(Duration::from_secs(2)),
@@ -237,7 +232,6 @@
     fenced: bool,
     first_start: bool,
     all_engines_limit: usize,
-    config_broadcast_limit: usize,
 }
 
 fn read_steward(section: &ini_text::Section, faults: &mut fault::List) -> Steward {
@@ -246,7 +240,6 @@
     let fenced = reader.optional_keyword("fenced", &BOOLEAN_WORDS);
     let first_start = reader.optional_keyword("first_start", &BOOLEAN_WORDS);
     let all_engines_limit = reader.optional_integer("tell_all", TELL_ALL_RANGE);
-    let config_broadcast_limit = reader.optional_integer("config_bytes", CONFIG_BYTES_RANGE);
     reader.finish();
     let term = term.unwrap_or(Duration::from_secs(3));
     let all_engines_limit = all_engines_limit.and_then(|limit: u64| usize::try_from(limit).ok());
@@ -255,9 +248,6 @@
         fenced: fenced.unwrap_or(false),
         first_start: first_start.unwrap_or(true),
         all_engines_limit: all_engines_limit.unwrap_or(50_000),
-        config_broadcast_limit: config_broadcast_limit
-            .and_then(|limit: u64| usize::try_from(limit).ok())
-            .unwrap_or(1 << 20),
     }
 }
 
--- a/crates/fireflywheel/tests/fleet/config.rs
+++ b/crates/fireflywheel/tests/fleet/config.rs
@@ -28,12 +28,14 @@
 
 fn route_name(host: &str, path: &str) -> Option<String> {
     let config = Config {
-        routes: vec![
+        routes: [
             route("a.example", "/", &[("g", 1.0)]),
             route("a.example", "/x/", &[("g", 1.0)]),
             route("a.example", "/x/y/", &[("g", 1.0)]),
             route("b.example", "/only/", &[("g", 1.0)]),
-        ],
+        ]
+        .into_iter()
+        .collect(),
         ..Config::default()
     };
     config.route(host, path).map(|route| route.name.to_string())
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod backoff;
 mod concurrency;
 mod config;
+mod config_update;
 mod demand;
 mod events;
 mod freshness;
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -7,6 +7,7 @@
 use anyhow::Context as _;
 use bytes::Bytes;
 use fireflywheel::clock;
+use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::era::{Era, Position};
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease;
@@ -194,6 +195,7 @@
     };
     let mut frames = steward.open_link(link_id, peer, cpu_share);
     let mut last_received = steward.node.now();
+    let mut config_update = update::Assembly::default();
     let why = loop {
         let timeout = last_received.after(LINK_TIMEOUT).since(steward.node.now());
         // Received frames are handled before the timeout: they may have been delayed here, and not at the peer.
@@ -208,7 +210,13 @@
                         steward.update_demand(&process_key, demand);
                     }
                     Ok(frame::Frame::Configuration(config)) => {
-                        steward.node.apply_config(config, node::ConfigSource::Peer);
+                        let source = node::ConfigSource::Peer;
+                        steward.node.apply_unnumbered_config(config, source);
+                        steward.plan_wake.notify_one();
+                    }
+                    Ok(frame::Frame::ConfigUpdate(part)) => {
+                        let source = node::ConfigSource::Peer;
+                        steward.node.add_config_part(&mut config_update, part, source);
                         steward.plan_wake.notify_one();
                     }
                     Ok(_) => {}
@@ -267,6 +275,7 @@
     let mut last_received = steward.node.now();
     let mut timer = link::Timer::new(last_received, steward::HEARTBEAT_INTERVAL);
     let mut sent_version = 0;
+    let mut config_update = update::Assembly::default();
     loop {
         let timeout = last_received.after(LINK_TIMEOUT).since(steward.node.now());
         tokio::select! {
@@ -277,14 +286,18 @@
             frame = receive(&mut socket) => {
                 let frame = frame?;
                 let heartbeat = matches!(frame, frame::Frame::Heartbeat { .. });
-                handle_frame(steward, holder, frame)?;
+                if let frame::Frame::ConfigUpdate(part) = frame {
+                    let source = node::ConfigSource::Steward;
+                    steward.node.add_config_part(&mut config_update, part, source);
+                } else {
+                    handle_frame(steward, holder, frame)?;
+                }
                 last_received = steward.node.now();
                 if heartbeat
-                    && let Some(config) = steward.node.config_newer_than_steward(sent_version)
+                    && steward.node.has_config_newer_than_steward(sent_version)
                     && rand::random_bool(config_send_probability(steward.node.instance_count()))
                 {
-                    sent_version = config.version;
-                    send(&mut socket, &frame::Frame::Configuration(config)).await?;
+                    sent_version = send_config(steward, &mut socket).await?;
                 }
             }
             () = time::sleep(timeout) => anyhow::bail!("silent"),
@@ -292,6 +305,23 @@
     }
 }
 
+/// Sends the steward the update from its configuration to this instance's, and returns the version. The steward of a
+/// release that accepts no updates reads the store for itself.
+async fn send_config<P>(steward: &steward::Steward<P>, socket: &mut Socket) -> anyhow::Result<u64>
+where
+    P: platform::Platform,
+{
+    let configs = steward.node.configs();
+    let version = configs.newest().map_or(0, |newest| newest.revision.version);
+    let Some(known) = steward.node.steward_reads.borrow().config else {
+        return Ok(version);
+    };
+    for part in configs.update_from(Some(known)) {
+        send(socket, &frame::Frame::ConfigUpdate(part)).await?;
+    }
+    Ok(version)
+}
+
 fn observe_era<P>(steward: &steward::Steward<P>, era: Option<Era>)
 where
     P: platform::Platform,
@@ -343,6 +373,7 @@
             read_age_ms,
             stamp_ms,
             standbys_must_read,
+            config,
             ..
         } => {
             observe_era(steward, era);
@@ -356,12 +387,15 @@
             steward.observe_steward(holder);
             steward.observe_lease_end(end);
             if standbys_must_read && steward.node.is_standby() {
-                steward.node.steward_reads.send_replace(node::StewardReads {
+                steward.node.set_steward_reads(node::StewardReads {
                     version: config_version,
+                    config,
                     ..node::StewardReads::default()
                 });
             } else {
-                update_steward_reads(steward, config_version, read_age_ms, stamp_ms);
+                let read_age = Duration::from_millis(read_age_ms.into());
+                let demand_sent = clock::Instant(stamp_ms);
+                update_steward_reads(steward, (config_version, config), read_age, demand_sent);
             }
             steward.node.extend_shares(clock::Instant(stamp_ms));
             steward.node.update_instance_count(instances as usize);
@@ -393,12 +427,11 @@
         }
         frame::Frame::Standbys(standbys) => steward.set_standbys(standbys),
         frame::Frame::Configuration(config) => {
-            steward
-                .node
-                .apply_config(config, node::ConfigSource::Steward);
+            let source = node::ConfigSource::Steward;
+            steward.node.apply_unnumbered_config(config, source);
         }
         frame::Frame::Directory(changes) => steward.node.apply_directory_changes(changes),
-        frame::Frame::Hello { .. } | frame::Frame::Demand(_) => {}
+        frame::Frame::Hello { .. } | frame::Frame::Demand(_) | frame::Frame::ConfigUpdate(_) => {}
     }
     Ok(())
 }
@@ -406,15 +439,13 @@
 /// Records the steward's reads of the store, which replace this instance's own as long as they are recent.
 fn update_steward_reads<P>(
     steward: &steward::Steward<P>,
-    version: u64,
-    read_age_ms: u32,
-    stamp_ms: u64,
+    (version, config): (u64, Option<update::Revision>),
+    read_age: Duration,
+    demand_sent: clock::Instant,
 ) where
     P: platform::Platform,
 {
     let settings = &steward.node.settings;
-    let demand_sent = clock::Instant(stamp_ms);
-    let read_age = Duration::from_millis(read_age_ms.into());
     let valid_until = link::reads_valid_until(
         steward.node.now(),
         demand_sent,
@@ -428,8 +459,9 @@
         valid_until,
         read: Some(demand_sent.before(read_age)),
         version,
+        config,
     };
-    steward.node.steward_reads.send_replace(reads);
+    steward.node.set_steward_reads(reads);
 }
 
 async fn send(socket: &mut Socket, frame: &frame::Frame) -> anyhow::Result<()> {
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -15,7 +15,8 @@
 
 use fireflywheel::clock::{self, Instant};
 use fireflywheel::fleet::config;
-use fireflywheel::fleet::era::Era;
+use fireflywheel::fleet::config::{history, update};
+use fireflywheel::fleet::era::{Era, Position};
 use fireflywheel::fleet::settings;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
@@ -69,6 +70,8 @@
     pub read: Option<Instant>,
     /// The newest configuration version that it knows of.
     pub version: u64,
+    /// The same configuration, if its release sends updates.
+    pub config: Option<update::Revision>,
 }
 
 /// The configuration that an instance uses, and how certain it is that there is no later one.
@@ -155,15 +158,17 @@
     /// The configuration in force.
     #[must_use]
     pub fn config(&self) -> Option<Arc<config::Config>> {
-        self.lock().config.clone()
+        self.lock().config().cloned()
     }
 
     /// Applies a configuration, unless that one or a later one is in force.
-    pub fn apply_config(&self, config: Arc<config::Config>, source: ConfigSource) {
+    pub fn apply_config(&self, revised: update::Revised, source: ConfigSource) {
+        let config = &revised.config;
         let (version, routes) = (config.version, config.routes.len() as u64);
         let now = self.now();
         let mut state = self.lock();
-        let is_new = state.apply_config(config);
+        let is_new = state.apply_config(revised, source);
+        state.update_config_lag(now);
         let own_read_age = state
             .config_read_at
             .map_or(0, |at| clock::millis(now.since(at)));
@@ -178,11 +183,81 @@
         );
     }
 
-    /// Records a read of the configuration that shows the store's state as of this time.
-    pub fn record_config_read(&self, as_of: Instant) {
+    /// Applies a configuration from an instance whose release doesn't tell the position of its record.
+    pub fn apply_unnumbered_config(&self, config: Arc<config::Config>, source: ConfigSource) {
+        let revision = update::Revision {
+            version: config.version,
+            position: Position::default(),
+        };
+        let read_to = self.config_read_to();
+        let revised = update::Revised {
+            config,
+            revision,
+            read_to,
+        };
+        self.apply_config(revised, source);
+    }
+
+    /// Adds a part of an update of the configuration to those that have arrived over the same link, and applies the
+    /// update once it is complete. An update that is based on another configuration than this instance's is requested
+    /// again from the steward.
+    pub fn add_config_part(
+        &self,
+        assembly: &mut update::Assembly,
+        part: update::Part,
+        source: ConfigSource,
+    ) {
+        let target = part.target();
+        let mut state = self.lock();
+        match assembly.add(part, state.configs.newest()) {
+            Ok(update::Progress::Waiting | update::Progress::Outdated) => {}
+            Ok(update::Progress::Complete(revised)) => {
+                drop(state);
+                self.apply_config(revised, source);
+            }
+            Err(misfit) => {
+                let is_requested = std::mem::replace(&mut state.needs_config, true);
+                drop(state);
+                if !is_requested {
+                    log::info!(version = target.version, why = misfit.as_str(); "update of the configuration can't be applied");
+                    self.demand_changed.notify_one();
+                }
+            }
+        }
+    }
+
+    /// The newest configurations.
+    #[must_use]
+    pub fn configs(&self) -> history::History {
+        self.lock().configs.clone()
+    }
+
+    /// What identifies the configuration in force.
+    #[must_use]
+    pub fn config_revision(&self) -> Option<update::Revision> {
+        let state = self.lock();
+        state.configs.newest().map(|newest| newest.revision)
+    }
+
+    /// The position up to which the store's log of configurations has been read.
+    #[must_use]
+    pub fn config_read_to(&self) -> Option<Position> {
+        self.lock().config_read_to
+    }
+
+    /// Records a read of the configuration, from one position up to another, that shows the store's state as of this
+    /// time.
+    pub fn record_config_read(&self, as_of: Instant, from: Option<Position>, to: Option<Position>) {
         let mut state = self.lock();
         state.config_read_at = Some(as_of);
         state.needs_config = false;
+        // A later configuration that a steward has announced was lost if the store doesn't have it.
+        state.announced_config = 0;
+        state.config_behind_since = None;
+        // Otherwise an update has arrived meanwhile, which may have been read up to a later position.
+        if state.config_read_to == from {
+            state.config_read_to = to;
+        }
     }
 
     /// Records that the store did not answer a read of the configuration, which the steward has to send.
@@ -191,11 +266,30 @@
         self.demand_changed.notify_one();
     }
 
-    /// The configuration in force, if it is later than the steward's and than `sent`.
+    /// Stores the steward's reads of the store.
+    pub fn set_steward_reads(&self, reads: StewardReads) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.announced_config = reads.version;
+        state.update_config_lag(now);
+        drop(state);
+        self.steward_reads.send_replace(reads);
+    }
+
+    /// How long this instance has known that there is a later configuration than the one in force; `None` if it knows of
+    /// none.
+    #[must_use]
+    pub fn config_lag(&self) -> Option<Duration> {
+        let now = self.now();
+        let since = self.lock().config_behind_since?;
+        Some(now.since(since))
+    }
+
+    /// Whether the configuration in force is later than the steward's and than `sent`.
     #[must_use]
-    pub fn config_newer_than_steward(&self, sent: u64) -> Option<Arc<config::Config>> {
+    pub fn has_config_newer_than_steward(&self, sent: u64) -> bool {
         let known = self.steward_reads.borrow().version.max(sent);
-        self.config().filter(|config| config.version > known)
+        self.config().is_some_and(|config| config.version > known)
     }
 
     /// Records a read of the directory that was requested at this time, in this era of the store.
@@ -235,7 +329,7 @@
             Some(_) => ConfigSource::Own,
         };
         ConfigStatus {
-            version: state.config.as_ref().map_or(0, |config| config.version),
+            version: state.config().map_or(0, |config| config.version),
             age: read.map(|at| now.since(at)),
             source,
         }
@@ -281,7 +375,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let state = self.lock();
-        state.config.is_some() && state.stop_deadline.is_none()
+        state.config().is_some() && state.stop_deadline.is_none()
     }
 
     /// Begins a planned stop, which will be over after `grace`.
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -118,7 +118,7 @@
         let Query { queue, tried, .. } = query;
         let now = self.now();
         let mut state = self.lock();
-        let Some(config) = state.config.clone() else {
+        let Some(config) = state.config().cloned() else {
             return Choice::NoServer;
         };
         let Some(group) = config.groups.get(&queue.group) else {
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -91,7 +91,10 @@
             leaving_servers,
             permit_requests,
             subscriptions,
-            config_version: Some(state.config.as_ref().map_or(0, |config| config.version)),
+            config_version: Some(state.config().map_or(0, |config| config.version)),
+            config: Some(demand::Holding {
+                revision: state.configs.newest().map(|newest| newest.revision),
+            }),
             needs_config: state.needs_config,
             read_age_ms: frame::millis(state.read_age(now)),
         }
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -9,7 +9,8 @@
 use fireflywheel::fleet::announcement;
 use fireflywheel::fleet::backoff;
 use fireflywheel::fleet::config;
-use fireflywheel::fleet::era::Era;
+use fireflywheel::fleet::config::{history, update};
+use fireflywheel::fleet::era::{Era, Position};
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::limit::gate as limit;
 use fireflywheel::fleet::load;
@@ -23,7 +24,7 @@
 use fireflywheel::fleet::subscription;
 use smol_str::SmolStr;
 
-use super::QueueKey;
+use super::{ConfigSource, QueueKey};
 
 /// Number of instances assumed to share limits until it is known: with too many, each instance's part is only
 /// too small.
@@ -45,7 +46,14 @@
 
 #[derive(Debug)]
 pub(super) struct State {
-    pub(super) config: Option<Arc<config::Config>>,
+    pub(super) configs: history::History,
+    /// The latest configuration version that a steward has announced.
+    pub(super) announced_config: u64,
+    /// Since when a later version than that of the configuration in force is known.
+    pub(super) config_behind_since: Option<clock::Instant>,
+    /// The position up to which the store's log of configurations has been read, by this instance or by the sender of
+    /// the configuration.
+    pub(super) config_read_to: Option<Position>,
     pub(super) servers: BTreeMap<SmolStr, ServerState>,
     /// Servers whose entries are gone: an older copy of the directory may list them again.
     pub(super) gone_servers: BTreeMap<SmolStr, GoneServer>,
@@ -183,7 +191,10 @@
     /// Creates the state of an instance that knows nothing yet; `window` is the window of its retry budgets.
     pub(super) fn new(now: clock::Instant, window: Duration) -> Self {
         Self {
-            config: None,
+            configs: history::History::default(),
+            announced_config: 0,
+            config_behind_since: None,
+            config_read_to: None,
             servers: BTreeMap::new(),
             gone_servers: BTreeMap::new(),
             announcements: announcement::Registry::default(),
@@ -302,20 +313,56 @@
             .retain(|_, known| known.steward_held.is_none() || known.stats.in_flight > 0);
     }
 
+    /// The configuration in force.
+    pub(super) fn config(&self) -> Option<&Arc<config::Config>> {
+        self.configs.newest().map(|revised| &revised.config)
+    }
+
     /// Applies a configuration, unless that one or a later one is in force.
-    pub(super) fn apply_config(&mut self, config: Arc<config::Config>) -> bool {
-        let newest = self.config.as_ref().map(|config| config.version);
-        if newest.is_some_and(|version| version >= config.version) {
+    pub(super) fn apply_config(&mut self, revised: update::Revised, source: ConfigSource) -> bool {
+        if let Some(read_to) = revised.read_to {
+            self.advance_config_reads(read_to);
+        }
+        let is_new = match source {
+            ConfigSource::Own => self.configs.push_document(revised),
+            ConfigSource::Unknown | ConfigSource::Steward | ConfigSource::Peer => {
+                self.configs.push(revised)
+            }
+        };
+        if !is_new {
             return false;
         }
-        if let Some(organisations) = &config.organisations {
+        let config = self.config().cloned();
+        let organisations = config
+            .as_ref()
+            .and_then(|config| config.organisations.as_ref());
+        if let Some(organisations) = organisations {
             self.remove_unlisted_gates(organisations);
         }
-        self.config = Some(config);
         self.needs_config = false;
         true
     }
 
+    /// Continues reads of the configuration from a position, unless they continue from a later one.
+    fn advance_config_reads(&mut self, read_to: Position) {
+        let is_later = self
+            .config_read_to
+            .is_none_or(|known| (known.era, known.offset) < (read_to.era, read_to.offset));
+        if is_later {
+            self.config_read_to = Some(read_to);
+        }
+    }
+
+    /// Updates since when a later version than that of the configuration in force is known.
+    pub(super) fn update_config_lag(&mut self, now: clock::Instant) {
+        let known = self.config().map_or(0, |config| config.version);
+        if known >= self.announced_config {
+            self.config_behind_since = None;
+        } else {
+            self.config_behind_since.get_or_insert(now);
+        }
+    }
+
     /// Removes the gates of organisations that the configuration no longer lists: they have no quota.
     fn remove_unlisted_gates(&mut self, organisations: &organisation::Registry) {
         let named: BTreeSet<&SmolStr> = organisations
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -7,8 +7,9 @@
 
 use bytes::Bytes;
 use fireflywheel::clock;
+use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::era::{Era, Position};
-use fireflywheel::fleet::{announcement, config, lease, organisation, routing, server};
+use fireflywheel::fleet::{announcement, lease, organisation, routing, server};
 use http_body_util::Full;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request};
@@ -124,6 +125,13 @@
     pub adapter: Option<&'a str>,
 }
 
+/// The position of a reader of the configuration.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ConfigCursor {
+    /// The position of the next record to read; `None` before the first read.
+    pub next: Option<Position>,
+}
+
 /// The result of a read of the directory.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DirectoryUpdate {
@@ -164,8 +172,6 @@
 
 /// A platform adapter of one instance.
 pub trait Platform: Send + Sync + 'static {
-    /// The position of a reader of the configuration.
-    type ConfigCursor: Default + Send;
     /// The position of a reader of the directory.
     type DirectoryCursor: Default + Send;
 
@@ -213,9 +219,9 @@
     /// Waits up to `wait` for a configuration newer than the cursor.
     fn poll_config(
         &self,
-        cursor: &mut Self::ConfigCursor,
+        cursor: &mut ConfigCursor,
         wait: Duration,
-    ) -> impl Future<Output = Result<Option<config::Config>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<Option<update::Revised>, StoreError>> + Send;
 
     /// Reads what has changed in the directory since the cursor. When the whole directory is read in pages, there is a
     /// delay of `pause` between them.
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -1,6 +1,7 @@
 //! The steward: holds the lease, plans placements and sends orders to engines.
 
 mod broadcast;
+mod config;
 mod lease;
 mod limits;
 mod link;
@@ -14,7 +15,8 @@
 
 use bytes::Bytes;
 use fireflywheel::clock;
-use fireflywheel::fleet::config;
+use fireflywheel::fleet::config as document;
+use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::demand;
 use fireflywheel::fleet::era::Position;
 use fireflywheel::fleet::frame;
@@ -110,9 +112,8 @@
             active_fencing: None,
             role_changed_at: clock::Instant::default(),
             last_heartbeat: None,
-            sent_config_version: 0,
-            config: None,
-            config_broadcast_limit: settings.config_broadcast_limit,
+            sent_config: None,
+            config_updates: None,
             entries: BTreeMap::new(),
             loads_sent: (clock::Instant::default(), false),
             forecasts_sent_at: clock::Instant::default(),
@@ -199,7 +200,10 @@
     pub fn open_link(&self, number: u64, peer: Record, cpu_share: f64) -> mpsc::Receiver<Bytes> {
         let now = self.node.now();
         let mut state = self.lock();
-        let capacity = MAX_QUEUED_FRAMES + state.trackers.len() / MAX_ENGINES_PER_FRAME;
+        let routes = self.node.config().map_or(0, |config| config.routes.len());
+        let capacity = MAX_QUEUED_FRAMES
+            + state.trackers.len() / MAX_ENGINES_PER_FRAME
+            + routes / update::MAX_ROUTES_PER_PART;
         let (sender, receiver) = mpsc::channel(capacity);
         let heartbeat = self.heartbeat(&state, now);
         // The heartbeat comes last: from its first heartbeat on, an instance relies on what it has received.
@@ -226,7 +230,8 @@
             stamp_ms: 0,
             read_age: Duration::MAX,
             config_version: None,
-            needs_config: false,
+            config: None,
+            requested_update: None,
             has_waiting: false,
             all_engines,
             changed_engines: BTreeSet::new(),
@@ -257,21 +262,22 @@
         let State {
             links,
             meter,
-            config,
+            config_updates,
             pacer,
             ..
         } = &mut *state;
         if let Some(link) = links.get_mut(&number) {
             let is_new = link.config_version.is_none();
-            link.config_version = link.config_version.max(demand.config_version);
-            link.needs_config = demand.needs_config;
+            link.observe_config(demand, heartbeat.config);
             if is_new && link.config_version.is_some() {
                 // The queue of a new link has room.
                 let _ = link.send(&frame::Frame::Limits(pacer.notices()));
             }
-            // The configuration is sent before a heartbeat announces its version, upon which the instance
-            // would read the store.
-            if heartbeat.active && link.needs_config && !link.send_config(config.as_ref()) {
+            // The configuration is sent before a heartbeat announces it, upon which the instance would wait for it
+            // and then read the store.
+            if let Some(updates) = config_updates.as_mut().filter(|_| heartbeat.active)
+                && !link.send_config(updates)
+            {
                 links.remove(&number);
                 return;
             }
@@ -476,7 +482,7 @@
         if version != tracked_versions {
             state.send_directory(self.node.entries());
         }
-        state.send_config(&config);
+        state.send_config(self.node.configs());
         state.send_heartbeat(now, &heartbeat);
         state.send_prompt_changes(now);
         let notices = state.send_limits(now);
@@ -507,14 +513,13 @@
     }
 
     fn heartbeat(&self, state: &State, now: clock::Instant) -> Heartbeat {
-        let version = self.node.config().map_or(0, |config| config.version);
         Heartbeat {
             incarnation: self.node.incarnation,
             active: state.lease.fencing(now).is_some(),
             instances: state.links.len() + 1,
             lease_end: state.lease.end().unwrap_or_default(),
             era: self.node.platform.era(),
-            config_version: version,
+            config: self.node.config_revision(),
             read_age: self.node.read_age(),
             standbys_must_read: successor::needs_standby_reads(
                 self.own_candidate(),
@@ -541,7 +546,7 @@
     }
 }
 
-fn engines(config: &config::Config) -> impl Iterator<Item = (&SmolStr, &config::Engine)> {
+fn engines(config: &document::Config) -> impl Iterator<Item = (&SmolStr, &document::Engine)> {
     let groups = config.groups.iter();
     groups.filter_map(|(name, group)| Some((name, group.engine.as_ref()?)))
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward/broadcast.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/broadcast.rs
@@ -1,17 +1,17 @@
 //! Frames that the steward sends to linked instances.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use fireflywheel::clock;
-use fireflywheel::fleet::config;
+use fireflywheel::fleet::config::history;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease;
 use fireflywheel::fleet::load;
 use smol_str::SmolStr;
 
+use super::config;
 use super::link;
 use super::state::State;
 use super::{HEARTBEAT_INTERVAL, MAX_STANDBYS};
@@ -92,19 +92,17 @@
         (BROADCAST_INTERVAL_PER_LINK * links).clamp(MIN_BROADCAST_INTERVAL, HEARTBEAT_INTERVAL)
     }
 
-    /// Sends a new configuration to all instances if the total size is small enough, and otherwise only to
-    /// those that the store does not answer. The others read it from the store.
-    pub(super) fn send_config(&mut self, config: &Arc<config::Config>) {
-        let known = self.config.as_ref().map(|(version, _)| *version);
-        if known == Some(config.version) {
+    /// Sends the update to the newest of these configurations to all instances that have an earlier one.
+    pub(super) fn send_config(&mut self, configs: history::History) {
+        let known = self.config_updates.as_ref().map(config::Updates::target);
+        let newest = configs.newest().map(|newest| newest.revision);
+        if known == newest {
             return;
         }
-        let bytes = frame::Frame::Configuration(Arc::clone(config)).encode();
-        let all = self.links.len() * bytes.len() <= self.config_broadcast_limit;
-        self.config = Some((config.version, bytes));
-        let config = self.config.as_ref();
-        self.links
-            .retain(|_, link| !(all || link.needs_config) || link.send_config(config));
+        self.config_updates = config::Updates::new(configs);
+        if let Some(updates) = &mut self.config_updates {
+            self.links.retain(|_, link| link.send_config(updates));
+        }
     }
 
     /// Sends a heartbeat when it is due, and at once when there is a new configuration.
@@ -112,11 +110,11 @@
         let due = self
             .last_heartbeat
             .is_none_or(|sent_at| now.since(sent_at) >= HEARTBEAT_INTERVAL);
-        if !due && heartbeat.config_version == self.sent_config_version {
+        if !due && heartbeat.config == self.sent_config {
             return;
         }
         self.last_heartbeat = Some(now);
-        self.sent_config_version = heartbeat.config_version;
+        self.sent_config = heartbeat.config;
         self.subscriptions.prune(now);
         self.send_all_changes(now);
         if heartbeat.active {
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 use fireflywheel::clock;
+use fireflywheel::fleet::config::update;
+use fireflywheel::fleet::demand;
 use fireflywheel::fleet::era::{Era, Position};
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease;
@@ -13,6 +15,8 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
+use super::config;
+
 /// A link to another instance.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -28,12 +32,14 @@
     pub(super) stamp_ms: u64,
     /// Age of its own reads of the store.
     pub(super) read_age: Duration,
-    /// The newest configuration version that it has or was sent. `None` until it has reported one, or if its
-    /// release accepts no configurations and no limits over a link: a frame that it can't read would end the
-    /// link.
+    /// The newest configuration version that it has reported. `None` until then, or if its release accepts no limits
+    /// over a link: a frame that it can't read would end the link.
     pub(super) config_version: Option<u64>,
-    /// Whether the store does not answer it, so that it needs the configuration from the steward.
-    pub(super) needs_config: bool,
+    /// The configuration that it has, as far as it is known. `None` until it has reported one, or if its release accepts
+    /// no updates of the configuration.
+    pub(super) config: Option<demand::Holding>,
+    /// The last update that it was sent on its own request.
+    pub(super) requested_update: Option<(demand::Holding, update::Revision)>,
     /// Whether requests wait there, so that each change of an engine may matter to it at once.
     pub(super) has_waiting: bool,
     /// Whether it receives all engines.
@@ -50,7 +56,7 @@
     pub(super) instances: usize,
     pub(super) lease_end: Position,
     pub(super) era: Option<Era>,
-    pub(super) config_version: u64,
+    pub(super) config: Option<update::Revision>,
     pub(super) read_age: Duration,
     pub(super) standbys_must_read: bool,
 }
@@ -84,14 +90,42 @@
         }))
     }
 
-    /// Sends the configuration if the instance has an earlier one. Returns whether the link still has room.
-    pub(super) fn send_config(&mut self, config: Option<&(u64, Bytes)>) -> bool {
-        let is_later = |known: u64| config.filter(|(version, _)| *version > known);
-        let Some((version, bytes)) = self.config_version.and_then(is_later) else {
+    /// Sends the update to the newest configuration, if the instance has an earlier one. Returns whether the link still
+    /// has room.
+    pub(super) fn send_config(&mut self, updates: &mut config::Updates) -> bool {
+        let Some(holding) = &mut self.config else {
+            return true;
+        };
+        let target = updates.target();
+        let known = holding.revision.map_or(0, |revision| revision.version);
+        if known >= target.version {
             return true;
+        }
+        let parts = updates.from(holding.revision);
+        holding.revision = Some(target);
+        parts
+            .iter()
+            .all(|part| self.sender.try_send(part.clone()).is_ok())
+    }
+
+    /// Records which configuration the instance has reported. One that needs the configuration from the steward has it
+    /// sent again: once for each configuration that it has reported, since an update may be on its way.
+    pub(super) fn observe_config(
+        &mut self,
+        demand: &demand::Demand,
+        newest: Option<update::Revision>,
+    ) {
+        self.config_version = self.config_version.max(demand.config_version);
+        if self.config.is_none() {
+            self.config = demand.config;
+        }
+        let (Some(holding), Some(newest)) = (demand.config, newest) else {
+            return;
         };
-        self.config_version = Some(*version);
-        self.sender.try_send(bytes.clone()).is_ok()
+        if demand.needs_config && self.requested_update != Some((holding, newest)) {
+            self.requested_update = Some((holding, newest));
+            self.config = Some(holding);
+        }
     }
 
     /// Sends a frame. Returns whether the link still has room.
@@ -109,10 +143,11 @@
             lease_end: self.lease_end.offset,
             lease_era: self.lease_end.era,
             era: self.era,
-            config_version: self.config_version,
+            config_version: self.config.map_or(0, |config| config.version),
             read_age_ms: frame::millis(self.read_age),
             stamp_ms,
             standbys_must_read: self.standbys_must_read,
+            config: self.config,
         }
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use bytes::Bytes;
 use fireflywheel::clock;
 use fireflywheel::fleet::announcement::Process;
 use fireflywheel::fleet::config;
+use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::demand;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease;
@@ -74,13 +74,10 @@
     /// When this instance last became active or inactive as steward.
     pub(super) role_changed_at: clock::Instant,
     pub(super) last_heartbeat: Option<clock::Instant>,
-    /// The configuration version that the last heartbeat announced.
-    pub(super) sent_config_version: u64,
-    /// The newest configuration as an encoded frame, with its version.
-    pub(super) config: Option<(u64, Bytes)>,
-    /// Maximum total size in bytes at which a new configuration is sent to all instances: more would delay
-    /// heartbeats until links are taken for dead.
-    pub(super) config_broadcast_limit: usize,
+    /// The configuration that the last heartbeat announced.
+    pub(super) sent_config: Option<update::Revision>,
+    /// Updates to the newest configuration, while this instance is the active steward.
+    pub(super) config_updates: Option<super::config::Updates>,
     /// The directory as it was last sent.
     pub(super) entries: BTreeMap<SmolStr, frame::Entry>,
     /// When the loads of engines were last sent, and whether there were any.
@@ -131,6 +128,7 @@
         self.shares.clear();
         self.pacer = pacer::Pacer::default();
         self.limits_changed = true;
+        self.config_updates = None;
         // Loads ordered by the previous steward may have begun a moment ago, so as many are counted as may
         // run at once.
         self.recent_fetches.clear();
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -26,6 +26,9 @@
 const POLLS_PER_CONFIG_DEADLINE: u32 = 2;
 /// The same for the steward, whose reads replace those of all other instances and must be recent.
 const STEWARD_POLLS_PER_CONFIG_DEADLINE: u32 = 4;
+/// Part of the configuration deadline for which an instance waits for the steward's update to a configuration that the
+/// steward has announced. After that it reads the store.
+const UPDATES_PER_CONFIG_DEADLINE: u32 = 4;
 /// Delay between two pages of a large directory when an instance reads it for the first time.
 const FIRST_READ_PAGE_DELAY: Duration = Duration::from_millis(400);
 /// Interval at which expired idle connections are closed.
@@ -96,7 +99,6 @@
 where
     P: platform::Platform,
 {
-    let mut cursor = P::ConfigCursor::default();
     let mut reachability = Reachability::new("configuration");
     let mut has_changed = false;
     loop {
@@ -110,6 +112,9 @@
             node.store_wait(wait)
         };
         let read_started = node.now();
+        // What the steward has sent is not read again.
+        let from = node.config_read_to();
+        let mut cursor = platform::ConfigCursor { next: from };
         let result = node.platform.poll_config(&mut cursor, wait).await;
         node.record_store_call("configuration", result.is_ok());
         match result {
@@ -121,11 +126,11 @@
                     wait,
                     has_change: config.is_some(),
                 };
-                node.record_config_read(read.as_of());
                 has_changed = read.has_change;
                 if let Some(config) = config {
-                    node.apply_config(Arc::new(config), node::ConfigSource::Own);
+                    node.apply_config(config, node::ConfigSource::Own);
                 }
+                node.record_config_read(read.as_of(), from, cursor.next);
             }
             Err(error) => {
                 reachability.record_failure(node.now(), &error.to_string());
@@ -222,7 +227,7 @@
 }
 
 /// Waits while the steward's reads replace this instance's own. With `for_config`, the wait also ends when the steward
-/// knows of a newer configuration than this instance. Returns how long the next read may wait for a change.
+/// knows of a newer configuration than this instance and its update doesn't arrive. Returns how long the next read may wait for a change.
 async fn wait_until_read_needed<P>(node: &node::Node<P>, for_config: bool) -> Duration
 where
     P: platform::Platform,
@@ -232,7 +237,7 @@
     loop {
         let steward_reads = *changes.borrow_and_update();
         let now = node.now();
-        let left = steward_reads
+        let mut left = steward_reads
             .valid_until
             .map_or(Duration::ZERO, |until| until.since(now));
         if left.is_zero() {
@@ -253,9 +258,16 @@
             return if may_wait { wait } else { Duration::ZERO };
         }
         were_valid = true;
-        let newest = node.config().map_or(0, |config| config.version);
-        if for_config && steward_reads.version > newest {
-            return Duration::ZERO;
+        if for_config && let Some(lag) = node.config_lag() {
+            let timeout = if steward_reads.config.is_some() {
+                node.settings.config_deadline / UPDATES_PER_CONFIG_DEADLINE
+            } else {
+                Duration::ZERO
+            };
+            if lag >= timeout {
+                return Duration::ZERO;
+            }
+            left = left.min(timeout.saturating_sub(lag));
         }
         // The state is checked again after a change as well as after the timeout.
         let _ = time::timeout(left, changes.changed()).await;
