An instance that knows of a later configuration says so

Seen in a test: an instance that has heard of a later configuration, and gets it neither from the steward nor from the store, answers 404 for a route that the later one may have, and goes on serving what it may have withdrawn, for as long as that lasts.

Now it answers 503 stale instead of a denial as soon as it knows, with Retry-After; once the later one should be in force, it refuses every request with 503 outdated, and isn't ready.

--- a/crates/fireflywheel_daemon/src/fleet/access.rs
+++ b/crates/fireflywheel_daemon/src/fleet/access.rs
@@ -50,19 +50,43 @@
     }
 
     /// Returns the refusal of a request because the configuration lacks what it names. What is missing may be newer if
-    /// the configuration was last read longer ago than a new one may take to be in force. The denial would be final for
-    /// the caller, so it is then asked to come back.
+    /// a later configuration is known, or if the configuration was last read longer ago than a new one may take to be in
+    /// force. The denial would be final for the caller, so it is then asked to come back.
     pub(super) fn deny(&self, call: &platform::Call, problem: errors::Problem) -> errors::Problem {
         let age = self.node.config_age();
-        if age <= self.node.settings.config_deadline {
+        let lag = self.node.config_lag();
+        if age <= self.node.settings.config_deadline && lag.is_none() {
             return problem;
         }
-        let left = call.deadline.unwrap_or(age);
+        let wait = lag.map_or_else(
+            || timeout::remaining_outage(age),
+            |lag| self.node.settings.config_deadline.saturating_sub(lag),
+        );
+        let left = call.deadline.unwrap_or(wait);
         unavailable(
             "stale",
             "what the request names may be newer than the configuration",
         )
-        .with_retry_after(retry_after(timeout::remaining_outage(age), left))
+        .with_retry_after(retry_after(wait, left))
+    }
+
+    /// Returns the refusal of a request while a later configuration should already be in force: it may have withdrawn
+    /// the caller's key, or have moved the route.
+    pub(super) fn check_config_in_time(
+        &self,
+        call: &platform::Call,
+    ) -> Result<(), errors::Problem> {
+        let Some(lag) = self
+            .node
+            .config_lag()
+            .filter(|_| self.node.is_config_overdue())
+        else {
+            return Ok(());
+        };
+        let wait = timeout::remaining_outage(lag);
+        let left = call.deadline.unwrap_or(wait);
+        let problem = unavailable("outdated", "a later configuration should be in force");
+        Err(problem.with_retry_after(retry_after(wait, left)))
     }
 
     /// Charges a request to its organisation's quota.
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -285,6 +285,13 @@
         Some(now.since(since))
     }
 
+    /// Whether a later configuration than the one in force should be in force by now.
+    #[must_use]
+    pub fn is_config_overdue(&self) -> bool {
+        self.config_lag()
+            .is_some_and(|lag| lag > self.settings.config_deadline)
+    }
+
     /// Whether the configuration in force is later than the steward's and than `sent`.
     #[must_use]
     pub fn has_config_newer_than_steward(&self, sent: u64) -> bool {
@@ -374,6 +381,9 @@
     /// Whether callers should be sent to this instance.
     #[must_use]
     pub fn is_ready(&self) -> bool {
+        if self.is_config_overdue() {
+            return false;
+        }
         let state = self.lock();
         state.config().is_some() && state.stop_deadline.is_none()
     }
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -102,6 +102,7 @@
             let problem = unavailable("starting", "no configuration yet");
             return Err(problem.with_retry_after(retry_after(wait, left)));
         };
+        self.check_config_in_time(call)?;
         let Some(route) = config.route(&call.host, head.uri.path()) else {
             let problem = errors::Problem::new(
                 StatusCode::NOT_FOUND,
