--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -216,19 +216,22 @@
     /// Records an era of the store that another instance knows of. Answers from earlier eras are no longer valid.
     fn observe_era(&self, era: Era);
 
-    /// Waits up to `wait` for a configuration newer than the cursor.
+    /// Waits up to `wait` for a configuration newer than the cursor, and after that up to `timeout` without a byte of the
+    /// answer.
     fn poll_config(
         &self,
         cursor: &mut ConfigCursor,
         wait: Duration,
+        timeout: Duration,
     ) -> impl Future<Output = Result<Option<update::Revised>, StoreError>> + Send;
 
-    /// Reads what has changed in the directory since the cursor. When the whole directory is read in pages, there is a
-    /// delay of `pause` between them.
+    /// Reads what has changed in the directory since the cursor, waiting up to `timeout` without a byte of an answer. When
+    /// the whole directory is read in pages, there is a delay of `pause` between them.
     fn read_directory<F>(
         &self,
         cursor: &mut Self::DirectoryCursor,
         now: clock::Instant,
+        timeout: Duration,
         pause: F,
     ) -> impl Future<Output = Result<DirectoryUpdate, StoreError>> + Send
     where
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -115,7 +115,13 @@
         // What the steward has sent is not read again.
         let from = node.config_read_to();
         let mut cursor = platform::ConfigCursor { next: from };
-        let result = node.platform.poll_config(&mut cursor, wait).await;
+        let timeout = node.store_timeout();
+        // The answer may be seconds away while all instances read at once. It isn't needed once the steward has sent the
+        // configuration.
+        let result = tokio::select! {
+            result = node.platform.poll_config(&mut cursor, wait, timeout) => result,
+            () = wait_for_steward_config(&node) => continue,
+        };
         node.record_store_call("configuration", result.is_ok());
         match result {
             Ok(config) => {
@@ -169,8 +175,9 @@
         let read_started = node.now();
         // A whole directory of thousands of entries occupies a slow network connection for seconds and delays the
         // steward's frames, so the read is cancelled once the steward's reads are valid.
+        let timeout = node.store_timeout();
         let result = tokio::select! {
-            result = node.platform.read_directory(&mut cursor, read_started, || page_delay(&node, first)) => result,
+            result = node.platform.read_directory(&mut cursor, read_started, timeout, || page_delay(&node, first)) => result,
             () = wait_for_steward_reads(&node) => continue,
         };
         node.record_store_call("directory", result.is_ok());
@@ -226,6 +233,19 @@
     }
 }
 
+/// Waits until the steward's reads replace this instance's own, and this instance has the steward's configuration.
+async fn wait_for_steward_config<P>(node: &node::Node<P>)
+where
+    P: platform::Platform,
+{
+    let mut changes = node.steward_reads.subscribe();
+    while !node.steward_reads_valid() || node.config_lag().is_some() || node.config().is_none() {
+        if changes.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// Waits while the steward's reads replace this instance's own. With `for_config`, the wait also ends when the steward
 /// knows of a newer configuration than this instance and its update doesn't arrive. Returns how long the next read may wait for a change.
 async fn wait_until_read_needed<P>(node: &node::Node<P>, for_config: bool) -> Duration
--- a/crates/fireflywheel_standin/src/site/store.rs
+++ b/crates/fireflywheel_standin/src/site/store.rs
@@ -49,6 +49,8 @@
     max_page_records: usize,
     /// The bandwidth that all reads share, in bytes per second; `None` for no limit.
     read_rate: Option<f64>,
+    /// Whether reads get the bandwidth one after the other, and not at the same time.
+    reads_queue: bool,
     /// When the bandwidth is free again.
     bandwidth_free_at: Option<time::Instant>,
     /// Size of the answers to reads that were sent, in bytes, by topic.
@@ -202,6 +204,14 @@
         self.lock().read_rate = Some(bytes_per_second);
     }
 
+    /// Sets the bandwidth that all reads share, in bytes per second. An answer begins once all bytes of the reads before
+    /// it are through, also of those that were given up.
+    pub fn set_queued_read_rate(&self, bytes_per_second: f64) {
+        let mut state = self.lock();
+        state.read_rate = Some(bytes_per_second);
+        state.reads_queue = true;
+    }
+
     /// Makes the next large answer to a read but `skip` stop after its first chunk, with the connection left open.
     pub fn stall_read(&self, skip: u64) {
         self.lock().reads_before_stall = Some(skip);
@@ -331,22 +341,19 @@
 
     /// Sends the body of an answer over the bandwidth that all reads share. Readers that read at the same time get equal
     /// parts of it.
-    fn share_bandwidth(&self, topic: &str, mut answer: http::Answer) -> http::Answer {
+    async fn share_bandwidth(&self, topic: &str, mut answer: http::Answer) -> http::Answer {
         let http::Body::Full(bytes) = std::mem::replace(answer.body_mut(), http::Body::Empty)
         else {
             return answer;
         };
-        let mut state = self.lock();
-        // Waiting reads that end without a record are left alone.
-        let is_large = bytes.len() > READ_CHUNK_BYTES;
-        let is_stalled = is_large && state.reads_before_stall == Some(0);
-        if is_large {
-            state.reads_before_stall = state
-                .reads_before_stall
-                .and_then(|left| left.checked_sub(1));
-        }
-        drop(state);
+        let (is_stalled, queues) = self.plan_transfer(bytes.len());
         let topic = SmolStr::new(topic);
+        if queues {
+            time::sleep_until(self.reserve_bandwidth(bytes.len())).await;
+            self.count_sent(&topic, bytes.len());
+            *answer.body_mut() = http::Body::Full(bytes);
+            return answer;
+        }
         let (sender, parts) = mpsc::channel(1);
         let store = self.clone();
         tokio::spawn(async move {
@@ -369,6 +376,20 @@
         answer
     }
 
+    /// Returns whether an answer stops after its first chunk, and whether it waits for its turn.
+    fn plan_transfer(&self, bytes: usize) -> (bool, bool) {
+        let mut state = self.lock();
+        // Waiting reads that end without a record are left alone.
+        let is_large = bytes > READ_CHUNK_BYTES;
+        let is_stalled = is_large && state.reads_before_stall == Some(0);
+        if is_large {
+            state.reads_before_stall = state
+                .reads_before_stall
+                .and_then(|left| left.checked_sub(1));
+        }
+        (is_stalled, state.reads_queue)
+    }
+
     fn count_sent(&self, topic: &SmolStr, bytes: usize) {
         let mut state = self.lock();
         *state.sent_bytes.entry(topic.clone()).or_default() += bytes as u64;
@@ -418,13 +439,14 @@
             "/v1/log-newest" => {
                 let after = query_value(&request, "after").unwrap_or_default();
                 self.share_bandwidth(topic, self.read_newest(topic, after))
+                    .await
             }
             "/v1/log-read" => {
                 let wait = Duration::from_millis(request.number("waitMs").unwrap_or_default());
                 self.record_wait(wait);
                 let from = request.number("from").unwrap_or_default();
                 let answer = self.read(topic, from, wait).await;
-                self.share_bandwidth(topic, answer)
+                self.share_bandwidth(topic, answer).await
             }
             "/v1/log-append" => self.append(topic, request.number("at"), &request.body),
             "/v1/restore" => {
