--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -1,13 +1,13 @@
 //! The steward: holds the lease, plans placements and sends orders to engines.
 
 mod broadcast;
-mod config;
 mod lease;
 mod limits;
 mod link;
 mod orders;
 mod shares;
 mod state;
+mod updates;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use fireflywheel::clock;
-use fireflywheel::fleet::config as document;
+use fireflywheel::fleet::config;
 use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::demand;
 use fireflywheel::fleet::era::Position;
@@ -546,7 +546,7 @@
     }
 }
 
-fn engines(config: &document::Config) -> impl Iterator<Item = (&SmolStr, &document::Engine)> {
+fn engines(config: &config::Config) -> impl Iterator<Item = (&SmolStr, &config::Engine)> {
     let groups = config.groups.iter();
     groups.filter_map(|(name, group)| Some((name, group.engine.as_ref()?)))
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward/broadcast.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/broadcast.rs
@@ -11,9 +11,9 @@
 use fireflywheel::fleet::load;
 use smol_str::SmolStr;
 
-use super::config;
 use super::link;
 use super::state::State;
+use super::updates;
 use super::{HEARTBEAT_INTERVAL, MAX_STANDBYS};
 
 /// Interval at which unchanged forecasts are sent again, since the waits that they predict go on.
@@ -94,12 +94,12 @@
 
     /// Sends the update to the newest of these configurations to all instances that have an earlier one.
     pub(super) fn send_config(&mut self, configs: history::History) {
-        let known = self.config_updates.as_ref().map(config::Updates::target);
+        let known = self.config_updates.as_ref().map(updates::Cache::target);
         let newest = configs.newest().map(|newest| newest.revision);
         if known == newest {
             return;
         }
-        self.config_updates = config::Updates::new(configs);
+        self.config_updates = updates::Cache::new(configs);
         if let Some(updates) = &mut self.config_updates {
             self.links.retain(|_, link| link.send_config(updates));
         }
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -15,7 +15,7 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
-use super::config;
+use super::updates;
 
 /// A link to another instance.
 #[derive(Debug)]
@@ -92,7 +92,7 @@
 
     /// Sends the update to the newest configuration, if the instance has an earlier one. Returns whether the link still
     /// has room.
-    pub(super) fn send_config(&mut self, updates: &mut config::Updates) -> bool {
+    pub(super) fn send_config(&mut self, updates: &mut updates::Cache) -> bool {
         let Some(holding) = &mut self.config else {
             return true;
         };
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -20,6 +20,7 @@
 use smol_str::SmolStr;
 
 use super::link;
+use super::updates;
 
 /// The part of the weight store's rate that is used: a load may begin later than it was ordered.
 pub(super) const STORE_RATE_RATIO: f64 = 0.9;
@@ -77,7 +78,7 @@
     /// The configuration that the last heartbeat announced.
     pub(super) sent_config: Option<update::Revision>,
     /// Updates to the newest configuration, while this instance is the active steward.
-    pub(super) config_updates: Option<super::config::Updates>,
+    pub(super) config_updates: Option<updates::Cache>,
     /// The directory as it was last sent.
     pub(super) entries: BTreeMap<SmolStr, frame::Entry>,
     /// When the loads of engines were last sent, and whether there were any.
--- a/crates/fireflywheel_daemon/src/fleet/steward/config.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/updates.rs
@@ -1,4 +1,4 @@
-//! Updates of the configuration for linked instances.
+//! Encoded updates of the configuration for linked instances.
 
 use std::sync::Arc;
 
@@ -7,16 +7,16 @@
 use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::frame;
 
-/// Updates to the newest configuration. Most instances have the same configuration, so an update is encoded once.
+/// The updates to the newest configuration. Most instances have the same configuration, so an update is encoded once.
 #[derive(Debug)]
-pub(super) struct Updates {
+pub(super) struct Cache {
     configs: history::History,
     target: update::Revision,
     encoded: Vec<(Option<update::Revision>, Arc<[Bytes]>)>,
 }
 
-impl Updates {
-    /// Creates updates to the newest of these configurations; `None` if there is none.
+impl Cache {
+    /// Creates a cache of the updates to the newest of these configurations; `None` if there is none.
     pub(super) fn new(configs: history::History) -> Option<Self> {
         let target = configs.newest()?.revision;
         Some(Self {
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -247,7 +247,8 @@
 }
 
 /// Waits while the steward's reads replace this instance's own. With `for_config`, the wait also ends when the steward
-/// knows of a newer configuration than this instance and its update doesn't arrive. Returns how long the next read may wait for a change.
+/// knows of a newer configuration than this instance and its update doesn't arrive. Returns how long the next read may
+/// wait for a change.
 async fn wait_until_read_needed<P>(node: &node::Node<P>, for_config: bool) -> Duration
 where
     P: platform::Platform,
