Read again as a newcomer: one value for what the steward announces

update_steward_reads took a pair of version and revision; it takes the announced reads now. A comment that needed the line after it is reworded. No logic changes.

--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! | module | contents |
 //! |---|---|
-//! | [`config`] | the operator's configuration: routes, groups, models |
+//! | [`config`] | the operator's configuration: routes, groups, models; updates from one to a later one |
 //! | [`server`] | a backend server: its directory entry and what it holds |
 //! | [`era`] | detection of a store that was restored from an older copy |
 //! | [`lease`] | which instance is steward, and for how long it may act |
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -386,16 +386,17 @@
             }
             steward.observe_steward(holder);
             steward.observe_lease_end(end);
+            let announced = node::StewardReads {
+                version: config_version,
+                config,
+                ..node::StewardReads::default()
+            };
             if standbys_must_read && steward.node.is_standby() {
-                steward.node.set_steward_reads(node::StewardReads {
-                    version: config_version,
-                    config,
-                    ..node::StewardReads::default()
-                });
+                steward.node.set_steward_reads(announced);
             } else {
                 let read_age = Duration::from_millis(read_age_ms.into());
                 let demand_sent = clock::Instant(stamp_ms);
-                update_steward_reads(steward, (config_version, config), read_age, demand_sent);
+                update_steward_reads(steward, announced, read_age, demand_sent);
             }
             steward.node.extend_shares(clock::Instant(stamp_ms));
             steward.node.update_instance_count(instances as usize);
@@ -439,7 +440,7 @@
 /// Records the steward's reads of the store, which replace this instance's own as long as they are recent.
 fn update_steward_reads<P>(
     steward: &steward::Steward<P>,
-    (version, config): (u64, Option<update::Revision>),
+    announced: node::StewardReads,
     read_age: Duration,
     demand_sent: clock::Instant,
 ) where
@@ -458,8 +459,7 @@
     let reads = node::StewardReads {
         valid_until,
         read: Some(demand_sent.before(read_age)),
-        version,
-        config,
+        ..announced
     };
     steward.node.set_steward_reads(reads);
 }
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -246,15 +246,14 @@
     }
 
     /// Records a read of the configuration, from one position up to another, that shows the store's state as of this
-    /// time.
+    /// time. A later configuration that a steward has announced, and that the store doesn't have, was lost.
     pub fn record_config_read(&self, as_of: Instant, from: Option<Position>, to: Option<Position>) {
         let mut state = self.lock();
         state.config_read_at = Some(as_of);
         state.needs_config = false;
-        // A later configuration that a steward has announced was lost if the store doesn't have it.
         state.announced_config = 0;
         state.config_behind_since = None;
-        // Otherwise an update has arrived meanwhile, which may have been read up to a later position.
+        // The sender of an update that has arrived meanwhile may have read up to a later position.
         if state.config_read_to == from {
             state.config_read_to = to;
         }
