Take back the longer time-outs of reads after failures

Cause: the store had been away for seven seconds; reads sent meanwhile had a time-out of up to eight seconds and were still waiting at 30.3 s, when the store had answered others since 26.6 s.

The time-out is a second without a byte again, for all. Reads that end once the steward has sent the configuration stay.

--- a/crates/fireflywheel/src/fleet/backoff.rs
+++ b/crates/fireflywheel/src/fleet/backoff.rs
@@ -15,8 +15,6 @@
 const INITIAL_DELAY: Duration = Duration::from_millis(100);
 /// The factor by which each delay exceeds the one before.
 const DELAY_MULTIPLIER: f64 = 2.0;
-/// The maximum exponent of the time-out of a read, which grows by powers of two.
-const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
 /// The smallest share of a delay that is used. The share is drawn at random, so that instances don't call at
 /// the same time.
 const MIN_DELAY_RATIO: f64 = 0.5;
@@ -70,14 +68,6 @@
         }
     }
 
-    /// Returns how long a read waits for its answer when the usual time-out is `usual`. All reads share the store's
-    /// bandwidth: when hundreds of instances read a large document at once, an answer may come after that time-out,
-    /// and a retry would queue behind all others again.
-    #[must_use]
-    pub fn answer_timeout(&self, usual: Duration) -> Duration {
-        usual * 2_u32.pow(self.failures.min(MAX_TIMEOUT_DOUBLINGS))
-    }
-
     /// Whether a call has failed since the last recorded success.
     #[must_use]
     pub fn is_failing(&self) -> bool {
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -25,6 +25,7 @@
 pub use guard::{InFlight, Waiter};
 pub use limit::Answer;
 pub use quota::Charge;
+pub use store::ANSWER_TIMEOUT;
 
 use super::metrics;
 use super::pool;
--- a/crates/fireflywheel_daemon/src/fleet/node/store.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/store.rs
@@ -13,7 +13,7 @@
 /// How long a read may go without a byte of its answer. It is several times the response time of a slow store, and short
 /// enough that a connection which stops responding does not delay a configuration beyond the time within which it must
 /// be in force.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Number of attempts that other instances make within the time in which they must apply a change that is
 /// accepted as soon as the store has recovered.
 const ATTEMPTS_PER_DEADLINE: u32 = 3;
@@ -64,18 +64,6 @@
         self.lock().store_backoff.long_poll_wait(usual_wait)
     }
 
-    /// How long a read of the store may go without a byte of its answer.
-    #[must_use]
-    pub fn store_timeout(&self) -> Duration {
-        let state = self.lock();
-        // A steward or a standby that waits for a silent store keeps the whole fleet waiting.
-        if state.is_acting_steward || state.is_standby {
-            ANSWER_TIMEOUT
-        } else {
-            state.store_backoff.answer_timeout(ANSWER_TIMEOUT)
-        }
-    }
-
     /// Records whether a call to the store had a usable answer.
     pub fn record_store_call(&self, call: &str, answered: bool) {
         self.metrics.count_store_call(call, answered);
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -115,7 +115,7 @@
         // What the steward has sent is not read again.
         let from = node.config_read_to();
         let mut cursor = platform::ConfigCursor { next: from };
-        let timeout = node.store_timeout();
+        let timeout = node::ANSWER_TIMEOUT;
         // The answer may be seconds away while all instances read at once. It isn't needed once the steward has sent the
         // configuration.
         let result = tokio::select! {
@@ -175,7 +175,7 @@
         let read_started = node.now();
         // A whole directory of thousands of entries occupies a slow network connection for seconds and delays the
         // steward's frames, so the read is cancelled once the steward's reads are valid.
-        let timeout = node.store_timeout();
+        let timeout = node::ANSWER_TIMEOUT;
         let result = tokio::select! {
             result = node.platform.read_directory(&mut cursor, read_started, timeout, || page_delay(&node, first)) => result,
             () = wait_for_steward_reads(&node) => continue,
