--- a/crates/fireflywheel/src/fleet/config/update.rs
+++ b/crates/fireflywheel/src/fleet/config/update.rs
@@ -15,7 +15,7 @@
 use super::super::organisation;
 use super::{Config, Group, Kind, Limits, Route, Target, table};
 
-/// Maximum number of routes in one part, some 4 KB. A steward with a slow network connection sends a part to each of
+/// Maximum number of routes in one part, some 3 KB. A steward with a slow network connection sends a part to each of
 /// hundreds of instances before links without a frame are taken for dead.
 pub const MAX_ROUTES_PER_PART: usize = 128;
 /// Maximum number of removed routes in one part.
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -26,8 +26,8 @@
 const POLLS_PER_CONFIG_DEADLINE: u32 = 2;
 /// The same for the steward, whose reads replace those of all other instances and must be recent.
 const STEWARD_POLLS_PER_CONFIG_DEADLINE: u32 = 4;
-/// Part of the configuration deadline for which an instance waits for the steward's update to a configuration that the
-/// steward has announced. After that it reads the store.
+/// Number of waits for the steward's update that fit into the configuration deadline. An instance waits once after the
+/// steward has announced a configuration, and then reads the store.
 const UPDATES_PER_CONFIG_DEADLINE: u32 = 4;
 /// Delay between two pages of a large directory when an instance reads it for the first time.
 const FIRST_READ_PAGE_DELAY: Duration = Duration::from_millis(400);
