Failing tests of instances that are partitioned from backend servers

The tests play it without the bench: the stand-in has a network between one instance and the servers that is partitioned while the others' are not; new connections hang, are refused or reset, open ones hang, are reset or go on. For that the instance opens connections to servers through a trait, Network.

Sockets to servers and between instances get keep-alive probes and a user timeout of 2.5 s: before, an idle connection behind a silent partition stayed open until its server's keep-alive time, and one with a request until the deadline.

--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -20,6 +20,7 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
+use super::net;
 use super::node;
 use super::platform;
 use super::steward;
@@ -59,7 +60,7 @@
             time::sleep(MIN_RETRY_DELAY).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
+        net::configure(&stream);
         let steward = Arc::clone(&steward);
         tokio::spawn(async move {
             let opened = time::timeout(
@@ -248,7 +249,7 @@
     let address = holder.address.as_str();
     let opening = async {
         let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
+        net::configure(&stream);
         let url = format!("ws://{address}/");
         anyhow::Ok(
             client_async_with_config(url, stream, Some(websocket_config()))
--- a/crates/fireflywheel_daemon/src/fleet/mod.rs
+++ b/crates/fireflywheel_daemon/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 //! | [`attempt`] | sends a request to one backend server and classifies the outcome |
 //! | [`stream`] | forwards streamed responses and resumes them after a failure |
 //! | [`pool`] | keeps connections to backend servers |
+//! | [`net`] | opens connections to backend servers and sets their socket options |
 //! | [`store_watch`] | keeps the configuration and the directory up to date |
 //! | [`steward`] | holds the lease, plans and sends orders |
 //! | [`links`] | opens and serves links between instances and the steward |
@@ -27,6 +28,7 @@
 pub mod links;
 pub mod log_output;
 pub mod metrics;
+pub mod net;
 pub mod node;
 pub mod platform;
 pub mod pool;
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -5,6 +5,7 @@
 mod demand;
 mod guard;
 mod limit;
+mod path;
 mod quota;
 mod state;
 mod store;
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -15,6 +15,7 @@
 use hyper::{HeaderMap, Request};
 use smol_str::SmolStr;
 
+use super::net;
 use crate::errors;
 
 /// The parts of a caller's request that routing needs.
@@ -175,6 +176,12 @@
     /// The position of a reader of the directory.
     type DirectoryCursor: Default + Send;
 
+    /// Opens connections to backend servers.
+    type Network: net::Network;
+
+    /// Returns what opens connections to backend servers.
+    fn network(&self) -> &Self::Network;
+
     /// Parses the head of a caller's request.
     ///
     /// # Errors
--- a/crates/fireflywheel_daemon/src/fleet/pool.rs
+++ b/crates/fireflywheel_daemon/src/fleet/pool.rs
@@ -18,10 +18,11 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time;
 
+use super::net;
+
 /// How long a connection may take to open. Servers answer within a round trip; the rest allows for the retransmission
 /// of a lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -146,15 +147,19 @@
     /// # Errors
     ///
     /// Returns an [`Error`] if there is no connection.
-    pub async fn connect(
+    pub async fn connect<N>(
         &self,
+        network: &N,
         now: clock::Instant,
         address: SocketAddr,
         limit: usize,
-    ) -> Result<Connection, Error> {
+    ) -> Result<Connection, Error>
+    where
+        N: net::Network,
+    {
         match self.take_idle(now, address) {
             Some(connection) => Ok(connection),
-            None => self.open(address, limit).await,
+            None => self.open(network, address, limit).await,
         }
     }
 
@@ -207,18 +212,25 @@
         Some(server.idle.remove(ready).connection)
     }
 
-    async fn open(&self, address: SocketAddr, limit: usize) -> Result<Connection, Error> {
+    async fn open<N>(
+        &self,
+        network: &N,
+        address: SocketAddr,
+        limit: usize,
+    ) -> Result<Connection, Error>
+    where
+        N: net::Network,
+    {
         let open_count = self.open_count(address);
         if open_count.load(Ordering::Relaxed) >= limit {
             return Err(Error::NoConnectionFree);
         }
         let guard = OpenGuard::new(open_count);
-        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = time::timeout(CONNECT_TIMEOUT, network.connect(address)).await;
         let Ok(Ok(stream)) = stream else {
             return Err(Error::Unreachable);
         };
-        // Without this, the last bytes of a request may wait for an acknowledgement (Nagle's algorithm).
-        let _ = stream.set_nodelay(true);
+        net::configure(&stream);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| Error::Unreachable)?;
         let task = tokio::spawn(async move {
--- a/crates/fireflywheel_standin/src/lib.rs
+++ b/crates/fireflywheel_standin/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod list;
 pub mod load;
 pub mod log;
+pub mod partition;
 pub mod process;
 pub mod service;
 pub mod site;
