--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -1,6 +1,6 @@
 //! The demand that instances report to the steward, and the rates estimated from it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -72,6 +72,10 @@
     /// The age of the instance's own reads of the store, in milliseconds.
     #[serde(default = "unread_age", rename = "read_ms")]
     pub read_age_ms: u32,
+    /// The groups whose servers the instance doesn't reach, be it that they are down. It is absent from releases without
+    /// gateways.
+    #[serde(default, rename = "unreached")]
+    pub unreached_groups: Option<BTreeSet<SmolStr>>,
 }
 
 /// The configuration in force at an instance that accepts updates; none if it has none yet.
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -11,7 +11,7 @@
 
 use super::config::update;
 use super::era::Era;
-use super::{announcement, config, demand, lease, limit, load, quota, server};
+use super::{announcement, config, demand, gateway, lease, limit, load, quota, server, tunnel};
 use crate::clock;
 
 /// A duration in whole milliseconds, as frames carry it; longer durations saturate.
@@ -33,6 +33,9 @@
         address: SmolStr,
         /// The instance's share of a processor.
         cpu_share: f64,
+        /// The instance's failure domain; empty from releases without gateways.
+        #[serde(default, rename = "domain")]
+        failure_domain: SmolStr,
     },
     /// Everything that an instance requests and has in flight; replaces its previous demand.
     Demand(demand::Demand),
@@ -102,6 +105,10 @@
     Shares(Vec<quota::Share>),
     /// Instances that may take over if the sender dies, and that know who has taken over; from the steward.
     Standbys(Vec<lease::Record>),
+    /// The receiver's gateways to servers that it can't reach itself, from the steward; replaces its previous list.
+    Gateways(Vec<gateway::Gateway>),
+    /// The first frame on a connection that becomes a tunnel to a backend server.
+    Tunnel(tunnel::Nonce),
 }
 
 impl Frame {
--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -25,6 +25,7 @@
 use smol_str::SmolStr;
 
 use super::era::{Era, Position};
+use super::tunnel;
 use crate::clock;
 
 /// Fencing numbers between two takeovers, as a power of two. The number of a takeover derives from the
@@ -76,6 +77,8 @@
     pub record: Option<(u64, Record)>,
     /// The position that the next record will have.
     pub end: Position,
+    /// The secret that was written with the record.
+    pub secret: Option<tunnel::Secret>,
 }
 
 impl Reading {
--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -15,12 +15,14 @@
 /// The cost, in the same unit, of sending a request to another failure domain: traffic between domains is
 /// charged for.
 const CROSS_DOMAIN_COST: f64 = 0.02;
+/// The cost, in the same unit, of sending a request through another instance.
+const DETOUR_COST: f64 = 0.1;
 /// The time for which an unreachable server isn't chosen while another candidate is reachable.
 const UNREACHABLE_HOLD_OFF: Duration = Duration::from_millis(1000);
 /// The interval at which one request probes an unreachable server when no other candidate is left. If all
 /// waiting requests tried it, they would use up their attempts and the retry budget within milliseconds and
 /// be refused before another replica is loaded.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// The time for which a server counts as unreachable after another server has answered at its address: it is
 /// chosen only if no other candidate is reachable. The directory entry disappears within seconds.
 const REPLACED_HOLD_OFF: Duration = Duration::from_secs(10);
@@ -64,6 +66,8 @@
     pub slots: u32,
     /// Whether the server is in the failure domain of this instance.
     pub same_domain: bool,
+    /// Whether requests to the server go through another instance.
+    pub is_detour: bool,
     /// The number of requests of other instances at the server, according to the steward. It only decides
     /// whether the server has room and doesn't rank servers: all instances receive the same numbers a moment
     /// late and would all turn to the server that was idle then.
@@ -165,6 +169,9 @@
         } else {
             CROSS_DOMAIN_COST
         };
+        if self.is_detour {
+            cost += DETOUR_COST;
+        }
         cost + self.prefill_ratio
     }
 }
--- a/crates/fireflywheel/src/fleet/successor.rs
+++ b/crates/fireflywheel/src/fleet/successor.rs
@@ -1,8 +1,8 @@
 //! The choice of the instance to which a steward hands its lease over.
 //!
-//! A steward hands the lease over when it is being stopped, when the store refuses its calls but not those
-//! of others, and when it is much weaker than another instance. In the second case its reads of the store
-//! grow old, and all instances would read the store themselves at the same moment; with hundreds of
+//! A steward hands the lease over when it is being stopped, when it can't send orders to engines that others
+//! reach, when the store refuses its calls but not those of others, and when it is much weaker than another
+//! instance. In the third case its reads of the store grow old, and all instances would read the store themselves at the same moment; with hundreds of
 //! instances that takes longer than the deadline for applying a configuration.
 
 use std::time::Duration;
@@ -28,6 +28,8 @@
     pub leaving: bool,
     /// The age of the instance's own reads of the store.
     pub read_age: Duration,
+    /// Whether the instance doesn't reach the engines of a group.
+    pub is_partitioned: bool,
 }
 
 /// The steward itself.
@@ -39,13 +41,15 @@
     pub store_fails: bool,
     /// The age of the steward's reads of the store.
     pub read_age: Duration,
+    /// Whether the steward is partitioned from the engines of a group, which it can then send no orders.
+    pub is_partitioned: bool,
 }
 
 /// The successor of a steward that is being stopped: the strongest instance that stays. Returns its index
 /// in `peers`.
 #[must_use]
 pub fn for_stopping(peers: &[Peer]) -> Option<usize> {
-    strongest(peers, |_| true)
+    strongest(peers, |peer| !peer.is_partitioned).or_else(|| strongest(peers, |_| true))
 }
 
 /// The successor of a steward that stays, if it should hand the lease over. Changes must be applied within
@@ -55,6 +59,10 @@
     // An instance that does not read the store itself may be unable to reach it, and would hand the lease
     // back.
     let is_fresh = |peer: &Peer| peer.read_age <= deadline.mul_f64(FRESH_READS_RATIO);
+    if own.is_partitioned && !own.store_fails {
+        // The store answers an instance that is partitioned from engines only, so it answers others as well.
+        return strongest(peers, |peer| !peer.is_partitioned);
+    }
     if own.store_fails {
         let is_old = own.read_age >= deadline.mul_f64(OLD_READS_RATIO);
         // A strong instance may be reading at this moment. A weak one is only better than no steward at
@@ -63,10 +71,13 @@
         return strongest(peers, |peer| {
             is_old
                 && is_fresh(peer)
+                && (own.is_partitioned || !peer.is_partitioned)
                 && (is_last_resort || !is_share_much_larger(own.cpu_share, peer.cpu_share))
         });
     }
-    strongest(peers, |peer| is_fresh(peer) && is_much_stronger(own, peer))
+    strongest(peers, |peer| {
+        is_fresh(peer) && is_much_stronger(own, peer) && !peer.is_partitioned
+    })
 }
 
 /// Whether standbys should read the store themselves. Their reads show which of them the store answers,
--- a/crates/fireflywheel/tests/fleet/lease/rig.rs
+++ b/crates/fireflywheel/tests/fleet/lease/rig.rs
@@ -20,6 +20,7 @@
 impl Log {
     pub fn read(&self) -> Reading {
         Reading {
+            secret: None,
             record: self.record.clone(),
             end: self.end(),
         }
--- a/crates/fireflywheel/tests/fleet/load.rs
+++ b/crates/fireflywheel/tests/fleet/load.rs
@@ -155,6 +155,7 @@
     let stats = Stats::default();
     let candidates: Vec<Candidate<'_>> = (0..6)
         .map(|index| Candidate {
+            is_detour: false,
             stats: &stats,
             slots: 64,
             same_domain: true,
--- a/crates/fireflywheel/tests/fleet/overload.rs
+++ b/crates/fireflywheel/tests/fleet/overload.rs
@@ -255,6 +255,7 @@
         let draw = self.random.random();
         let candidates: Vec<Candidate<'_>> = (0..ENGINES)
             .map(|index| Candidate {
+                is_detour: false,
                 stats: &self.stats[instance][index],
                 slots: SLOTS,
                 same_domain: true,
--- a/crates/fireflywheel/tests/fleet/routing.rs
+++ b/crates/fireflywheel/tests/fleet/routing.rs
@@ -9,6 +9,7 @@
 
 fn candidate(stats: &Stats) -> Candidate<'_> {
     Candidate {
+        is_detour: false,
         stats,
         slots: 8,
         same_domain: true,
--- a/crates/fireflywheel/tests/fleet/successor.rs
+++ b/crates/fireflywheel/tests/fleet/successor.rs
@@ -10,6 +10,7 @@
 
 fn peer(cpu_share: f64, read_ms: u64) -> Peer {
     Peer {
+        is_partitioned: false,
         cpu_share,
         leaving: false,
         read_age: Duration::from_millis(read_ms),
@@ -25,6 +26,7 @@
 
 fn own(cpu_share: f64, store_fails: bool, read_ms: u64) -> Steward {
     Steward {
+        is_partitioned: false,
         cpu_share,
         store_fails,
         read_age: Duration::from_millis(read_ms),
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -111,17 +111,30 @@
     }
     let server = &chosen.server;
     let mut in_flight = node.register_in_flight(chosen, &job.queue);
+    let target = chosen.target();
+    let connecting = time::timeout(remaining, node.connect(&target, node::Via::Any));
+    let connection = match connecting.await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => return handle_pool_error(node, server, error),
+        Err(_) => return Outcome::NotRun("no connection in time"),
+    };
+    // Opening the connection has taken some of the time that the server may use.
+    let now = node.now();
+    let remaining = job.deadline.since(now);
     let request = build_request(&node.platform, job, chosen, remaining, last_event);
-    let process = chosen.process();
-    let pending = node.send_to(&process, chosen.address, chosen.connections, request);
+    let pending = connection.send(request);
     tokio::pin!(pending);
     let timeout = node.response_timeout(&job.route.name).unwrap_or(remaining);
     let within_timeout = time::timeout(remaining.min(timeout), &mut pending).await;
     let sent = match within_timeout {
         Ok(sent) => sent,
-        Err(_) if timeout >= remaining => return Outcome::TimedOut,
+        Err(_) if timeout >= remaining => {
+            node.probe_path(&target);
+            return Outcome::TimedOut;
+        }
         Err(_) => {
             node.record_outcome(server, node::ServerOutcome::Failed);
+            node.probe_path(&target);
             if on_timeout == OnTimeout::Abandon {
                 return Outcome::Lost("silent");
             }
@@ -137,7 +150,7 @@
     };
     let (head, body) = response.into_parts();
     let reply = node.platform.read_reply(&head);
-    node.observe_announcement(&process, &reply);
+    node.observe_announcement(&target.process, &reply);
     if let Some(load) = reply.load {
         node.record_load_report(server, load);
     }
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -24,6 +24,7 @@
 use super::node;
 use super::platform;
 use super::steward;
+use super::tunnel;
 
 /// A link that receives no frame for this long, which is three heartbeats, is considered dead.
 const LINK_TIMEOUT: Duration = Duration::from_millis(900);
@@ -175,14 +176,19 @@
     P: platform::Platform,
 {
     let hello = time::timeout(OPEN_TIMEOUT, receive(&mut socket)).await;
-    let Ok(Ok(frame::Frame::Hello {
-        instance,
-        incarnation,
-        address,
-        cpu_share,
-    })) = hello
-    else {
-        return;
+    let (instance, incarnation, address, cpu_share, failure_domain) = match hello {
+        Ok(Ok(frame::Frame::Hello {
+            instance,
+            incarnation,
+            address,
+            cpu_share,
+            failure_domain,
+        })) => (instance, incarnation, address, cpu_share, failure_domain),
+        Ok(Ok(frame::Frame::Tunnel(opener))) => {
+            tunnel::serve(&steward.node, socket, opener).await;
+            return;
+        }
+        _ => return,
     };
     let link_id = NEXT_LINK_ID.fetch_add(1, Ordering::Relaxed);
     let process_key = SmolStr::new(format!("{instance}/{incarnation}"));
@@ -194,7 +200,7 @@
         released: false,
         era: None,
     };
-    let mut frames = steward.open_link(link_id, peer, cpu_share);
+    let mut frames = steward.open_link(link_id, peer, cpu_share, failure_domain);
     let mut last_received = steward.node.now();
     let mut config_update = update::Assembly::default();
     let why = loop {
@@ -265,6 +271,7 @@
         incarnation: steward.node.incarnation,
         address: steward.node.settings.peers_advertised.to_string().into(),
         cpu_share: steward.node.settings.cpu_share,
+        failure_domain: steward.node.settings.failure_domain.clone(),
     };
     send(&mut socket, &hello).await?;
     steward.node.link_opened();
@@ -433,7 +440,11 @@
             steward.node.apply_unnumbered_config(config, source);
         }
         frame::Frame::Directory(changes) => steward.node.apply_directory_changes(changes),
-        frame::Frame::Hello { .. } | frame::Frame::Demand(_) | frame::Frame::ConfigUpdate(_) => {}
+        frame::Frame::Gateways(gateways) => steward.node.set_gateways(gateways),
+        frame::Frame::Hello { .. }
+        | frame::Frame::Demand(_)
+        | frame::Frame::ConfigUpdate(_)
+        | frame::Frame::Tunnel(_) => {}
     }
     Ok(())
 }
--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -42,6 +42,10 @@
     era: IntGauge,
     limited_servers: IntGauge,
     permits: IntCounterVec,
+    lost_paths: IntGauge,
+    gateways: IntGauge,
+    tunnels: IntCounterVec,
+    served_tunnels: IntCounterVec,
     steward: IntGauge,
     linked: IntGauge,
 }
@@ -105,6 +109,24 @@
                 "Decisions of the steward on requests to servers that name a limit",
                 &["outcome"],
             )?,
+            lost_paths: builder.gauge(
+                "fleet_lost_paths",
+                "Backend servers that other instances reach and this one does not",
+            )?,
+            gateways: builder.gauge(
+                "fleet_gateways",
+                "Instances that this one may use to reach backend servers",
+            )?,
+            tunnels: builder.counter(
+                "fleet_tunnels_total",
+                "Connections to backend servers through another instance, by result",
+                &["result"],
+            )?,
+            served_tunnels: builder.counter(
+                "fleet_served_tunnels_total",
+                "Connections to backend servers for another instance, by result",
+                &["result"],
+            )?,
             steward: builder.gauge("fleet_steward", "1 while this instance orders engines")?,
             linked: builder.gauge(
                 "fleet_steward_linked",
@@ -202,6 +224,28 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Sets the number of backend servers that other instances reach and this one does not.
+    pub fn set_lost_paths(&self, servers: usize) {
+        self.lost_paths
+            .set(i64::try_from(servers).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of instances that this one may use to reach backend servers.
+    pub fn set_gateways(&self, gateways: usize) {
+        self.gateways
+            .set(i64::try_from(gateways).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a connection to a backend server through another instance, by its result.
+    pub fn count_tunnel(&self, result: &str) {
+        self.tunnels.with_label_values(&[result]).inc();
+    }
+
+    /// Counts a connection to a backend server for another instance, by its result.
+    pub fn count_served_tunnel(&self, result: &str) {
+        self.served_tunnels.with_label_values(&[result]).inc();
+    }
+
     /// Sets whether this instance has a link to the steward, or is the steward.
     pub fn set_linked(&self, linked: bool) {
         self.linked.set(linked.into());
--- a/crates/fireflywheel_daemon/src/fleet/mod.rs
+++ b/crates/fireflywheel_daemon/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 //! | [`attempt`] | sends a request to one backend server and classifies the outcome |
 //! | [`stream`] | forwards streamed responses and resumes them after a failure |
 //! | [`pool`] | keeps connections to backend servers |
+//! | [`tunnel`] | opens and serves connections to backend servers through another instance |
 //! | [`net`] | opens connections to backend servers and sets their socket options |
 //! | [`store_watch`] | keeps the configuration and the directory up to date |
 //! | [`steward`] | holds the lease, plans and sends orders |
@@ -36,3 +37,4 @@
 pub mod steward;
 pub mod store_watch;
 pub mod stream;
+pub mod tunnel;
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 
 use super::guard;
+use super::path::Target;
 use super::state;
 use super::{Node, QueueKey};
 use crate::fleet::platform;
@@ -106,6 +107,16 @@
             started_ms: self.started_ms,
         }
     }
+
+    /// Where the request is sent.
+    #[must_use]
+    pub fn target(&self) -> Target {
+        Target {
+            process: self.process(),
+            address: self.address,
+            connections: self.connections,
+        }
+    }
 }
 
 impl<P> Node<P>
@@ -191,10 +202,10 @@
             server: picked.known.server.id.clone(),
             started_ms: picked.known.server.started_ms,
             address: picked.known.server.address,
-            connections: (group.connections / state.instances.count()).max(1),
+            connections: state.connections(group.connections),
             prefill_tokens: picked.prefill_tokens,
         };
-        let is_unreachable = queue.model.is_some() && picked.known.stats.is_unreachable(now);
+        let is_unreachable = picked.known.stats.is_unreachable(now);
         if let Some(known) = state.servers.get_mut(&chosen.server) {
             if is_unreachable && !known.stats.try_probe(now) {
                 return Choice::Unreachable;
@@ -227,6 +238,7 @@
             .map(|known| routing::Candidate {
                 stats: &known.stats,
                 slots: known.server.slots,
+                is_detour: known.reach.is_lost(),
                 same_domain: known.server.failure_domain == self.settings.failure_domain,
                 other_requests: known.backlog.other_requests(now),
                 prefill_ratio: prefill_ratio(now, route, known, prefill_tokens(known)),
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -16,6 +16,7 @@
 use fireflywheel::fleet::load;
 use fireflywheel::fleet::organisation;
 use fireflywheel::fleet::quota::gate;
+use fireflywheel::fleet::reach;
 use fireflywheel::fleet::retry_budget;
 use fireflywheel::fleet::routing;
 use fireflywheel::fleet::server;
@@ -24,6 +25,7 @@
 use fireflywheel::fleet::subscription;
 use smol_str::SmolStr;
 
+use super::path;
 use super::{ConfigSource, QueueKey};
 
 /// Number of instances assumed to share limits until it is known: with too many, each instance's part is only
@@ -107,6 +109,7 @@
     /// the steward.
     pub(super) directory_catches_up_at: Option<clock::Instant>,
     pub(super) next_waiter: u64,
+    pub(super) paths: path::Paths,
     /// When a planned stop will be over, once one has begun.
     pub(super) stop_deadline: Option<clock::Instant>,
 }
@@ -117,6 +120,8 @@
     /// What the server holds, as sent by the steward.
     pub(super) steward_held: Option<server::Held>,
     pub(super) stats: routing::Stats,
+    /// What is known of the path to the server.
+    pub(super) reach: reach::Reach,
     pub(super) backlog: load::Backlog,
     /// Gate for the limit on requests per second that the server accepts from all instances together.
     pub(super) limit: limit::Gate,
@@ -223,6 +228,7 @@
             is_acting_steward: false,
             directory_catches_up_at: None,
             next_waiter: 0,
+            paths: path::Paths::default(),
             stop_deadline: None,
         }
     }
@@ -251,6 +257,7 @@
             server: server.clone(),
             steward_held: None,
             stats: routing::Stats::default(),
+            reach: reach::Reach::default(),
             backlog: load::Backlog::default(),
             limit: limit::Gate::default(),
             running: BTreeMap::new(),
@@ -261,6 +268,7 @@
         if known.server.started_ms != server.started_ms || known.server.address != server.address {
             // This is another process: nothing observed of the previous one applies to it.
             known.stats = routing::Stats::default();
+            known.reach = reach::Reach::default();
             known.backlog = load::Backlog::default();
             known.limit = limit::Gate::default();
             known.running.clear();
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -142,6 +142,7 @@
             known.limit.link_opened();
         }
         state.announcements.link_opened();
+        state.paths.link_opened();
     }
 
     /// Sets whether the steward sends all engines, or only those that hold the models this instance
--- a/crates/fireflywheel_daemon/src/fleet/pool.rs
+++ b/crates/fireflywheel_daemon/src/fleet/pool.rs
@@ -18,10 +18,14 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time;
 
 use super::net;
+use super::node::Via;
+use super::tunnel;
 
 /// How long a connection may take to open. Servers answer within a round trip; the rest allows for the retransmission
 /// of a lost packet.
@@ -49,10 +53,12 @@
 
 /// Counts a connection as open until it is dropped.
 #[derive(Debug)]
-struct OpenGuard(Arc<AtomicUsize>);
+pub struct OpenGuard(Arc<AtomicUsize>);
 
 impl OpenGuard {
-    fn new(count: Arc<AtomicUsize>) -> Self {
+    /// Counts another connection.
+    #[must_use]
+    pub fn new(count: Arc<AtomicUsize>) -> Self {
         count.fetch_add(1, Ordering::Relaxed);
         Self(count)
     }
@@ -64,6 +70,15 @@
     }
 }
 
+/// How a connection gets to its server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Route {
+    /// From this instance.
+    Direct,
+    /// Through another instance.
+    Tunnel,
+}
+
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
@@ -74,9 +89,12 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
+    route: Route,
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    _guard: OpenGuard,
+    _reservation: Arc<OpenGuard>,
+    /// Counts the connection at its gateway, if it is a tunnel.
+    _tunnel: Option<OpenGuard>,
 }
 
 impl Connection {
@@ -140,29 +158,6 @@
 }
 
 impl Pool {
-    /// Takes an idle connection or opens a new one, with at most `limit` connections to that server.
-    /// Nothing is awaited between the check of the count and its increase, so concurrent calls on a single-threaded
-    /// runtime can't exceed the limit; only calls on several threads can. Dropping the future closes the connection.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`Error`] if there is no connection.
-    pub async fn connect<N>(
-        &self,
-        network: &N,
-        now: clock::Instant,
-        address: SocketAddr,
-        limit: usize,
-    ) -> Result<Connection, Error>
-    where
-        N: net::Network,
-    {
-        match self.take_idle(now, address) {
-            Some(connection) => Ok(connection),
-            None => self.open(network, address, limit).await,
-        }
-    }
-
     /// Returns a connection to the pool after its response was read to the end. `keep_alive` is how long the server
     /// keeps it open while idle.
     pub fn release(
@@ -197,58 +192,126 @@
         });
     }
 
+    /// Closes the idle connections to a server over one route.
+    pub fn close_idle(&self, address: SocketAddr, route: Route) {
+        let mut servers = self.servers.lock().expect("the lock is not poisoned");
+        if let Some(server) = servers.get_mut(&address) {
+            server.idle.retain(|idle| idle.connection.route != route);
+        }
+    }
+
     /// Takes an idle connection that is ready for a request.
-    fn take_idle(&self, now: clock::Instant, address: SocketAddr) -> Option<Connection> {
+    pub fn take_idle(
+        &self,
+        now: clock::Instant,
+        address: SocketAddr,
+        via: Via,
+    ) -> Option<Connection> {
         let mut servers = self.servers.lock().expect("the lock is not poisoned");
         let server = servers.get_mut(&address)?;
         server
             .idle
             .retain(|idle| now < idle.expires && !idle.connection.sender.is_closed());
         // The most recently used connection is the least likely to be closed by its server at this moment.
-        let ready = server
-            .idle
-            .iter()
-            .rposition(|idle| idle.connection.sender.is_ready())?;
+        let ready = server.idle.iter().rposition(|idle| {
+            let connection = &idle.connection;
+            let is_allowed = via == Via::Any || connection.route == Route::Direct;
+            is_allowed && connection.sender.is_ready()
+        })?;
         Some(server.idle.remove(ready).connection)
     }
 
-    async fn open<N>(
-        &self,
-        network: &N,
-        address: SocketAddr,
-        limit: usize,
-    ) -> Result<Connection, Error>
-    where
-        N: net::Network,
-    {
+    /// Reserves one of at most `limit` connections to a server. Nothing is awaited between the check of the count and
+    /// its increase, so concurrent calls on a single-threaded runtime can't exceed the limit; only calls on several threads
+    /// can.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NoConnectionFree`] if there is none.
+    pub fn reserve(&self, address: SocketAddr, limit: usize) -> Result<Arc<OpenGuard>, Error> {
         let open_count = self.open_count(address);
         if open_count.load(Ordering::Relaxed) >= limit {
             return Err(Error::NoConnectionFree);
         }
-        let guard = OpenGuard::new(open_count);
-        let stream = time::timeout(CONNECT_TIMEOUT, network.connect(address)).await;
-        let Ok(Ok(stream)) = stream else {
-            return Err(Error::Unreachable);
-        };
-        net::configure(&stream);
+        Ok(Arc::new(OpenGuard::new(open_count)))
+    }
+
+    fn open_count(&self, address: SocketAddr) -> Arc<AtomicUsize> {
+        let mut servers = self.servers.lock().expect("the lock is not poisoned");
+        Arc::clone(&servers.entry(address).or_default().open_count)
+    }
+}
+
+/// Opens a TCP connection to a server. Dropping the future closes it.
+///
+/// # Errors
+///
+/// Returns [`Error::Unreachable`] if it doesn't open.
+pub async fn dial<N>(network: &N, address: SocketAddr) -> Result<TcpStream, Error>
+where
+    N: net::Network,
+{
+    let stream = time::timeout(CONNECT_TIMEOUT, network.connect(address)).await;
+    let Ok(Ok(stream)) = stream else {
+        return Err(Error::Unreachable);
+    };
+    net::configure(&stream);
+    Ok(stream)
+}
+
+impl Connection {
+    /// Uses a TCP connection for requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if it has ended.
+    pub async fn direct(
+        stream: TcpStream,
+        address: SocketAddr,
+        reservation: Arc<OpenGuard>,
+    ) -> Result<Self, Error> {
+        Self::start(stream, address, Route::Direct, reservation, None).await
+    }
+
+    /// Uses a tunnel for requests. `guard` counts it at its gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if it has ended.
+    pub async fn tunnel(
+        tunnel: tunnel::Tunnel,
+        address: SocketAddr,
+        reservation: Arc<OpenGuard>,
+        guard: OpenGuard,
+    ) -> Result<Self, Error> {
+        Self::start(tunnel, address, Route::Tunnel, reservation, Some(guard)).await
+    }
+
+    async fn start<T>(
+        stream: T,
+        address: SocketAddr,
+        route: Route,
+        reservation: Arc<OpenGuard>,
+        tunnel: Option<OpenGuard>,
+    ) -> Result<Self, Error>
+    where
+        T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| Error::Unreachable)?;
         let task = tokio::spawn(async move {
             // The sender of the request receives the connection's error.
             let _ = connection.await;
         });
-        Ok(Connection {
+        Ok(Self {
             address,
+            route,
             sender,
             task: task.abort_handle(),
-            _guard: guard,
+            _reservation: reservation,
+            _tunnel: tunnel,
         })
     }
-
-    fn open_count(&self, address: SocketAddr) -> Arc<AtomicUsize> {
-        let mut servers = self.servers.lock().expect("the lock is not poisoned");
-        Arc::clone(&servers.entry(address).or_default().open_count)
-    }
 }
 
 fn classify_error(error: &hyper::Error) -> Error {
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -5,6 +5,7 @@
 
 use fireflywheel::clock;
 use fireflywheel::fleet::config;
+use fireflywheel::fleet::routing;
 use fireflywheel::fleet::timeout;
 use fireflywheel::settings;
 use fireflywheel::verdict;
@@ -400,6 +401,11 @@
                     .with_retry_after(retry_after(expected, left)));
             }
             node::Choice::Resting(expected) => expected,
+            // No other server will hold what these servers hold, so only a probe can end this.
+            node::Choice::Unreachable if job.queue.model.is_none() => {
+                return Err(unavailable("unreachable", "no server can be reached")
+                    .with_retry_after(retry_after(routing::PROBE_INTERVAL, left)));
+            }
             node::Choice::Subscribing => {
                 // The request is not registered as waiting: the steward would load another replica for it.
                 tokio::select! {
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -1,6 +1,7 @@
 //! The steward: holds the lease, plans placements and sends orders to engines.
 
 mod broadcast;
+mod gateways;
 mod lease;
 mod limits;
 mod link;
@@ -20,6 +21,7 @@
 use fireflywheel::fleet::demand;
 use fireflywheel::fleet::era::Position;
 use fireflywheel::fleet::frame;
+use fireflywheel::fleet::gateway;
 use fireflywheel::fleet::lease::{HandOver, Lease, Record};
 use fireflywheel::fleet::limit;
 use fireflywheel::fleet::limit::pacer;
@@ -115,6 +117,9 @@
             sent_config: None,
             config_updates: None,
             entries: BTreeMap::new(),
+            own_gateway: None,
+            gateways_changed: false,
+            gateways_sent_at: clock::Instant::default(),
             loads_sent: (clock::Instant::default(), false),
             forecasts_sent_at: clock::Instant::default(),
             forecasts: Vec::new(),
@@ -197,7 +202,13 @@
 
     /// Registers the link of an instance and queues the frames with everything it has to know.
     #[must_use]
-    pub fn open_link(&self, number: u64, peer: Record, cpu_share: f64) -> mpsc::Receiver<Bytes> {
+    pub fn open_link(
+        &self,
+        number: u64,
+        peer: Record,
+        cpu_share: f64,
+        failure_domain: SmolStr,
+    ) -> mpsc::Receiver<Bytes> {
         let now = self.node.now();
         let mut state = self.lock();
         let routes = self.node.config().map_or(0, |config| config.routes.len());
@@ -226,6 +237,9 @@
             sender,
             peer,
             cpu_share,
+            failure_domain,
+            unreached_groups: None,
+            gateways: Vec::new(),
             leaving: false,
             stamp_ms: 0,
             read_age: Duration::MAX,
@@ -264,6 +278,7 @@
             meter,
             config_updates,
             pacer,
+            gateways_changed,
             ..
         } = &mut *state;
         if let Some(link) = links.get_mut(&number) {
@@ -288,7 +303,11 @@
                 return;
             }
             meter.record_usage(now, &link.peer.instance, &demand.usage);
-            link.leaving = demand.leaving;
+            if link.leaving != demand.leaving || link.unreached_groups != demand.unreached_groups {
+                link.leaving = demand.leaving;
+                link.unreached_groups.clone_from(&demand.unreached_groups);
+                *gateways_changed = true;
+            }
             link.stamp_ms = demand.stamp_ms;
             link.read_age = Duration::from_millis(demand.read_age_ms.into());
             link.has_waiting = !demand.queues.is_empty();
@@ -484,6 +503,7 @@
         }
         state.send_config(self.node.configs());
         state.send_heartbeat(now, &heartbeat);
+        let gateways = state.send_gateways(now, &self.own_gateway());
         state.send_prompt_changes(now);
         let notices = state.send_limits(now);
         let permits = state.grant_due(now);
@@ -493,6 +513,9 @@
         let reports = state.reports_due(now);
         drop(state);
         self.node.update_instance_count(instances);
+        if let Some(gateways) = gateways {
+            self.node.set_gateways(gateways);
+        }
         self.node.replace_forecasts(local);
         if let Some(shares) = shares {
             self.node.replace_shares(shares);
@@ -522,12 +545,23 @@
             config: self.node.config_revision(),
             read_age: self.node.read_age(),
             standbys_must_read: successor::needs_standby_reads(
-                self.own_candidate(),
+                self.own_candidate(&state.engine_groups),
                 &lease::successor_candidates(state).1,
             ),
         }
     }
 
+    /// This instance as a gateway.
+    fn own_gateway(&self) -> gateway::Gateway {
+        let settings = &self.node.settings;
+        gateway::Gateway {
+            instance: settings.instance.clone(),
+            address: SmolStr::new(settings.peers_advertised.to_string()),
+            failure_domain: settings.failure_domain.clone(),
+            unreached_groups: self.node.unreached_groups(),
+        }
+    }
+
     fn count_permits(&self, replies: &[limit::Reply]) {
         for reply in replies {
             self.node.metrics.count_permit(reply.outcome);
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -1,5 +1,6 @@
 //! Takes, renews and hands over the lease.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use fireflywheel::fleet::era::Position;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::successor;
+use smol_str::SmolStr;
 use tokio::time;
 
 use super::super::platform;
@@ -35,7 +37,7 @@
 pub(super) fn successor_candidates(state: &State) -> (Vec<u64>, Vec<successor::Peer>) {
     let links = state.links.iter();
     links
-        .map(|(number, link)| (*number, link.successor_candidate()))
+        .map(|(number, link)| (*number, link.successor_candidate(&state.engine_groups)))
         .unzip()
 }
 
@@ -115,7 +117,8 @@
         };
         self.lock().lease.mark_lost();
         self.plan_wake.notify_one();
-        let result = self.node.platform.write_lease(end, &record).await;
+        let secret = self.node.ensure_tunnel_secret();
+        let result = self.node.platform.write_lease(end, &record, &secret).await;
         log::info!(end = end.offset, given_up = matches!(result, Ok(platform::WriteOutcome::Stored(_))); "lease released");
     }
 
@@ -139,7 +142,7 @@
         if now.since(state.role_changed_at) < self.node.settings.lease.term {
             return false;
         }
-        let own = self.own_candidate();
+        let own = self.own_candidate(&state.engine_groups);
         let settings = &self.node.settings;
         let deadline = settings.leaving_deadline.min(settings.config_deadline);
         let (numbers, peers) = successor_candidates(state);
@@ -148,8 +151,9 @@
     }
 
     /// What the choice of a successor needs to know of this instance.
-    pub(super) fn own_candidate(&self) -> successor::Steward {
+    pub(super) fn own_candidate(&self, engine_groups: &BTreeSet<SmolStr>) -> successor::Steward {
         successor::Steward {
+            is_partitioned: !self.node.lost_groups().is_disjoint(engine_groups),
             cpu_share: self.node.settings.cpu_share,
             store_fails: self.node.is_store_failing(),
             read_age: self.node.read_age(),
@@ -176,9 +180,13 @@
         let known = state.lease_known && !state.lease.needs_read();
         let holds = state.lease.release().is_some();
         let defers = state.lease.defers_to_standbys(now);
-        if self.node.is_draining() || (state.linked && !holds) || defers {
+        let only_watches = (state.linked && !holds) || defers;
+        if self.node.is_draining() || (only_watches && !self.node.needs_secret()) {
             return Task::Nothing;
         }
+        if self.node.needs_secret() && !holds {
+            return Task::Read;
+        }
         match state.lease.proposal(now) {
             Some((end, record)) if known => Task::Write(end, record),
             _ if holds && known => Task::Nothing,
@@ -222,6 +230,7 @@
         self.node.record_store_call("read lease", result.is_ok());
         match result {
             Ok(reading) => {
+                self.node.set_tunnel_secret(reading.secret.clone());
                 let mut state = self.lock();
                 self.update_era(self.node.now(), &mut state);
                 state.lease.record_reading(requested_at, reading);
@@ -236,7 +245,8 @@
 
     async fn write_lease(&self, end: Position, record: &super::Record) {
         let sent_at = self.node.now();
-        let result = self.node.platform.write_lease(end, record).await;
+        let secret = self.node.ensure_tunnel_secret();
+        let result = self.node.platform.write_lease(end, record, &secret).await;
         self.node.record_store_call("write lease", result.is_ok());
         let is_takeover = record.fencing.is_none();
         match result {
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -9,6 +9,7 @@
 use fireflywheel::fleet::demand;
 use fireflywheel::fleet::era::{Era, Position};
 use fireflywheel::fleet::frame;
+use fireflywheel::fleet::gateway;
 use fireflywheel::fleet::lease;
 use fireflywheel::fleet::successor;
 use fireflywheel::fleet::tracker;
@@ -26,6 +27,12 @@
     pub(super) peer: lease::Record,
     /// The instance's share of a processor.
     pub(super) cpu_share: f64,
+    /// The instance's failure domain; empty if its release has no gateways.
+    pub(super) failure_domain: SmolStr,
+    /// The groups whose servers it doesn't reach. `None` until it has reported them, or if its release has no gateways.
+    pub(super) unreached_groups: Option<BTreeSet<SmolStr>>,
+    /// Its gateways as they were last sent.
+    pub(super) gateways: Vec<gateway::Gateway>,
     /// Whether the instance is stopping.
     pub(super) leaving: bool,
     /// Time stamp of its last demand in milliseconds, by its own clock; 0 before the first one.
@@ -63,14 +70,28 @@
 
 impl Link {
     /// What the choice of a successor needs to know of it.
-    pub(super) fn successor_candidate(&self) -> successor::Peer {
+    pub(super) fn successor_candidate(&self, engine_groups: &BTreeSet<SmolStr>) -> successor::Peer {
+        let unreached_groups = self.unreached_groups.as_ref();
         successor::Peer {
             cpu_share: self.cpu_share,
             leaving: self.leaving,
             read_age: self.read_age,
+            is_partitioned: unreached_groups
+                .is_some_and(|groups| !groups.is_disjoint(engine_groups)),
         }
     }
 
+    /// The instance as a gateway; `None` if its release has none, or it is stopping.
+    pub(super) fn gateway(&self) -> Option<gateway::Gateway> {
+        let unreached_groups = self.unreached_groups.clone().filter(|_| !self.leaving)?;
+        Some(gateway::Gateway {
+            instance: self.peer.instance.clone(),
+            address: self.peer.address.clone(),
+            failure_domain: self.failure_domain.clone(),
+            unreached_groups,
+        })
+    }
+
     /// Sends the engines that have changed. Returns whether the link still has room.
     pub(super) fn send_changes(
         &mut self,
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 use tokio::time;
 
+use super::super::node;
 use super::super::platform;
 use super::super::pool;
 use super::Steward;
@@ -122,7 +123,7 @@
             accepted_orders,
             change: change(&order.step),
         });
-        let answer = self.send_request(&server, request).await;
+        let answer = self.send_request(&server, node::Via::Direct, request).await;
         if matches!(answer, Err(ExchangeError::Pool(pool::Error::Withheld))) {
             self.withhold_order(&order);
             return;
@@ -186,7 +187,11 @@
         };
         let requested_at = self.node.now();
         let answer = self
-            .send_request(&server, self.node.platform.build_report_request())
+            .send_request(
+                &server,
+                node::Via::Any,
+                self.node.platform.build_report_request(),
+            )
             .await;
         let reached = !matches!(answer, Err(ExchangeError::Pool(pool::Error::Unreachable)));
         let report = match answer {
@@ -273,20 +278,23 @@
     async fn send_request(
         &self,
         server: &server::Server,
+        via: node::Via,
         request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, Bytes), ExchangeError> {
-        let process = Process {
-            server: server.id.clone(),
-            started_ms: server.started_ms,
+        let target = node::Target {
+            process: Process {
+                server: server.id.clone(),
+                started_ms: server.started_ms,
+            },
+            address: server.address,
+            connections: MAX_CONNECTIONS,
         };
         let exchange = async {
-            let sending = self
-                .node
-                .send_to(&process, server.address, MAX_CONNECTIONS, request);
+            let sending = self.node.send_to(&target, via, request);
             let (response, connection) = sending.await.map_err(ExchangeError::Pool)?;
             let (head, body) = response.into_parts();
             let reply = self.node.platform.read_reply(&head);
-            self.node.observe_announcement(&process, &reply);
+            self.node.observe_announcement(&target.process, &reply);
             let keep_alive = reply.keep_alive;
             let body = Limited::new(body, MAX_REPORT_BYTES).collect().await;
             let body = body.map_err(|_| ExchangeError::IncompleteBody)?.to_bytes();
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -9,6 +9,7 @@
 use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::demand;
 use fireflywheel::fleet::frame;
+use fireflywheel::fleet::gateway;
 use fireflywheel::fleet::lease;
 use fireflywheel::fleet::limit::pacer;
 use fireflywheel::fleet::plan;
@@ -81,6 +82,12 @@
     pub(super) config_updates: Option<updates::Cache>,
     /// The directory as it was last sent.
     pub(super) entries: BTreeMap<SmolStr, frame::Entry>,
+    /// Whether the gateways of instances may have changed since they were last sent.
+    pub(super) gateways_changed: bool,
+    /// This instance as a gateway, when gateways were last sent.
+    pub(super) own_gateway: Option<gateway::Gateway>,
+    /// When gateways were last sent.
+    pub(super) gateways_sent_at: clock::Instant,
     /// When the loads of engines were last sent, and whether there were any.
     pub(super) loads_sent: (clock::Instant, bool),
     /// When forecasts were last sent.
@@ -129,6 +136,10 @@
         self.shares.clear();
         self.pacer = pacer::Pacer::default();
         self.limits_changed = true;
+        self.gateways_changed = true;
+        for link in self.links.values_mut() {
+            link.gateways.clear();
+        }
         self.config_updates = None;
         // Loads ordered by the previous steward may have begun a moment ago, so as many are counted as may
         // run at once.
@@ -312,6 +323,7 @@
     /// Removes a link that has ended. The meter keeps its instance if that has opened another link since.
     pub(super) fn remove_link(&mut self, now: clock::Instant, number: u64, instance: &SmolStr) {
         self.links.remove(&number);
+        self.gateways_changed = true;
         self.pacer.remove(pacer::Requester::Link(number));
         self.subscriptions.remove_link(number);
         let has_other_link = self
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -303,5 +303,6 @@
     loop {
         time::sleep(SWEEP_INTERVAL).await;
         node.pool.sweep(node.now());
+        node.probe_failing_paths();
     }
 }
--- /dev/null
+++ b/crates/fireflywheel_daemon/src/fleet/tunnel.rs
@@ -0,0 +1,375 @@
+//! Connections to backend servers through another instance, for an instance that can't reach them itself.
+//!
+//! A tunnel is a WebSocket connection between two instances that carries the bytes of one connection to a server. Dropping
+//! either end closes the other connection too, so a caller that leaves ends its request at the server as on a direct
+//! connection.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::{Buf as _, Bytes, BytesMut};
+use fireflywheel::fleet::announcement::Process;
+use fireflywheel::fleet::frame;
+use fireflywheel::fleet::gateway;
+use fireflywheel::fleet::tunnel::{Message, Nonce, PROOF_BYTES, Proof, Refusal, Secret};
+use futures_util::stream::SplitSink;
+use futures_util::{Sink as _, SinkExt as _, Stream as _, StreamExt as _};
+use hmac::{Hmac, Mac as _};
+use rand::RngCore as _;
+use sha2::Sha256;
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::time;
+use tokio_tungstenite::tungstenite::protocol::{self, WebSocketConfig};
+use tokio_tungstenite::tungstenite::{self, Message as WebSocketMessage};
+use tokio_tungstenite::{WebSocketStream, client_async_with_config};
+
+use super::net;
+use super::node;
+use super::platform;
+
+/// How long each end waits for the other to complete the handshake. It includes the time for which the gateway tries
+/// to reach the server.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Maximum number of tunnels that one instance serves. They bound its memory and descriptors.
+const MAX_SERVED_TUNNELS: usize = 256;
+/// Maximum number of bytes that are read from a server at once.
+const CHUNK_BYTES: usize = 8 << 10;
+/// Size of a tunnel's read buffer, in bytes.
+const READ_BUFFER_BYTES: usize = 4 << 10;
+/// Maximum size of a message, in bytes. An opener sends the parts of a request as they come.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// A WebSocket connection between two instances.
+pub type Socket = WebSocketStream<TcpStream>;
+
+/// Why a tunnel was not opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Error {
+    /// The gateway refused it.
+    Refused(Refusal),
+    /// The gateway didn't answer or broke the protocol.
+    NoAnswer,
+    /// This instance doesn't know the fleet's secret.
+    NoSecret,
+}
+
+impl Error {
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused(refusal) => refusal.as_str(),
+            Self::NoAnswer => "gateway did not answer",
+            Self::NoSecret => "secret not known",
+        }
+    }
+}
+
+/// The opener's end of a tunnel.
+#[derive(Debug)]
+pub struct Tunnel {
+    socket: Socket,
+    received: Bytes,
+}
+
+/// The ends of a tunnel. A proof covers its maker's role, so that it can't be sent back to its maker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Role {
+    Opener,
+    Gateway,
+}
+
+impl Role {
+    fn label(self) -> &'static [u8] {
+        match self {
+            Self::Opener => b"fireflywheel tunnel 1 opener",
+            Self::Gateway => b"fireflywheel tunnel 1 gateway",
+        }
+    }
+}
+
+/// What both ends have agreed on before they prove that they know the secret.
+#[derive(Clone, Copy, Debug)]
+struct Handshake<'a> {
+    secret: &'a Secret,
+    opener: Nonce,
+    gateway: Nonce,
+    process: &'a Process,
+}
+
+impl Handshake<'_> {
+    fn mac(&self, role: Role) -> Hmac<Sha256> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(self.secret.0.as_bytes())
+            .expect("HMAC accepts keys of any length");
+        mac.update(role.label());
+        mac.update(&self.opener);
+        mac.update(&self.gateway);
+        mac.update(&self.process.started_ms.to_be_bytes());
+        mac.update(self.process.server.as_bytes());
+        mac
+    }
+
+    fn prove(&self, role: Role) -> Proof {
+        self.mac(role).finalize().into_bytes().into()
+    }
+
+    /// Compares in constant time.
+    fn is_proven(&self, role: Role, proof: &Proof) -> bool {
+        self.mac(role).verify_slice(proof).is_ok()
+    }
+}
+
+/// Opens a tunnel to a server process through a gateway. The server has been sent nothing if this fails.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if there is no tunnel.
+pub async fn open(
+    gateway: &gateway::Gateway,
+    secret: Option<Secret>,
+    process: &Process,
+) -> Result<Tunnel, Error> {
+    let secret = secret.ok_or(Error::NoSecret)?;
+    let opening = async {
+        let address = gateway.address.as_str();
+        let stream = TcpStream::connect(address).await?;
+        net::configure(&stream);
+        let url = format!("ws://{address}/");
+        let (mut socket, _) =
+            client_async_with_config(url, stream, Some(websocket_config())).await?;
+        let opener = generate_nonce();
+        send(&mut socket, frame::Frame::Tunnel(opener).encode()).await?;
+        let Message::Challenge(nonce) = receive(&mut socket).await? else {
+            anyhow::bail!("no challenge");
+        };
+        let handshake = Handshake {
+            secret: &secret,
+            opener,
+            gateway: nonce,
+            process,
+        };
+        let open = Message::Open {
+            process: process.clone(),
+            proof: handshake.prove(Role::Opener),
+        };
+        send(&mut socket, encode(&open)).await?;
+        match receive(&mut socket).await? {
+            Message::Opened(proof) if handshake.is_proven(Role::Gateway, &proof) => Ok(Ok(socket)),
+            Message::Opened(_) => Ok(Err(Refusal::Unauthenticated)),
+            Message::Refused(refusal) => Ok(Err(refusal)),
+            Message::Challenge(_) | Message::Open { .. } => anyhow::bail!("unexpected message"),
+        }
+    };
+    match time::timeout(HANDSHAKE_TIMEOUT, opening).await {
+        Ok(Ok(Ok(socket))) => Ok(Tunnel {
+            socket,
+            received: Bytes::new(),
+        }),
+        Ok(Ok(Err(refusal))) => Err(Error::Refused(refusal)),
+        Ok(Err(_)) | Err(_) => Err(Error::NoAnswer),
+    }
+}
+
+/// Serves the gateway's end of a tunnel whose opener has sent its nonce.
+pub async fn serve<P>(node: &Arc<node::Node<P>>, socket: Socket, opener: Nonce)
+where
+    P: platform::Platform,
+{
+    // The opener sends nothing until it has the challenge, so replacing the socket and its large buffers loses no bytes.
+    let stream = socket.into_inner();
+    let config = Some(websocket_config());
+    let mut socket = WebSocketStream::from_raw_socket(stream, protocol::Role::Server, config).await;
+    let Ok(outcome) = time::timeout(HANDSHAKE_TIMEOUT, accept(node, &mut socket, opener)).await
+    else {
+        return;
+    };
+    let refusal = match outcome {
+        Ok(Ok(accepted)) => {
+            node.metrics.count_served_tunnel("opened");
+            forward(socket, accepted).await;
+            return;
+        }
+        Ok(Err(refusal)) => refusal,
+        Err(error) => {
+            log::debug!(why = error.to_string().as_str(); "tunnel handshake broke off");
+            return;
+        }
+    };
+    node.metrics.count_served_tunnel(refusal.as_str());
+    // The opener may have left.
+    let _ = send(&mut socket, encode(&Message::Refused(refusal))).await;
+}
+
+async fn accept<P>(
+    node: &Arc<node::Node<P>>,
+    socket: &mut Socket,
+    opener: Nonce,
+) -> anyhow::Result<Result<node::ServedTunnel, Refusal>>
+where
+    P: platform::Platform,
+{
+    let nonce = generate_nonce();
+    send(socket, encode(&Message::Challenge(nonce))).await?;
+    let Message::Open { process, proof } = receive(socket).await? else {
+        anyhow::bail!("unexpected message");
+    };
+    let Some(secret) = node.tunnel_secret() else {
+        return Ok(Err(Refusal::Unauthenticated));
+    };
+    let handshake = Handshake {
+        secret: &secret,
+        opener,
+        gateway: nonce,
+        process: &process,
+    };
+    if !handshake.is_proven(Role::Opener, &proof) {
+        // The opener may know a later secret.
+        node.request_secret();
+        return Ok(Err(Refusal::Unauthenticated));
+    }
+    let served = match node.serve_tunnel(&process, MAX_SERVED_TUNNELS).await {
+        Ok(served) => served,
+        Err(refusal) => return Ok(Err(refusal)),
+    };
+    send(
+        socket,
+        encode(&Message::Opened(handshake.prove(Role::Gateway))),
+    )
+    .await?;
+    Ok(Ok(served))
+}
+
+/// Forwards bytes between an opener and a server until either connection ends.
+async fn forward(socket: Socket, served: node::ServedTunnel) {
+    let (mut to_opener, mut from_opener) = socket.split();
+    let (mut from_server, mut to_server) = served.stream.into_split();
+    let upstream = async {
+        while let Some(Ok(WebSocketMessage::Binary(bytes))) = from_opener.next().await {
+            if to_server.write_all(&bytes).await.is_err() {
+                break;
+            }
+        }
+    };
+    tokio::select! {
+        () = upstream => {}
+        () = forward_answers(&mut from_server, &mut to_opener) => {}
+    }
+}
+
+/// Forwards a server's bytes to the opener. The end of the server's connection is forwarded as such; a connection that
+/// breaks off is not, since an answer without length would look complete.
+async fn forward_answers(
+    from_server: &mut OwnedReadHalf,
+    to_opener: &mut SplitSink<Socket, WebSocketMessage>,
+) {
+    let mut buffer = BytesMut::with_capacity(CHUNK_BYTES);
+    loop {
+        buffer.reserve(CHUNK_BYTES);
+        match from_server.read_buf(&mut buffer).await {
+            Ok(0) => {
+                // The opener may have left.
+                let _ = to_opener.close().await;
+                return;
+            }
+            Ok(_) => {
+                let message = WebSocketMessage::Binary(buffer.split().freeze());
+                if to_opener.send(message).await.is_err() {
+                    return;
+                }
+            }
+            Err(_) => return,
+        }
+    }
+}
+
+impl AsyncRead for Tunnel {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        while self.received.is_empty() {
+            match ready!(Pin::new(&mut self.socket).poll_next(context)) {
+                Some(Ok(WebSocketMessage::Binary(bytes))) => self.received = bytes,
+                Some(Ok(WebSocketMessage::Close(_))) | None => return Poll::Ready(Ok(())),
+                Some(Ok(_)) => {}
+                Some(Err(error)) => return Poll::Ready(Err(to_io_error(error))),
+            }
+        }
+        let count = self.received.len().min(buffer.remaining());
+        buffer.put_slice(&self.received[..count]);
+        self.received.advance(count);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Tunnel {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = bytes.len().min(MAX_MESSAGE_BYTES);
+        let mut socket = Pin::new(&mut self.socket);
+        ready!(socket.as_mut().poll_ready(context)).map_err(to_io_error)?;
+        let message = WebSocketMessage::Binary(Bytes::copy_from_slice(&bytes[..count]));
+        socket.start_send(message).map_err(to_io_error)?;
+        Poll::Ready(Ok(count))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket)
+            .poll_flush(context)
+            .map_err(to_io_error)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket)
+            .poll_close(context)
+            .map_err(to_io_error)
+    }
+}
+
+fn to_io_error(error: tungstenite::Error) -> io::Error {
+    match error {
+        tungstenite::Error::Io(error) => error,
+        other => io::Error::other(other),
+    }
+}
+
+fn generate_nonce() -> Nonce {
+    let mut nonce = [0; PROOF_BYTES];
+    rand::rng().fill_bytes(&mut nonce);
+    nonce
+}
+
+fn encode(message: &Message) -> Bytes {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).expect("writing to a buffer cannot fail");
+    bytes.into()
+}
+
+async fn send(socket: &mut Socket, bytes: Bytes) -> anyhow::Result<()> {
+    Ok(socket.send(WebSocketMessage::Binary(bytes)).await?)
+}
+
+async fn receive(socket: &mut Socket) -> anyhow::Result<Message> {
+    match socket.next().await {
+        Some(Ok(WebSocketMessage::Binary(bytes))) => Ok(ciborium::from_reader(bytes.as_ref())?),
+        Some(Ok(_)) | None => anyhow::bail!("closed"),
+        Some(Err(error)) => Err(error.into()),
+    }
+}
+
+fn websocket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
+        .write_buffer_size(0)
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+}
