Servers that announce that they are brittle reject few requests

New on the users' platform: a server that says Server-Brittle falls over if it rejects more than so many requests in a second for want of room, from all instances together. An instance now keeps a window for such a server: its part of the slots at first, less after each rejection, growing by its part of half of the tolerated rejections. The announcement is read in the same place as the others (Server-Leaving, Retry-After).

--- a/crates/fireflywheel/src/fleet/announcement.rs
+++ b/crates/fireflywheel/src/fleet/announcement.rs
@@ -3,6 +3,8 @@
 //! The directory says the same later, or not at all while the store is unavailable. An answer is certain: it
 //! comes from the server itself.
 
+pub mod window;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -22,6 +24,9 @@
     pub leaving: bool,
     /// The server has turned the request away, and wants nothing from this instance for so long.
     pub rest: Option<Duration>,
+    /// The server is brittle: it falls over if it has to reject more than so many requests in a second for want of room,
+    /// from all instances together.
+    pub brittle: Option<u32>,
 }
 
 /// What an announcement changes.
@@ -67,7 +72,7 @@
         process: &Process,
         announcement: Announcement,
     ) -> Option<Change> {
-        if announcement == Announcement::default() {
+        if !announcement.leaving && announcement.rest.is_none() {
             return None;
         }
         let record = self.record(now, process)?;
--- /dev/null
+++ b/crates/fireflywheel/src/fleet/announcement/window.rs
@@ -0,0 +1,49 @@
+//! How many requests an instance may have in flight at a server that falls over when it has to reject too many.
+//!
+//! Rejections of all instances count together, and no instance sees those of the others. Therefore each grows its window
+//! by its part of half of the tolerated rejections, and shrinks it with each rejection of its own.
+
+use crate::clock;
+
+/// The share of the tolerated rejections by which the windows of all instances together grow in a second.
+const GROWTH_RATIO: f64 = 0.5;
+/// The share of the requests in flight at a rejection that the window keeps.
+const SHRINK_RATIO: f64 = 0.7;
+
+/// The window of one instance for one server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Window {
+    size: f64,
+    growth_per_second: f64,
+    updated: clock::Instant,
+}
+
+impl Window {
+    /// Creates the window for a server with `slots` that tolerates `rejections` a second from all `instances`: this
+    /// instance's part of the slots.
+    #[must_use]
+    pub fn new(now: clock::Instant, slots: u32, rejections: u32, instances: usize) -> Self {
+        let instances = instances.max(1) as f64;
+        Self {
+            size: (f64::from(slots) / instances).floor().max(1.0),
+            growth_per_second: f64::from(rejections) * GROWTH_RATIO / instances,
+            updated: now,
+        }
+    }
+
+    /// Whether another request may be sent while `in_flight` are at the server.
+    #[must_use]
+    pub fn has_room(&self, now: clock::Instant, in_flight: u32) -> bool {
+        f64::from(in_flight) + 1.0 <= self.size_at(now)
+    }
+
+    /// Records that the server has rejected a request for want of room, with `in_flight` others of this instance there.
+    pub fn record_rejection(&mut self, now: clock::Instant, in_flight: u32) {
+        self.size = (f64::from(in_flight) * SHRINK_RATIO).min(self.size_at(now));
+        self.updated = now;
+    }
+
+    fn size_at(&self, now: clock::Instant) -> f64 {
+        self.size + now.since(self.updated).as_secs_f64() * self.growth_per_second
+    }
+}
--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::announcement::window::Window;
 use crate::clock;
 
 /// The age from which a server's load report is ignored. Servers send one with each response.
@@ -55,6 +56,8 @@
     unreachable_until: clock::Instant,
     last_probe: clock::Instant,
     full_until: clock::Instant,
+    /// The window for a server that has announced that it is brittle.
+    window: Option<Window>,
 }
 
 /// A server that can take a request.
@@ -122,6 +125,31 @@
         self.full_until = now.after(FULL_HOLD_OFF);
     }
 
+    /// Records whether the server announces that it is brittle, with the number of rejections per second that it tolerates.
+    /// Returns whether that has changed.
+    pub fn observe_brittleness(
+        &mut self,
+        now: clock::Instant,
+        rejections: Option<u32>,
+        slots: u32,
+        instances: usize,
+    ) -> bool {
+        let is_changed = self.window.is_some() != rejections.is_some();
+        if is_changed {
+            self.window = rejections.map(|count| Window::new(now, slots, count, instances));
+        }
+        is_changed
+    }
+
+    /// Records that the server has rejected a request for want of room.
+    pub fn record_rejection(&mut self, now: clock::Instant) {
+        self.record_full(now);
+        let others = self.in_flight.saturating_sub(1);
+        if let Some(window) = &mut self.window {
+            window.record_rejection(now, others);
+        }
+    }
+
     /// Whether the server is considered unreachable.
     #[must_use]
     pub fn is_unreachable(&self, now: clock::Instant) -> bool {
@@ -152,7 +180,17 @@
     /// Whether the server can run one more request within a short wait, as far as is known. A server at which
     /// the steward reports no requests of other instances counts as having room until it refuses a request.
     fn has_room(&self, now: clock::Instant) -> bool {
-        let max_requests = f64::from(self.slots) * (1.0 + MAX_QUEUE_RATIO);
+        let window = self.stats.window;
+        if window.is_some_and(|window| !window.has_room(now, self.stats.in_flight)) {
+            return false;
+        }
+        // A brittle server may let fewer requests wait than others.
+        let queue_ratio = if window.is_some() {
+            0.0
+        } else {
+            MAX_QUEUE_RATIO
+        };
+        let max_requests = f64::from(self.slots) * (1.0 + queue_ratio);
         let known_requests = f64::from(self.stats.in_flight + self.other_requests);
         let is_full = self.other_requests > 0 && known_requests >= max_requests;
         now >= self.stats.full_until && !is_full
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -291,6 +291,6 @@
         node.report_missing_model(server, &job.queue);
         return Outcome::NotRun("not held there");
     }
-    node.record_outcome(server, node::ServerOutcome::Full);
+    node.record_outcome(server, node::ServerOutcome::Rejected);
     Outcome::NotRun("refused by the server")
 }
--- a/crates/fireflywheel_daemon/src/fleet/node/announcement.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/announcement.rs
@@ -31,6 +31,19 @@
                 }
             }
         };
+        let instances = state.instances.count();
+        let known = state.servers.get_mut(&process.server);
+        if let Some(known) = known.filter(|known| {
+            let is_own = known.server.started_ms == process.started_ms;
+            is_own && (reply.authentic || reply.not_run)
+        }) {
+            let (brittle, slots) = (reply.announcement.brittle, known.server.slots);
+            let stats = &mut known.stats;
+            if stats.observe_brittleness(now, brittle, slots, instances) {
+                let tolerated = brittle.unwrap_or_default();
+                log::info!(server = process.server.as_str(), brittle = brittle.is_some(), rejections_per_second = tolerated; "backend server announces whether it is brittle");
+            }
+        }
         match state
             .announcements
             .observe(now, &process, reply.announcement)
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -92,8 +92,10 @@
     Failed,
     /// The server could not be reached.
     Unreachable,
-    /// The server had no room, or this instance had no free connection to it.
+    /// This instance had no free connection to the server.
     Full,
+    /// The server rejected the request for want of room.
+    Rejected,
     /// Another server listens on its address.
     Replaced,
 }
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -254,6 +254,7 @@
                 self.demand_changed.notify_one();
             }
             ServerOutcome::Full => known.stats.record_full(now),
+            ServerOutcome::Rejected => known.stats.record_rejection(now),
             ServerOutcome::Replaced => known.stats.record_replaced(now),
         }
     }
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -103,6 +103,11 @@
     switches: Switches,
     /// Limit in requests per second that answers contain, if any.
     limit: Option<f64>,
+    /// The number of rejections in a second that a brittle worker tolerates, which all answers contain; `None` if it is
+    /// not brittle.
+    brittle: Option<u32>,
+    /// Times at which requests were rejected for want of room.
+    rejections: Vec<time::Instant>,
     /// Whether all answers say that the worker leaves.
     leaving: bool,
     /// The rest that the worker asks for when it turns a call away; `None` while it accepts calls.
@@ -257,6 +262,30 @@
         self.lock().limit = per_second;
     }
 
+    /// Sets the number of rejections in a second that the worker tolerates, which all further answers contain; `None` if it
+    /// is not brittle.
+    pub fn set_brittle(&self, tolerated: Option<u32>) {
+        self.lock().brittle = tolerated;
+    }
+
+    /// Returns the largest number of requests that were rejected for want of room within a second. A brittle worker falls
+    /// over if it exceeds what the worker tolerates.
+    #[must_use]
+    pub fn most_rejections(&self) -> usize {
+        let rejections = self.lock().rejections.clone();
+        let within_second = |first: &time::Instant| {
+            let later = rejections.iter().filter(|at| *at >= first);
+            later
+                .filter(|at| **at - *first < Duration::from_secs(1))
+                .count()
+        };
+        rejections
+            .iter()
+            .map(within_second)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Sets whether all further answers say that the worker leaves.
     pub fn set_leaving(&self, leaving: bool) {
         self.lock().leaving = leaving;
@@ -489,6 +518,7 @@
     fn enter_queue(&self) -> Option<WaitingGuard> {
         let mut state = self.lock();
         if state.waiting > self.inner.options.queue {
+            state.rejections.push(time::Instant::now());
             return None;
         }
         state.waiting += 1;
@@ -573,6 +603,9 @@
         if let Some(limit) = state.limit {
             set_header(&mut answer, "server-limit", &limit.to_string());
         }
+        if let Some(tolerated) = state.brittle {
+            set_header(&mut answer, "server-brittle", &tolerated.to_string());
+        }
         if state.leaving || is_leaving {
             set_header(&mut answer, "server-leaving", "1");
         }
