The stand-in's network refuses connections that the server refuses

Before, the proxy between an instance and a server accepted connections to a port that nobody listens on, and closed them: requests_outlive_the_only_engine_of_a_model failed with 502, four times of four.

--- a/crates/fireflywheel_standin/src/partition.rs
+++ b/crates/fireflywheel_standin/src/partition.rs
@@ -91,6 +91,8 @@
                 Some(New::Hang) => faults.changed().await.expect("the sender exists"),
             }
         }
+        // The link accepts connections whether or not the server does.
+        TcpStream::connect(server).await?;
         let known = self.links().get(&server).map(|link| link.address());
         let address = match known {
             Some(address) => address,
