--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -15,6 +15,9 @@
 //! | [`demand`] | the demand that instances report to the steward, and the rates estimated from it |
 //! | [`plan`] | which orders to send next |
 //! | [`tracker`] | the steward's view of one engine |
+//! | [`reach`] | whether the path to a server is lost, or the server is down |
+//! | [`gateway`] | the instances through which others reach servers |
+//! | [`tunnel`] | the messages that open a connection to a server through another instance |
 //! | [`routing`] | the backend server that a request is sent to |
 //! | [`timeout`] | how long a request is kept, and when a refused caller should retry |
 //! | [`announcement`] | what servers announce of themselves in their answers |
