--- a/crates/fireflywheel/src/fleet/successor.rs
+++ b/crates/fireflywheel/src/fleet/successor.rs
@@ -2,8 +2,8 @@
 //!
 //! A steward hands the lease over when it is being stopped, when it can't send orders to engines that others
 //! reach, when the store refuses its calls but not those of others, and when it is much weaker than another
-//! instance. In the third case its reads of the store grow old, and all instances would read the store themselves at the same moment; with hundreds of
-//! instances that takes longer than the deadline for applying a configuration.
+//! instance. In the third case its reads of the store grow old, and all instances would read the store themselves at
+//! the same moment; with hundreds of instances that takes longer than the deadline for applying a configuration.
 
 use std::time::Duration;
 
