The log line of an answer tells how the answer was framed

The framing is now read in one place, received::Body, together with how the body ended. No conclusion changes with it: an end that nobody stated still counts as complete.

--- a/crates/fireflywheel/src/lib.rs
+++ b/crates/fireflywheel/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod credit;
 pub mod document;
 pub mod effect;
+pub mod ending;
 pub mod estimate;
 pub mod event;
 pub mod fault;
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use fireflywheel::clock;
+use fireflywheel::ending::Ending;
 use fireflywheel::fleet::config;
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
@@ -17,6 +17,7 @@
 use super::node;
 use super::platform;
 use super::pool;
+use crate::received;
 
 /// Maximum size in bytes of a response that is buffered until it is complete.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
@@ -59,7 +60,7 @@
     /// The platform's fields of the head, without the status.
     pub reply: platform::Reply,
     /// The body, which is still being received.
-    pub body: Incoming,
+    pub body: received::Body,
     /// The connection that carries the response. Dropping it stops the request at the server.
     pub connection: pool::Connection,
     /// Counts the request as in flight at its server.
@@ -148,7 +149,7 @@
         Ok(sent) => sent,
         Err(error) => return handle_pool_error(node, server, error),
     };
-    let (head, body) = response.into_parts();
+    let (head, body) = received::Body::split(response);
     let reply = node.platform.read_reply(&head);
     node.observe_announcement(&target.process, &reply);
     if let Some(load) = reply.load {
@@ -202,14 +203,14 @@
     P: platform::Platform,
 {
     let remaining = job.deadline.since(node.now());
-    let collecting = Limited::new(response.body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-    let Ok(collected) = time::timeout(remaining, collecting).await else {
+    let collecting = response.body.collect(MAX_BUFFERED_RESPONSE_BYTES);
+    let Ok((collected, ending)) = time::timeout(remaining, collecting).await else {
         return Err(Outcome::TimedOut);
     };
-    let Ok(collected) = collected else {
+    if let Ending::BrokenOff(why) = ending {
         node.record_outcome(&response.server, node::ServerOutcome::Failed);
-        return Err(Outcome::Lost("response broke off"));
-    };
+        return Err(Outcome::Lost(why.as_str()));
+    }
     let succeeded = !response.head.status.is_server_error();
     node.record_outcome(
         &response.server,
@@ -221,7 +222,7 @@
     );
     node.pool
         .release(node.now(), response.connection, response.reply.keep_alive);
-    Ok((response.head, collected.to_bytes()))
+    Ok((response.head, collected))
 }
 
 fn build_request<P>(
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use fireflywheel::clock;
+use fireflywheel::ending::Framing;
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::routing;
 use fireflywheel::fleet::timeout;
@@ -250,23 +251,30 @@
     ) -> Result<Response<door::Body>, attempt::Outcome<P>> {
         let status = upstream.head.status;
         if job.route.kind.is_stream() && status.is_success() {
-            self.record_answer(job, status, &upstream.server);
+            self.record_answer(job, status, &upstream.server, upstream.body.framing());
             return Ok(stream::forward(&self.node, Arc::clone(job), upstream));
         }
         let server = upstream.server.clone();
+        let framing = upstream.body.framing();
         let (head, body) = attempt::collect(&self.node, job, upstream).await?;
         let can_retry = job.route.kind.is_retryable() && may_have_run + 1 < job.route.attempts;
         if status.is_server_error() && can_retry {
             return Err(attempt::Outcome::Lost("failed by the server"));
         }
-        self.record_answer(job, status, &server);
+        self.record_answer(job, status, &server, framing);
         let mut response = Response::new(door::Body::full(body));
         *response.status_mut() = head.status;
         *response.headers_mut() = backend::end_to_end_headers(&head.headers);
         Ok(response)
     }
 
-    fn record_answer(&self, job: &attempt::Job, status: StatusCode, server: &str) {
+    fn record_answer(
+        &self,
+        job: &attempt::Job,
+        status: StatusCode,
+        server: &str,
+        framing: Framing,
+    ) {
         let took = self.node.now().since(job.arrived);
         self.node
             .metrics
@@ -274,7 +282,7 @@
         log::info!(
             request = job.call.id.as_str(), route = job.route.name.as_str(), server = server,
             model = job.queue.model.as_deref().unwrap_or_default(), status = u64::from(status.as_u16()),
-            took_ms = clock::millis(took);
+            framing = framing.as_str(), took_ms = clock::millis(took);
             "answered"
         );
     }
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -5,11 +5,10 @@
 
 use bytes::Bytes;
 use fireflywheel::clock;
+use fireflywheel::ending::Ending;
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::events;
-use http_body_util::BodyExt as _;
 use hyper::Response;
-use hyper::body::Incoming;
 use smol_str::SmolStr;
 use tokio::time;
 
@@ -17,7 +16,7 @@
 use super::node;
 use super::platform;
 use super::{pool, relay};
-use crate::{backend, door};
+use crate::{backend, door, received};
 
 /// Bytes that a caller may leave unread before its stream is paused.
 const SEND_BUFFER_BYTES: usize = 256 << 10;
@@ -65,7 +64,7 @@
 where
     P: platform::Platform,
 {
-    body: Incoming,
+    body: received::Body,
     connection: pool::Connection,
     keep_alive: Option<Duration>,
     server: SmolStr,
@@ -197,8 +196,8 @@
                 .splitter
                 .as_ref()
                 .map_or(left, |_| idle_timeout(&self.job));
-            let frame = tokio::select! {
-                frame = self.source.body.frame() => frame,
+            let part = tokio::select! {
+                part = self.source.body.next() => part,
                 () = self.sender.closed() => return End::CallerGone,
                 () = time::sleep(left.min(idle_timeout)) => {
                     if idle_timeout < left {
@@ -207,11 +206,17 @@
                     continue;
                 }
             };
-            let bytes = match frame {
-                None if self.is_at_boundary() => return End::Complete,
-                None => return End::Broken("ended within an event"),
-                Some(Err(_)) => return End::Broken("response broke off"),
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            let bytes = match part {
+                received::Part::Data(bytes) => bytes,
+                received::Part::End(Ending::BrokenOff(why)) => return End::Broken(why.as_str()),
+                received::Part::End(Ending::Complete | Ending::Unstated)
+                    if self.is_at_boundary() =>
+                {
+                    return End::Complete;
+                }
+                received::Part::End(Ending::Complete | Ending::Unstated) => {
+                    return End::Broken("ended within an event");
+                }
             };
             match self.forward(bytes).await {
                 Ok(()) => {}
--- a/crates/fireflywheel_daemon/src/lib.rs
+++ b/crates/fireflywheel_daemon/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`door`] | listening sockets with limits that are enforced before a request is parsed |
 //! | [`callers`] | requests of callers, from the door to their only final answer |
 //! | [`backend`] | attempts at backend servers, and the verdict of each |
+//! | [`received`] | bodies of received responses, and how each ended |
 //! | [`client`] | the HTTP client, which tells whether a failed request may have been sent |
 //! | [`orders`] | orders to model engines |
 //! | [`reports`] | load reports of backend servers |
@@ -48,4 +49,5 @@
 pub mod orders;
 pub mod peers;
 pub mod platform;
+pub mod received;
 pub mod reports;
