--- a/crates/fireflywheel_standin/src/http.rs
+++ b/crates/fireflywheel_standin/src/http.rs
@@ -1,15 +1,19 @@
 //! The HTTP server that all stand-ins share. It routes the calls for faults and counts. To every
 //! other call, it applies the faults that all stand-ins have in common, in a fixed order.
 
-use std::{fmt, pin, sync, task};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use std::{fmt, future, pin, sync, task};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::{HeaderMap, Method, Response, StatusCode, body, header};
+use hyper::{HeaderMap, Method, Response, StatusCode, Version, body, header};
 use hyper_util::rt;
+use rustix::net::sockopt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
+use tokio::io::AsyncWriteExt as _;
 use tokio::net;
 use tokio::sync::mpsc;
 use tokio::task as tasks;
@@ -193,6 +197,23 @@
     message: &'a str,
 }
 
+/// Marks an answer whose connection is reset if its body fails.
+#[derive(Clone, Copy, Debug)]
+struct ResetOnFailure;
+
+/// Makes an answer state neither a length nor chunks, so that it ends with its connection. Its body must be
+/// [`Body::Parts`].
+pub fn end_with_connection(answer: &mut Answer) {
+    *answer.version_mut() = Version::HTTP_10;
+    let close = header::HeaderValue::from_static("close");
+    answer.headers_mut().insert(header::CONNECTION, close);
+}
+
+/// Makes the connection of an answer reset if its body fails. Otherwise it is closed in order.
+pub fn reset_on_failure(answer: &mut Answer) {
+    answer.extensions_mut().insert(ResetOnFailure);
+}
+
 /// Creates an answer with a JSON body.
 #[must_use]
 pub fn json<T>(status: StatusCode, value: &T) -> Answer
@@ -269,15 +290,39 @@
 where
     H: Handler,
 {
+    let resets = sync::Arc::new(AtomicBool::new(false));
+    let resets_on_failure = sync::Arc::clone(&resets);
     let service = hyper::service::service_fn(move |request| {
         let handler = sync::Arc::clone(&handler);
-        respond(handler, request)
+        let resets = sync::Arc::clone(&resets);
+        Box::pin(async move {
+            let answer = respond(handler, request).await;
+            let marked = answer
+                .as_ref()
+                .ok()
+                .and_then(|answer| answer.extensions().get());
+            resets.store(marked.is_some_and(|ResetOnFailure| true), Ordering::Relaxed);
+            answer
+        })
     });
-    // Errors are expected here: a client disconnected, or an injected fault broke the connection.
-    let _ = hyper::server::conn::http1::Builder::new()
+    let mut connection = hyper::server::conn::http1::Builder::new()
         .timer(rt::TokioTimer::new())
-        .serve_connection(rt::TokioIo::new(socket), service)
-        .await;
+        .serve_connection(rt::TokioIo::new(socket), service);
+    // Errors are expected here: a client disconnected, or an injected fault broke the connection.
+    let served = future::poll_fn(|context| connection.poll_without_shutdown(context)).await;
+    let mut socket = connection.into_parts().io.into_inner();
+    if served.is_err() && resets_on_failure.load(Ordering::Relaxed) {
+        reset(&socket);
+    } else {
+        // The client may have disconnected already.
+        let _ = socket.shutdown().await;
+    }
+}
+
+/// Makes a socket reset its connection when it is dropped.
+pub fn reset(socket: &net::TcpStream) {
+    // Without the option, the connection is closed in order.
+    let _ = sockopt::set_socket_linger(socket, Some(Duration::ZERO));
 }
 
 async fn respond<H>(
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -101,6 +101,8 @@
     runs: BTreeMap<SmolStr, u64>,
     taken: Vec<Taken>,
     switches: Switches,
+    /// How the next answers are delivered, and how many.
+    deliveries: (u32, Delivery),
     /// Limit in requests per second that answers contain, if any.
     limit: Option<f64>,
     /// The number of rejections in a second that a brittle worker tolerates, which all answers contain; `None` if it is
@@ -135,6 +137,31 @@
     pub unsealed: u32,
 }
 
+/// How the worker delivers an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Delivery {
+    /// The answer states neither a length nor chunks, and ends with its connection.
+    pub until_close: bool,
+    /// Where the answer breaks off; `None` if it is whole.
+    pub cut: Option<Cut>,
+    /// The connection of an answer that breaks off is reset. Otherwise it is closed in order.
+    pub resets: bool,
+}
+
+/// Where an answer breaks off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// After the head.
+    BeforeFirstByte,
+    /// Within the third event of a stream; before the last byte of another answer.
+    WithinEvent,
+    /// Before the last byte of the third event of a stream, which ends an empty line; before the last byte of another
+    /// answer.
+    BeforeLastByteOfEvent,
+    /// After the third event of a stream; before the last byte of another answer.
+    AfterEvent,
+}
+
 /// A request that the worker has run.
 #[derive(Clone, Debug)]
 pub struct Taken {
@@ -257,6 +284,11 @@
         self.lock().switches = switches;
     }
 
+    /// Sets how the answers to the next `count` requests that run are delivered.
+    pub fn set_deliveries(&self, count: u32, delivery: Delivery) {
+        self.lock().deliveries = (count, delivery);
+    }
+
     /// Sets the limit in requests per second that all further answers contain; `None` removes it.
     pub fn set_limit(&self, per_second: Option<f64>) {
         self.lock().limit = per_second;
@@ -485,7 +517,7 @@
         let running = RunningGuard::new(self.clone(), slot);
         let id: SmolStr = request.header("x-attempt-id").unwrap_or_default().into();
         self.print(&Line::Run(id.clone()));
-        let faults = self.start_run(&id, request);
+        let (faults, delivery) = self.start_run(&id, request);
         time::sleep(self.inner.options.run).await;
         let mut answer = if faults.fail > 0 {
             empty_answer(StatusCode::INTERNAL_SERVER_ERROR)
@@ -496,14 +528,13 @@
             stream_events(
                 after.unwrap_or_default(),
                 faults,
+                delivery,
                 self.inner.options.event_interval,
                 running,
             )
         } else {
-            http::json(
-                StatusCode::OK,
-                &json!({"by": self.inner.id, "body": request.body.len()}),
-            )
+            let body = json!({"by": self.inner.id, "body": request.body.len()});
+            deliver(http::json(StatusCode::OK, &body), delivery)
         };
         let echoed_id = if faults.cross > 0 { "another" } else { &id };
         set_header(&mut answer, "x-attempt-id", echoed_id);
@@ -526,7 +557,7 @@
     }
 
     /// Records the start of a run and returns the faults that apply to it.
-    fn start_run(&self, id: &SmolStr, request: &http::Request) -> Switches {
+    fn start_run(&self, id: &SmolStr, request: &http::Request) -> (Switches, Delivery) {
         let mut state = self.lock();
         *state.runs.entry(id.clone()).or_default() += 1;
         state.taken.push(Taken {
@@ -536,14 +567,20 @@
         });
         let fail = try_consume(&mut state.switches.fail);
         let streams = request.header("x-model").is_some() && !fail;
-        Switches {
+        let (deliveries, delivery) = &mut state.deliveries;
+        let delivery = match try_consume(deliveries) {
+            true => *delivery,
+            false => Delivery::default(),
+        };
+        let faults = Switches {
             cut_streams: u32::from(streams && try_consume(&mut state.switches.cut_streams)),
             pause_streams: u32::from(streams && try_consume(&mut state.switches.pause_streams)),
             refuse: 0,
             fail: u32::from(fail),
             cross: u32::from(try_consume(&mut state.switches.cross)),
             unsealed: u32::from(try_consume(&mut state.switches.unsealed)),
-        }
+        };
+        (faults, delivery)
     }
 }
 
@@ -619,10 +656,15 @@
 fn stream_events(
     after: u64,
     faults: Switches,
+    delivery: Delivery,
     interval: Duration,
     running: RunningGuard,
 ) -> http::Answer {
-    let is_cut = faults.cut_streams > 0;
+    let cut = match faults.cut_streams {
+        0 => delivery.cut,
+        _ => Some(Cut::WithinEvent),
+    };
+    let delivery = Delivery { cut, ..delivery };
     let (sender, parts) = mpsc::channel(1);
     tokio::spawn(async move {
         for id in after + 1..=EVENTS {
@@ -631,19 +673,19 @@
                 time::sleep(STREAM_PAUSE).await;
             }
             let event = format!("id: {id}\ndata: t{id}\n\n");
-            let breaks_here = is_cut && id == after + 3;
-            let part = if breaks_here {
-                event[..5].to_owned()
-            } else {
-                event
+            let kept = match cut {
+                Some(Cut::BeforeFirstByte) => Some(0),
+                Some(Cut::WithinEvent) if id == after + 3 => Some(5),
+                Some(Cut::BeforeLastByteOfEvent) if id == after + 3 => Some(event.len() - 1),
+                Some(Cut::AfterEvent) if id == after + 3 => Some(event.len()),
+                _ => None,
             };
+            let part = event[..kept.unwrap_or(event.len())].to_owned();
             if sender.send(Ok(part.into())).await.is_err() {
                 break;
             }
-            if breaks_here {
-                time::sleep(interval).await;
-                // The client may have disconnected already.
-                let _ = sender.send(Err(http::Lost)).await;
+            if kept.is_some() {
+                break_off(&sender, delivery, interval).await;
                 break;
             }
         }
@@ -651,9 +693,60 @@
     });
     let mut answer = Response::new(http::Body::Parts(parts));
     set_header(&mut answer, "content-type", "text/event-stream");
+    mark_delivery(&mut answer, delivery);
     answer
 }
 
+/// Delivers a whole answer that isn't a stream.
+fn deliver(answer: http::Answer, delivery: Delivery) -> http::Answer {
+    let (head, body) = answer.into_parts();
+    let body = match body {
+        http::Body::Full(bytes) if delivery != Delivery::default() => {
+            let (sender, parts) = mpsc::channel(1);
+            tokio::spawn(async move {
+                let kept = match delivery.cut {
+                    None => bytes.len(),
+                    Some(Cut::BeforeFirstByte) => 0,
+                    Some(_) => bytes.len().saturating_sub(1),
+                };
+                let sent = sender.send(Ok(bytes.slice(..kept))).await;
+                if sent.is_ok() && delivery.cut.is_some() {
+                    break_off(&sender, delivery, EVENT_INTERVAL).await;
+                }
+            });
+            http::Body::Parts(parts)
+        }
+        body => body,
+    };
+    let mut answer = Response::from_parts(head, body);
+    mark_delivery(&mut answer, delivery);
+    answer
+}
+
+/// Breaks an answer off. An answer that ends with its connection simply ends, unless the connection is reset.
+async fn break_off(
+    sender: &mpsc::Sender<Result<Bytes, http::Lost>>,
+    delivery: Delivery,
+    delay: Duration,
+) {
+    if delivery.until_close && !delivery.resets {
+        return;
+    }
+    // What was sent before is flushed meanwhile.
+    time::sleep(delay).await;
+    // The client may have disconnected already.
+    let _ = sender.send(Err(http::Lost)).await;
+}
+
+fn mark_delivery(answer: &mut http::Answer, delivery: Delivery) {
+    if delivery.until_close {
+        http::end_with_connection(answer);
+    }
+    if delivery.resets {
+        http::reset_on_failure(answer);
+    }
+}
+
 /// Returns the refusal of a request that was not executed.
 fn not_executed() -> http::Answer {
     let mut answer = empty_answer(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/fireflywheel_standin/src/trial/proxy.rs
+++ b/crates/fireflywheel_standin/src/trial/proxy.rs
@@ -4,13 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time;
 
+use crate::http;
+
 /// Largest chunk that is forwarded at once, in bytes.
 const MAX_CHUNK_BYTES: usize = 16 << 10;
 
@@ -107,40 +108,49 @@
     }
 }
 
-async fn forward(client: TcpStream, mut link: watch::Receiver<Link>) {
+async fn forward(mut client: TcpStream, mut link: watch::Receiver<Link>) {
     let initial = *link.borrow();
     let Some(target) = initial.target else {
         return;
     };
-    let Ok(server) = TcpStream::connect(target).await else {
+    let Ok(mut server) = TcpStream::connect(target).await else {
         return;
     };
     // With Nagle's algorithm, small parts of a stream would wait for an acknowledgement.
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
+    let (client_read, client_write) = client.split();
+    let (server_read, server_write) = server.split();
     let upstream = copy(client_read, server_write, link.clone(), initial, |link| {
         link.upstream
     });
     let downstream = copy(server_read, client_write, link.clone(), initial, |link| {
         link.downstream
     });
-    tokio::select! {
-        // Each direction that ends normally is shut down on its own.
-        _ = async { tokio::join!(upstream, downstream) } => {}
-        _ = link.wait_for(|link| link.reset_count != initial.reset_count) => {}
+    let ended = tokio::select! {
+        // Each direction that ends in order is shut down on its own.
+        ended = async { tokio::try_join!(upstream, downstream) } => ended.ok(),
+        _ = link.wait_for(|link| link.reset_count != initial.reset_count) => None,
+    };
+    if ended.is_none() {
+        http::reset(&client);
+        http::reset(&server);
     }
 }
 
-/// Forwards one direction to its end. On a read error, shuts down the writing side and returns the error.
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+/// Forwards one direction to its end, and returns the error if the connection that it reads from fails. A failure of the
+/// other connection is left to the other direction, which has read all of it by then.
+async fn copy<R, W>(
+    mut from: R,
+    mut to: W,
     mut link: watch::Receiver<Link>,
     initial: Link,
     flow: fn(&Link) -> Flow,
-) -> io::Result<()> {
+) -> io::Result<()>
+where
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
     let mut chunk = vec![0; MAX_CHUNK_BYTES];
     loop {
         let read = from.read(&mut chunk).await;
@@ -152,13 +162,16 @@
         if open.await.is_err() {
             return Ok(());
         }
-        match read {
-            Ok(0) => return to.shutdown().await,
-            Ok(count) => to.write_all(&chunk[..count]).await?,
-            Err(error) => {
-                to.shutdown().await?;
-                return Err(error);
+        let written = match read? {
+            0 => {
+                // The other side may have ended already.
+                let _ = to.shutdown().await;
+                return Ok(());
             }
+            count => to.write_all(&chunk[..count]).await,
+        };
+        if written.is_err() {
+            return Ok(());
         }
     }
 }
