An end of a connection is no longer taken for the end of an answer

Callers saw streams that had broken off end with a last chunk, framed as complete. An answer without a length and chunks ends with its connection, which the HTTP library reports without an error; the instance took that for the end of the answer and stated an end that its server had not stated. Whole answers got a length in the same way.

A caller's answer has the framing of its server's: one that states no end states none to the caller either, and its socket resets if it is closed too early, also if the process is killed. A stream that ends within an event has broken off whatever its framing. A connection that has ended with its body isn't kept. A gateway says with a close frame of its own that the server ended its connection; any other end of a tunnel is a failure. One scanner finds the boundaries of events for both protocols, with line feeds, carriage returns and comments.

--- a/crates/fireflywheel/src/answer/sse.rs
+++ b/crates/fireflywheel/src/answer/sse.rs
@@ -1,6 +1,7 @@
 //! Decoder of server-sent events: assembles lines into the data of each event.
 
 use super::{Flaw, MAX_EVENT_BYTES};
+use crate::sse;
 
 const DATA_FIELD: &[u8] = b"data";
 
@@ -11,39 +12,30 @@
     data: Vec<u8>,
     /// Whether the event has a data field, even an empty one.
     has_data: bool,
-    /// Whether the last line ended with a carriage return. A line feed directly after it belongs to the
-    /// same line end.
-    after_carriage_return: bool,
+    scanner: sse::Scanner,
 }
 
 impl Decoder {
     /// Decodes one byte. Returns the event's data if the byte ends an event that has data.
     pub(super) fn push(&mut self, byte: u8) -> Result<Option<String>, Flaw> {
-        let completes_line_end = std::mem::take(&mut self.after_carriage_return) && byte == b'\n';
-        match byte {
-            b'\n' if completes_line_end => Ok(None),
-            b'\n' => self.end_line(),
-            b'\r' => {
-                self.after_carriage_return = true;
-                self.end_line()
+        match self.scanner.push(byte) {
+            sse::Mark::LineEndContinued => Ok(None),
+            sse::Mark::EventEnd => self.end_event(),
+            sse::Mark::LineEnd => {
+                self.read_field();
+                self.line.clear();
+                Ok(None)
+            }
+            sse::Mark::Content if self.line.len() + self.data.len() >= MAX_EVENT_BYTES => {
+                Err(Flaw::TooLong)
             }
-            _ if self.line.len() + self.data.len() >= MAX_EVENT_BYTES => Err(Flaw::TooLong),
-            _ => {
+            sse::Mark::Content => {
                 self.line.push(byte);
                 Ok(None)
             }
         }
     }
 
-    fn end_line(&mut self) -> Result<Option<String>, Flaw> {
-        if self.line.is_empty() {
-            return self.end_event();
-        }
-        self.read_field();
-        self.line.clear();
-        Ok(None)
-    }
-
     /// Adds the value of a data field. Comments and other fields do not belong to the answer and are
     /// ignored.
     fn read_field(&mut self) {
--- a/crates/fireflywheel/src/lib.rs
+++ b/crates/fireflywheel/src/lib.rs
@@ -91,6 +91,7 @@
 pub mod routing;
 pub mod server;
 pub mod settings;
+pub mod sse;
 pub mod status;
 pub mod steward;
 pub mod verdict;
--- a/crates/fireflywheel/tests/fleet/events.rs
+++ b/crates/fireflywheel/tests/fleet/events.rs
@@ -73,7 +73,45 @@
     });
 }
 
+/// Whether a stream that ends here ends between two events, in one part and byte by byte.
+fn is_at_boundary(stream: &str) -> bool {
+    let mut whole = Splitter::default();
+    whole.push(stream.as_bytes());
+    let mut split = Splitter::default();
+    let mut events = Vec::new();
+    for byte in stream.bytes() {
+        split.push(&[byte]);
+        events.extend(pop_all(&mut split));
+    }
+    events.push(String::from_utf8_lossy(&split.take_rest()).into_owned());
+    assert_eq!(events.concat(), stream);
+    assert_eq!(whole.is_at_boundary(), split.is_at_boundary());
+    whole.is_at_boundary()
+}
+
 cases! {
+    /// An empty body, and one that ends after its head, are not within an event.
+    empty_stream_is_at_a_boundary => assert!(is_at_boundary(""));
+    /// The last line feed of an empty line is missing.
+    missing_line_feed_is_within_an_event => assert!(!is_at_boundary("data: a\n"));
+    /// The same with carriage returns.
+    missing_line_end_is_within_an_event => assert!(!is_at_boundary("data: a\r\n"));
+    /// The empty line is whole, though a line feed may follow.
+    half_of_a_line_end_is_at_a_boundary => assert!(is_at_boundary("data: a\r\n\r"));
+    /// Both halves of the last line end have arrived, maybe one by one.
+    whole_line_end_is_at_a_boundary => assert!(is_at_boundary("data: a\r\n\r\n"));
+    /// Some servers end lines with a carriage return alone.
+    carriage_returns_end_events => assert!(is_at_boundary("data: a\r\rdata: b\r\r"));
+    /// The same within an event.
+    carriage_return_within_an_event => assert!(!is_at_boundary("data: a\r\rdata: b\r"));
+    /// A comment is no event.
+    comment_is_at_a_boundary => assert!(is_at_boundary("data: a\n\n: still there\n"));
+    /// A part of a comment may be a part of anything.
+    part_of_a_comment_is_within_a_line => assert!(!is_at_boundary("data: a\n\n: still"));
+    /// An event may begin with other fields than its id.
+    first_line_of_an_event_is_within_it => assert!(!is_at_boundary("data: a\n\nx-version: 2\n"));
+    /// An empty line alone ends no event, and is not within one.
+    empty_lines_are_at_a_boundary => assert!(is_at_boundary("\n\ndata: a\n\n\n"));
     /// A server breaks off within an event. If the partial event were forwarded, it would be joined with an
     /// event of another run.
     incomplete_event_is_held_back => incomplete_event_is_not_returned();
--- a/crates/fireflywheel_daemon/src/door/body.rs
+++ b/crates/fireflywheel_daemon/src/door/body.rs
@@ -6,6 +6,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use fireflywheel::ending::Framing;
 use hyper::body;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 
@@ -15,6 +16,7 @@
 #[derive(Debug)]
 pub struct Body {
     content: Content,
+    framing: Framing,
     /// Dropped with the body, which closes the channel and so tells its other end that the client is gone.
     _drop_signal: Option<oneshot::Sender<()>>,
 }
@@ -54,6 +56,7 @@
     pub fn full(bytes: impl Into<Bytes>) -> Self {
         Self {
             content: Content::Full(Some(bytes.into())),
+            framing: Framing::Stated,
             _drop_signal: None,
         }
     }
@@ -70,11 +73,25 @@
         };
         let body = Self {
             content: Content::Stream(parts),
+            framing: Framing::Stated,
             _drop_signal: None,
         };
         (sender, body)
     }
 
+    /// Sets how the answer tells where its body ends. One that doesn't tell ends with its connection.
+    #[must_use]
+    pub fn with_framing(mut self, framing: Framing) -> Self {
+        self.framing = framing;
+        self
+    }
+
+    /// How the answer tells where its body ends.
+    #[must_use]
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Attaches `drop_signal`, which is dropped together with the body.
     #[must_use]
     pub fn with_drop_signal(mut self, drop_signal: oneshot::Sender<()>) -> Self {
@@ -149,6 +166,7 @@
 
     fn size_hint(&self) -> body::SizeHint {
         match &self.content {
+            _ if self.framing == Framing::UntilClose => body::SizeHint::default(),
             Content::Full(bytes) => {
                 body::SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
@@ -166,6 +184,9 @@
 
 impl Tracked {
     pub(super) fn new(inner: Body, requests: Arc<gate::Requests>) -> Self {
+        if inner.framing == Framing::UntilClose {
+            requests.set_end_unstated(true);
+        }
         Self { inner, requests }
     }
 }
@@ -184,7 +205,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<body::Frame<Bytes>, Aborted>>> {
-        Pin::new(&mut self.inner).poll_frame(context)
+        let frame = ready!(Pin::new(&mut self.inner).poll_frame(context));
+        if frame.is_none() || self.inner.is_end_stream() {
+            self.requests.set_end_unstated(false);
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/fireflywheel_daemon/src/door/gate.rs
+++ b/crates/fireflywheel_daemon/src/door/gate.rs
@@ -5,11 +5,12 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use hyper::StatusCode;
+use rustix::net::sockopt;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{self, Instant, Sleep};
@@ -46,6 +47,8 @@
     read_timer: Pin<Box<Sleep>>,
     write_timer: Option<Pin<Box<Sleep>>>,
     violation: Option<Violation>,
+    /// Whether closing the socket resets the connection.
+    resets_on_close: bool,
 }
 
 /// Counts the requests of one connection.
@@ -53,6 +56,8 @@
 pub(super) struct Requests {
     begun: AtomicU64,
     answered: AtomicU64,
+    /// Whether an answer is in progress that doesn't state where its body ends.
+    end_unstated: AtomicBool,
 }
 
 /// The limits of a connection.
@@ -105,6 +110,11 @@
 }
 
 impl Requests {
+    /// Sets whether an answer is in progress that doesn't state where its body ends.
+    pub(super) fn set_end_unstated(&self, end_unstated: bool) {
+        self.end_unstated.store(end_unstated, Ordering::Release);
+    }
+
     /// Counts a request that was parsed.
     pub(super) fn count_begun(&self) {
         self.begun.fetch_add(1, Ordering::AcqRel);
@@ -188,6 +198,7 @@
             read_timer: Box::pin(time::sleep(limits.idle_timeout)),
             write_timer: None,
             violation: None,
+            resets_on_close: false,
         }
     }
 
@@ -201,6 +212,25 @@
         self.stream
     }
 
+    /// Makes the connection reset if it is closed within an answer that doesn't state where its body ends, even if the
+    /// process is killed: an end in order would look like the end of that answer.
+    pub(super) fn update_reset_on_close(&mut self) {
+        let resets = self.requests.end_unstated.load(Ordering::Acquire);
+        if resets == self.resets_on_close {
+            return;
+        }
+        self.resets_on_close = resets;
+        let linger = resets.then_some(Duration::ZERO);
+        if let Err(error) = sockopt::set_socket_linger(&self.stream, linger) {
+            log::debug!(why = error.to_string().as_str(); "socket options were not set");
+        }
+    }
+
+    /// Whether closing the socket resets the connection.
+    pub(super) fn resets_on_close(&self) -> bool {
+        self.resets_on_close
+    }
+
     /// Updates whether the bytes that are read next belong to a head.
     fn update_head(&mut self) {
         // With pipelining, a client may have sent its next head together with the previous request. That head
@@ -294,6 +324,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_reset_on_close();
         if let Poll::Ready(result) = Pin::new(&mut self.stream).poll_write(context, bytes) {
             self.write_timer = None;
             return Poll::Ready(result);
--- a/crates/fireflywheel_daemon/src/door/mod.rs
+++ b/crates/fireflywheel_daemon/src/door/mod.rs
@@ -9,8 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fireflywheel::ending::Framing;
 use fireflywheel::settings;
-use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Request, Response, StatusCode, Version, body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -143,7 +145,10 @@
         let requests = Arc::clone(&requests);
         requests.count_begun();
         Box::pin(async move {
-            let answer = service.answer(request).await;
+            let mut answer = service.answer(request).await;
+            if answer.body().framing() == Framing::UntilClose {
+                end_with_connection(&mut answer);
+            }
             Ok::<_, Infallible>(answer.map(|body| body::Tracked::new(body, requests)))
         })
     });
@@ -159,7 +164,11 @@
             }
         }
     }
-    let gate = connection.into_parts().io.into_inner();
+    let mut gate = connection.into_parts().io.into_inner();
+    gate.update_reset_on_close();
+    if gate.resets_on_close() {
+        return;
+    }
     match gate.violation() {
         None => close(gate.into_inner()).await,
         Some(violation) => {
@@ -170,6 +179,14 @@
     }
 }
 
+/// Makes an answer state neither a length nor chunks. The HTTP library chunks a body of unknown length in all answers but
+/// those of HTTP/1.0.
+fn end_with_connection(answer: &mut Response<Body>) {
+    *answer.version_mut() = Version::HTTP_10;
+    let close = HeaderValue::from_static("close");
+    answer.headers_mut().insert(CONNECTION, close);
+}
+
 fn http_builder(limits: &settings::Limits) -> http1::Builder {
     let mut http_builder = http1::Builder::new();
     http_builder
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -17,7 +17,7 @@
 use super::node;
 use super::platform;
 use super::pool;
-use crate::received;
+use crate::{door, received};
 
 /// Maximum size in bytes of a response that is buffered until it is complete.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
@@ -188,7 +188,7 @@
 }
 
 /// Reads a response to its end before any of it is forwarded, so that the request can be retried if the response
-/// breaks off.
+/// breaks off. The body keeps its framing: nothing in it tells whether it is whole if its server stated no end.
 ///
 /// # Errors
 ///
@@ -198,31 +198,37 @@
     node: &Arc<node::Node<P>>,
     job: &Job,
     response: Response<P>,
-) -> Result<(Parts, Bytes), Outcome<P>>
+) -> Result<(Parts, door::Body), Outcome<P>>
 where
     P: platform::Platform,
 {
     let remaining = job.deadline.since(node.now());
+    let framing = response.body.framing();
     let collecting = response.body.collect(MAX_BUFFERED_RESPONSE_BYTES);
     let Ok((collected, ending)) = time::timeout(remaining, collecting).await else {
         return Err(Outcome::TimedOut);
     };
-    if let Ending::BrokenOff(why) = ending {
-        node.record_outcome(&response.server, node::ServerOutcome::Failed);
-        return Err(Outcome::Lost(why.as_str()));
+    let outcome = match ending {
+        Ending::BrokenOff(_) => Some(node::ServerOutcome::Failed),
+        _ if response.head.status.is_server_error() => Some(node::ServerOutcome::Failed),
+        Ending::Complete => Some(node::ServerOutcome::Good),
+        Ending::Unstated => None,
+    };
+    if let Some(outcome) = outcome {
+        node.record_outcome(&response.server, outcome);
     }
-    let succeeded = !response.head.status.is_server_error();
-    node.record_outcome(
-        &response.server,
-        if succeeded {
-            node::ServerOutcome::Good
-        } else {
-            node::ServerOutcome::Failed
-        },
-    );
-    node.pool
-        .release(node.now(), response.connection, response.reply.keep_alive);
-    Ok((response.head, collected))
+    match ending {
+        Ending::BrokenOff(why) => return Err(Outcome::Lost(why.as_str())),
+        // Dropping the connection closes it: it has ended with the body.
+        Ending::Unstated => {}
+        Ending::Complete => {
+            let keep_alive = response.reply.keep_alive;
+            node.pool
+                .release(node.now(), response.connection, keep_alive);
+        }
+    }
+    let body = door::Body::full(collected).with_framing(framing);
+    Ok((response.head, body))
 }
 
 fn build_request<P>(
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -262,7 +262,7 @@
             return Err(attempt::Outcome::Lost("failed by the server"));
         }
         self.record_answer(job, status, &server, framing);
-        let mut response = Response::new(door::Body::full(body));
+        let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = backend::end_to_end_headers(&head.headers);
         Ok(response)
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -5,10 +5,12 @@
 
 use bytes::Bytes;
 use fireflywheel::clock;
-use fireflywheel::ending::Ending;
+use fireflywheel::ending::{Ending, Framing};
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::events;
-use hyper::Response;
+use fireflywheel::sse;
+use hyper::header::CONTENT_TYPE;
+use hyper::{HeaderMap, Response};
 use smol_str::SmolStr;
 use tokio::time;
 
@@ -18,6 +20,8 @@
 use super::{pool, relay};
 use crate::{backend, door, received};
 
+/// The content type of server-sent events, without parameters.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Bytes that a caller may leave unread before its stream is paused.
 const SEND_BUFFER_BYTES: usize = 256 << 10;
 /// How long a stream may continue past its route's timeout, so that one that is about to end can complete.
@@ -41,24 +45,72 @@
 where
     P: platform::Platform,
 {
+    let framing = upstream.body.framing();
     let (sender, body) = door::Body::stream(SEND_BUFFER_BYTES);
-    let mut response = Response::new(body);
+    let mut response = Response::new(body.with_framing(framing));
     *response.status_mut() = upstream.head.status;
     *response.headers_mut() = backend::end_to_end_headers(&upstream.head.headers);
-    let resumable = job.route.kind == config::Kind::Resumable;
     let forwarder = Forwarder {
         node: Arc::clone(node),
         sender,
+        framing,
+        content: Content::new(&job.route, &upstream.head.headers),
+        has_data: false,
         source: Source::new(upstream),
         tried: Vec::new(),
         runs: 1,
-        splitter: resumable.then(events::Splitter::default),
         job,
     };
     tokio::spawn(forwarder.run());
     response
 }
 
+/// What is known of the bytes of a stream.
+#[derive(Debug)]
+enum Content {
+    /// They are forwarded in whole events, after each of which another run can go on.
+    Resumable(events::Splitter),
+    /// They are events, and forwarded as they arrive.
+    Events(sse::Scanner),
+    /// They are no events.
+    Opaque,
+}
+
+impl Content {
+    fn new(route: &config::Route, headers: &HeaderMap) -> Self {
+        let content_type = headers.get(CONTENT_TYPE);
+        let is_events = content_type.is_none_or(|value| {
+            let value = value.as_bytes().get(..EVENT_STREAM.len());
+            value.is_some_and(|value| value.eq_ignore_ascii_case(EVENT_STREAM))
+        });
+        match (is_events, route.kind) {
+            (false, _) => Self::Opaque,
+            (true, config::Kind::Resumable) => Self::Resumable(events::Splitter::default()),
+            (true, _) => Self::Events(sse::Scanner::default()),
+        }
+    }
+
+    fn is_resumable(&self) -> bool {
+        matches!(self, Self::Resumable(_))
+    }
+
+    fn is_within_event(&self) -> bool {
+        match self {
+            Self::Resumable(splitter) => !splitter.is_at_boundary(),
+            Self::Events(scanner) => scanner.is_within_event(),
+            Self::Opaque => false,
+        }
+    }
+
+    /// The id of the last event that was forwarded to be resumed after.
+    fn last_event(&self) -> Option<u64> {
+        match self {
+            Self::Resumable(splitter) => splitter.last(),
+            Self::Events(_) | Self::Opaque => None,
+        }
+    }
+}
+
 /// The response of one run.
 struct Source<P>
 where
@@ -79,18 +131,24 @@
     node: Arc<node::Node<P>>,
     job: Arc<attempt::Job>,
     sender: door::Sender,
+    /// How the caller's response tells where its body ends, which is decided with its head.
+    framing: Framing,
+    content: Content,
+    /// Whether the current run has sent anything.
+    has_data: bool,
     source: Source<P>,
     tried: Vec<SmolStr>,
     /// The number of runs that have started.
     runs: u32,
-    /// Splits a resumable stream into events, which are forwarded only as a whole; `None` for other streams.
-    splitter: Option<events::Splitter>,
 }
 
-/// How the response of a run ended.
+/// Why the response of a run is no longer forwarded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
-    Complete,
+    /// It ended, and the caller's response with it. `is_stated` says whether the server had stated the end.
+    Complete {
+        is_stated: bool,
+    },
     Broken(&'static str),
     /// No data arrived within the idle timeout; the run may still be in progress.
     Idle,
@@ -122,19 +180,13 @@
     async fn run(mut self) {
         loop {
             let end = self.forward_run().await;
-            let outcome = match end {
-                End::Complete => node::ServerOutcome::Good,
-                End::Broken(_) | End::Idle => node::ServerOutcome::Failed,
+            match end {
+                End::Complete { is_stated } => return self.complete(is_stated),
+                End::Broken(_) | End::Idle => {
+                    let outcome = node::ServerOutcome::Failed;
+                    self.node.record_outcome(&self.source.server, outcome);
+                }
                 End::CallerGone | End::TimedOut => break self.abort(end),
-            };
-            self.node.record_outcome(&self.source.server, outcome);
-            if end == End::Complete {
-                let now = self.node.now();
-                self.log_complete();
-                self.node
-                    .pool
-                    .release(now, self.source.connection, self.source.keep_alive);
-                return;
             }
             let source = if end == End::Idle {
                 // Without another server, the run is kept: ending it would lose a stream that may still continue.
@@ -154,20 +206,31 @@
         }
     }
 
-    fn log_complete(&self) {
-        let took = self.node.now().since(self.job.arrived);
+    /// Ends the caller's stream after the last run has ended.
+    fn complete(self, is_stated: bool) {
+        let now = self.node.now();
+        let took = now.since(self.job.arrived);
         log::info!(
             request = self.job.call.id.as_str(), server = self.source.server.as_str(),
-            runs = self.runs, took_ms = clock::millis(took);
+            runs = self.runs, end_stated = is_stated, took_ms = clock::millis(took);
             "stream complete"
         );
+        if !is_stated {
+            // The connection has ended with the body.
+            return;
+        }
+        let outcome = node::ServerOutcome::Good;
+        self.node.record_outcome(&self.source.server, outcome);
+        self.node
+            .pool
+            .release(now, self.source.connection, self.source.keep_alive);
     }
 
     /// Cuts the caller's stream off, and logs and counts how the last run ended, also if the stream was cut off
     /// because it could not be resumed. `events` is the id of the last event that was forwarded, 0 if there was none.
     fn abort(self, end: End) {
         let why = match end {
-            End::Complete => "complete",
+            End::Complete { .. } => "complete",
             End::Broken(why) => why,
             End::Idle => "silent",
             End::CallerGone => "the caller left",
@@ -175,7 +238,7 @@
         };
         log::info!(
             request = self.job.call.id.as_str(), server = self.source.server.as_str(), why = why,
-            events = self.splitter.as_ref().and_then(events::Splitter::last).unwrap_or_default();
+            events = self.content.last_event().unwrap_or_default();
             "stream ended early"
         );
         self.node
@@ -192,10 +255,10 @@
             if left.is_zero() {
                 return End::TimedOut;
             }
-            let idle_timeout = self
-                .splitter
-                .as_ref()
-                .map_or(left, |_| idle_timeout(&self.job));
+            let idle_timeout = match self.content.is_resumable() {
+                true => idle_timeout(&self.job),
+                false => left,
+            };
             let part = tokio::select! {
                 part = self.source.body.next() => part,
                 () = self.sender.closed() => return End::CallerGone,
@@ -208,16 +271,9 @@
             };
             let bytes = match part {
                 received::Part::Data(bytes) => bytes,
-                received::Part::End(Ending::BrokenOff(why)) => return End::Broken(why.as_str()),
-                received::Part::End(Ending::Complete | Ending::Unstated)
-                    if self.is_at_boundary() =>
-                {
-                    return End::Complete;
-                }
-                received::Part::End(Ending::Complete | Ending::Unstated) => {
-                    return End::Broken("ended within an event");
-                }
+                received::Part::End(ending) => return self.end_of(ending).await,
             };
+            self.has_data |= !bytes.is_empty();
             match self.forward(bytes).await {
                 Ok(()) => {}
                 Err(end) => return end,
@@ -225,6 +281,28 @@
         }
     }
 
+    /// Decides what the end of a run means for the caller's stream.
+    async fn end_of(&mut self, ending: Ending) -> End {
+        let ending = match self.content {
+            Content::Opaque => ending,
+            _ => ending.of_stream(!self.has_data, self.content.is_within_event()),
+        };
+        let is_stated = match (ending, self.framing) {
+            (Ending::BrokenOff(why), _) => return End::Broken(why.as_str()),
+            (Ending::Complete, _) => true,
+            (Ending::Unstated, Framing::UntilClose) => false,
+            // The caller's response would state an end that this run's server did not state.
+            (Ending::Unstated, Framing::Stated) => return End::Broken("end not stated"),
+        };
+        if let Content::Resumable(splitter) = &mut self.content {
+            let rest = splitter.take_rest();
+            if !rest.is_empty() && self.sender.send(rest).await.is_err() {
+                return End::CallerGone;
+            }
+        }
+        End::Complete { is_stated }
+    }
+
     /// When a stream that hasn't ended is cut off. The caller's own deadline doesn't count: a caller disconnects by
     /// itself when it passes, and until then each event is worth forwarding.
     fn cutoff(&self) -> clock::Instant {
@@ -234,8 +312,13 @@
     }
 
     async fn forward(&mut self, bytes: Bytes) -> Result<(), End> {
-        let Some(splitter) = &mut self.splitter else {
-            return self.sender.send(bytes).await.map_err(|_| End::CallerGone);
+        let splitter = match &mut self.content {
+            Content::Resumable(splitter) => splitter,
+            Content::Events(scanner) => {
+                scanner.push_all(&bytes);
+                return self.send_part(bytes).await;
+            }
+            Content::Opaque => return self.send_part(bytes).await,
         };
         splitter.push(&bytes);
         if splitter.pending() > MAX_EVENT_BYTES {
@@ -247,15 +330,13 @@
         Ok(())
     }
 
-    fn is_at_boundary(&self) -> bool {
-        self.splitter
-            .as_ref()
-            .is_none_or(events::Splitter::is_at_boundary)
+    async fn send_part(&self, bytes: Bytes) -> Result<(), End> {
+        self.sender.send(bytes).await.map_err(|_| End::CallerGone)
     }
 
     /// Chooses another server that can resume the stream immediately, and takes a retry from the group's budget.
     fn reserve_alternative(&self) -> Option<node::Chosen> {
-        if self.splitter.is_none() || self.runs >= self.job.route.attempts {
+        if !self.may_resume() {
             return None;
         }
         let mut tried = self.tried.clone();
@@ -280,16 +361,21 @@
     /// Ends the current run, so that another can start after the last event that was forwarded.
     fn end_run(&mut self) {
         self.tried.push(self.source.server.clone());
-        if let Some(splitter) = &mut self.splitter {
+        if let Content::Resumable(splitter) = &mut self.content {
             splitter.drop_partial();
         }
+        self.has_data = false;
         self.source.close();
     }
 
+    fn may_resume(&self) -> bool {
+        self.content.is_resumable() && self.runs < self.job.route.attempts
+    }
+
     /// Starts another run in place of one that broke off.
     async fn resume(&mut self) -> Option<Source<P>> {
         self.end_run();
-        if self.splitter.is_none() || self.runs >= self.job.route.attempts {
+        if !self.may_resume() {
             return None;
         }
         let chosen = self.wait_for_server().await?;
@@ -307,8 +393,7 @@
 
     /// Resumes the stream at a server, or at another one if that refuses the request without running it.
     async fn send(&mut self, mut chosen: node::Chosen) -> Option<Source<P>> {
-        let last = self.splitter.as_ref().and_then(events::Splitter::last);
-        let last = last.or(self.job.call.last_event);
+        let last = self.content.last_event().or(self.job.call.last_event);
         for _ in 0..MAX_RESUME_SENDS {
             log::info!(
                 request = self.job.call.id.as_str(), server = chosen.server.as_str(),
--- a/crates/fireflywheel_daemon/src/fleet/tunnel.rs
+++ b/crates/fireflywheel_daemon/src/fleet/tunnel.rs
@@ -24,8 +24,9 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::time;
-use tokio_tungstenite::tungstenite::protocol::{self, WebSocketConfig};
-use tokio_tungstenite::tungstenite::{self, Message as WebSocketMessage};
+use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
+use tokio_tungstenite::tungstenite::protocol::{self, CloseFrame, WebSocketConfig};
+use tokio_tungstenite::tungstenite::{self, Message as WebSocketMessage, Utf8Bytes};
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 use super::net;
@@ -44,6 +45,13 @@
 /// Maximum size of a message, in bytes. An opener sends the parts of a request as they come.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
+/// What a gateway closes a tunnel with when the server has ended its connection in order. Whatever else ends a tunnel is
+/// a failure.
+const END: CloseFrame = CloseFrame {
+    code: CloseCode::Normal,
+    reason: Utf8Bytes::from_static("server ended"),
+};
+
 /// A WebSocket connection between two instances.
 pub type Socket = WebSocketStream<TcpStream>;
 
@@ -75,6 +83,8 @@
 pub struct Tunnel {
     socket: Socket,
     received: Bytes,
+    /// Whether the gateway has said that the server ended its connection.
+    has_ended: bool,
 }
 
 /// The ends of a tunnel. A proof covers its maker's role, so that it can't be sent back to its maker.
@@ -169,6 +179,7 @@
         Ok(Ok(Ok(socket))) => Ok(Tunnel {
             socket,
             received: Bytes::new(),
+            has_ended: false,
         }),
         Ok(Ok(Err(refusal))) => Err(Error::Refused(refusal)),
         Ok(Err(_)) | Err(_) => Err(Error::NoAnswer),
@@ -273,7 +284,7 @@
         match from_server.read_buf(&mut buffer).await {
             Ok(0) => {
                 // The opener may have left.
-                let _ = to_opener.close().await;
+                let _ = to_opener.send(WebSocketMessage::Close(Some(END))).await;
                 return;
             }
             Ok(_) => {
@@ -294,9 +305,17 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         while self.received.is_empty() {
+            if self.has_ended {
+                return Poll::Ready(Ok(()));
+            }
             match ready!(Pin::new(&mut self.socket).poll_next(context)) {
                 Some(Ok(WebSocketMessage::Binary(bytes))) => self.received = bytes,
-                Some(Ok(WebSocketMessage::Close(_))) | None => return Poll::Ready(Ok(())),
+                Some(Ok(WebSocketMessage::Close(Some(frame)))) if frame == END => {
+                    self.has_ended = true;
+                }
+                Some(Ok(WebSocketMessage::Close(_))) | None => {
+                    return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                }
                 Some(Ok(_)) => {}
                 Some(Err(error)) => return Poll::Ready(Err(to_io_error(error))),
             }
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -1,6 +1,6 @@
 //! Stand-in for a backend server (a worker) of the users' platform: a model engine or a plain service.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -101,8 +101,7 @@
     runs: BTreeMap<SmolStr, u64>,
     taken: Vec<Taken>,
     switches: Switches,
-    /// How the next answers are delivered, and how many.
-    deliveries: (u32, Delivery),
+    deliveries: Deliveries,
     /// Limit in requests per second that answers contain, if any.
     limit: Option<f64>,
     /// The number of rejections in a second that a brittle worker tolerates, which all answers contain; `None` if it is
@@ -148,6 +147,25 @@
     pub resets: bool,
 }
 
+/// A cloneable handle to how the next answers of workers are delivered.
+#[derive(Clone, Debug, Default)]
+pub struct Deliveries(Arc<Mutex<VecDeque<Delivery>>>);
+
+impl Deliveries {
+    /// Adds how the next answer is delivered after those that were added before.
+    pub fn push(&self, delivery: Delivery) {
+        self.lock().push_back(delivery);
+    }
+
+    fn take(&self) -> Delivery {
+        self.lock().pop_front().unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VecDeque<Delivery>> {
+        self.0.lock().expect("no panic under the lock")
+    }
+}
+
 /// Where an answer breaks off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Cut {
@@ -284,9 +302,11 @@
         self.lock().switches = switches;
     }
 
-    /// Sets how the answers to the next `count` requests that run are delivered.
-    pub fn set_deliveries(&self, count: u32, delivery: Delivery) {
-        self.lock().deliveries = (count, delivery);
+    /// Shares the faults of deliveries with other workers.
+    #[must_use]
+    pub fn with_deliveries(self, deliveries: &Deliveries) -> Self {
+        self.lock().deliveries = deliveries.clone();
+        self
     }
 
     /// Sets the limit in requests per second that all further answers contain; `None` removes it.
@@ -567,11 +587,7 @@
         });
         let fail = try_consume(&mut state.switches.fail);
         let streams = request.header("x-model").is_some() && !fail;
-        let (deliveries, delivery) = &mut state.deliveries;
-        let delivery = match try_consume(deliveries) {
-            true => *delivery,
-            false => Delivery::default(),
-        };
+        let delivery = state.deliveries.take();
         let faults = Switches {
             cut_streams: u32::from(streams && try_consume(&mut state.switches.cut_streams)),
             pause_streams: u32::from(streams && try_consume(&mut state.switches.pause_streams)),
