--- a/crates/fireflywheel_daemon/src/backend/mod.rs
+++ b/crates/fireflywheel_daemon/src/backend/mod.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fireflywheel::ending::Ending;
 use fireflywheel::{answer, claim, request, verdict};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, TE, TRAILER, TRANSFER_ENCODING,
@@ -19,7 +20,7 @@
 
 pub use stream::{Stream, encode};
 
-use crate::{client, errors};
+use crate::{client, errors, received};
 
 /// The largest full answer that is accepted, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -264,12 +265,16 @@
     }
 
     async fn read_engine_answer(&self, answer: Response<Incoming>) -> Result<FullAnswer, Failure> {
-        let (head, mut body) = answer.into_parts();
+        let (head, mut body) = received::Body::split(answer);
         let mut checker = answer::BodyChecker::new(self.id.clone(), MAX_ANSWER_BYTES);
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| Failure::from(client::Error::Lost))?;
-            if let Ok(bytes) = frame.into_data() {
-                checker.push(&bytes)?;
+        loop {
+            match body.next().await {
+                received::Part::Data(bytes) => checker.push(&bytes)?,
+                received::Part::End(Ending::BrokenOff(_)) => {
+                    return Err(client::Error::Lost.into());
+                }
+                // The checker accepts a whole JSON object only, which tells its end itself.
+                received::Part::End(Ending::Complete | Ending::Unstated) => break,
             }
         }
         Ok(FullAnswer {
@@ -279,19 +284,12 @@
         })
     }
 
-    // The body format of plain services is unknown, so the header must carry the request id. The body must be
-    // framed, too: a body that lasts until the connection closes would look complete when it is truncated.
+    // The body format of plain services is unknown, so the header must carry the request id, and the end of the body must
+    // be stated.
     async fn read_service_answer(&self, answer: Response<Incoming>) -> Result<FullAnswer, Failure> {
         let headers = answer.headers();
         let is_named = headers.contains_key(errors::REQUEST_ID_HEADER);
-        let is_bounded = headers.contains_key(CONTENT_LENGTH)
-            || headers.contains_key(TRANSFER_ENCODING)
-            || self.method == Method::HEAD
-            || matches!(
-                answer.status(),
-                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-            );
-        if !is_named || !is_bounded {
+        if !is_named {
             return Err(answer::Flaw::Malformed.into());
         }
         let answer = client::collect(answer, MAX_ANSWER_BYTES).await?;
--- a/crates/fireflywheel_daemon/src/backend/stream.rs
+++ b/crates/fireflywheel_daemon/src/backend/stream.rs
@@ -5,13 +5,13 @@
 
 use bytes::Bytes;
 use fireflywheel::answer;
-use http_body_util::BodyExt as _;
+use fireflywheel::ending::Ending;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response};
 use tokio::time;
 
 use super::{Failure, end_to_end_headers};
-use crate::client;
+use crate::{client, received};
 
 /// The time within which a stream must end after its end marker.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub struct Stream {
     headers: HeaderMap,
-    body: Incoming,
+    body: received::Body,
     checker: answer::StreamChecker,
     checked: VecDeque<answer::Event>,
 }
@@ -28,7 +28,7 @@
 impl Stream {
     /// Creates the stream of the request `id`; `resume` is the number of events after which it was resumed.
     pub(super) fn new(answer: Response<Incoming>, id: &str, resume: Option<u64>) -> Self {
-        let (head, body) = answer.into_parts();
+        let (head, body) = received::Body::split(answer);
         Self {
             headers: end_to_end_headers(&head.headers),
             body,
@@ -61,15 +61,15 @@
     /// Reads the rest of a stream after its end marker, so that its connection can be reused.
     pub fn release(mut self) {
         tokio::spawn(time::timeout(RELEASE_TIMEOUT, async move {
-            while let Some(Ok(_)) = self.body.frame().await {}
+            while let received::Part::Data(_) = self.body.next().await {}
         }));
     }
 
     async fn read(&mut self) -> Result<Bytes, Failure> {
-        match self.body.frame().await {
-            Some(Ok(frame)) => Ok(frame.into_data().unwrap_or_default()),
-            Some(Err(_)) => Err(client::Error::Lost.into()),
-            None => {
+        match self.body.next().await {
+            received::Part::Data(bytes) => Ok(bytes),
+            received::Part::End(Ending::BrokenOff(_)) => Err(client::Error::Lost.into()),
+            received::Part::End(Ending::Complete | Ending::Unstated) => {
                 // The stream ended without its end marker; otherwise `next` would have returned the marker.
                 self.checker.end()?;
                 Err(answer::Flaw::Truncated.into())
--- a/crates/fireflywheel_daemon/src/client.rs
+++ b/crates/fireflywheel_daemon/src/client.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt as _, Full, Limited};
+use fireflywheel::ending::Ending;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
@@ -16,6 +17,8 @@
 use smol_str::SmolStr;
 use tokio::time;
 
+use crate::received;
+
 /// The time limit for opening a connection, so that an unreachable server does not use up a request's deadline.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time after which an unused connection is closed, well before servers close it.
@@ -134,22 +137,20 @@
             .await
             .unwrap_or(Err(Error::Lost))?;
         transfer.head_time = started.elapsed();
-        let (head, mut body) = answer.into_parts();
+        let (head, mut body) = received::Body::split(answer);
         transfer.head = Some((head.status, head.headers));
         loop {
-            let frame = time::timeout(timeouts.stall, body.frame())
+            let part = time::timeout(timeouts.stall, body.next())
                 .await
                 .map_err(|_| Error::Lost)?;
             transfer.body_time = started.elapsed().saturating_sub(transfer.head_time);
-            let Some(frame) = frame else {
-                return Ok(());
-            };
-            let frame = frame.map_err(|_| Error::Lost)?;
-            let data = frame.data_ref().map_or(&[][..], |data| &data[..]);
-            if transfer.body.len() + data.len() > max_bytes {
-                return Err(Error::Lost);
+            match part {
+                received::Part::Data(data) if transfer.body.len() + data.len() > max_bytes => {
+                    return Err(Error::Lost);
+                }
+                received::Part::Data(data) => transfer.body.extend_from_slice(&data),
+                received::Part::End(ending) => return check_complete(ending),
             }
-            transfer.body.extend_from_slice(data);
         }
     }
 
@@ -181,11 +182,12 @@
 ///
 /// # Errors
 ///
-/// Returns [`Error::Lost`] when the body is truncated or larger than `max_bytes`.
+/// Returns [`Error::Lost`] when the body is truncated or larger than `max_bytes`, or when nothing states where it ends: a
+/// list that lacks its end would be taken for all that there is.
 pub async fn collect(answer: Response<Incoming>, max_bytes: usize) -> Result<Answer, Error> {
-    let (head, body) = answer.into_parts();
-    let collected = Limited::new(body, max_bytes).collect().await;
-    let body = collected.map_err(|_| Error::Lost)?.to_bytes();
+    let (head, body) = received::Body::split(answer);
+    let (body, ending) = body.collect(max_bytes).await;
+    check_complete(ending)?;
     Ok(Answer {
         status: head.status,
         headers: head.headers,
@@ -193,6 +195,13 @@
     })
 }
 
+fn check_complete(ending: Ending) -> Result<(), Error> {
+    match ending {
+        Ending::Complete => Ok(()),
+        Ending::Unstated | Ending::BrokenOff(_) => Err(Error::Lost),
+    }
+}
+
 /// Creates a request with a body.
 ///
 /// # Errors
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fireflywheel::ending::Ending;
 use fireflywheel::fleet::announcement::Process;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::plan;
 use fireflywheel::fleet::server;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use smol_str::SmolStr;
 use tokio::time;
@@ -18,6 +19,7 @@
 use super::super::pool;
 use super::Steward;
 use super::state;
+use crate::received;
 
 /// How long an engine may take to answer an order or a report request; it answers both from memory.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -292,15 +294,20 @@
         let exchange = async {
             let sending = self.node.send_to(&target, via, request);
             let (response, connection) = sending.await.map_err(ExchangeError::Pool)?;
-            let (head, body) = response.into_parts();
+            let (head, body) = received::Body::split(response);
             let reply = self.node.platform.read_reply(&head);
             self.node.observe_announcement(&target.process, &reply);
             let keep_alive = reply.keep_alive;
-            let body = Limited::new(body, MAX_REPORT_BYTES).collect().await;
-            let body = body.map_err(|_| ExchangeError::IncompleteBody)?.to_bytes();
-            self.node
-                .pool
-                .release(self.node.now(), connection, keep_alive);
+            let (body, ending) = body.collect(MAX_REPORT_BYTES).await;
+            match ending {
+                Ending::BrokenOff(_) => return Err(ExchangeError::IncompleteBody),
+                // A report is a JSON object, which tells its end itself. The connection has ended with it.
+                Ending::Unstated => {}
+                Ending::Complete => {
+                    let now = self.node.now();
+                    self.node.pool.release(now, connection, keep_alive);
+                }
+            }
             Ok((head.status, body))
         };
         time::timeout(ANSWER_TIMEOUT, exchange)
