Streams go on only at the software version that began them

Servers of several software versions may serve a group side by side, and what two of them write doesn't fit together. An instance resumed a stream at any server, and a caller that came back was sent anywhere: mixed streams.

The version of a server is read from its entry and is a condition on the set of servers (Query::version), for first attempts, retries and resumption alike. Within an answer the instance knows the version of the run that sent the first data. Over a caller's tries: while a group has had a single version for as long as callers come back, that version began the stream, and nothing is recorded. Otherwise the instance reports the stream's attempt to the steward with its demand, and the instance that the caller comes back to asks the steward; a new steward is told again by all instances. The lease's record carries the versions seen, so that the past is known after all instances were killed. Where nothing tells the version, the stream is refused as not run; where no server of the version can take it, at once.

--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -8,7 +8,7 @@
 
 use super::config::update;
 use super::era::Era;
-use super::{announcement, limit, load, quota, rate};
+use super::{announcement, limit, load, origin, quota, rate};
 use crate::clock;
 
 /// The half-life of arrival rates. Demand moves within seconds, and a rarely used model receives a request
@@ -76,6 +76,10 @@
     /// gateways.
     #[serde(default, rename = "unreached")]
     pub unreached_groups: Option<BTreeSet<SmolStr>>,
+    /// Streams that have begun at the instance, and its questions about others. It is absent from releases that don't
+    /// distinguish versions of servers.
+    #[serde(default)]
+    pub origins: Option<origin::Report>,
 }
 
 /// The configuration in force at an instance that accepts updates; none if it has none yet.
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -11,7 +11,9 @@
 
 use super::config::update;
 use super::era::Era;
-use super::{announcement, config, demand, gateway, lease, limit, load, quota, server, tunnel};
+use super::{
+    announcement, config, demand, gateway, lease, limit, load, origin, quota, server, tunnel,
+};
 use crate::clock;
 
 /// A duration in whole milliseconds, as frames carry it; longer durations saturate.
@@ -107,6 +109,10 @@
     Standbys(Vec<lease::Record>),
     /// The receiver's gateways to servers that it can't reach itself, from the steward; replaces its previous list.
     Gateways(Vec<gateway::Gateway>),
+    /// The versions of groups' servers that the steward has seen.
+    Versions(origin::Versions),
+    /// Replies to questions about streams, from the steward.
+    Origins(Vec<origin::Reply>),
     /// The first frame on a connection that becomes a tunnel to a backend server.
     Tunnel(tunnel::Nonce),
 }
@@ -181,6 +187,9 @@
     /// The server has announced in an answer that it leaves.
     #[serde(default)]
     pub leaving: bool,
+    /// The version of the server's software; `None` if its entry or the sender's release doesn't tell.
+    #[serde(default)]
+    pub version: Option<SmolStr>,
 }
 
 impl Entry {
@@ -199,6 +208,7 @@
             started_ms: server.started_ms,
             revision: server.revision,
             leaving: false,
+            version: server.version.clone(),
         }
     }
 
@@ -229,6 +239,7 @@
             group: self.group,
             address: self.address,
             failure_domain: self.failure_domain,
+            version: self.version,
             slots: self.slots,
             ready: self.ready,
             stops_at,
--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -25,7 +25,7 @@
 use smol_str::SmolStr;
 
 use super::era::{Era, Position};
-use super::tunnel;
+use super::{origin, tunnel};
 use crate::clock;
 
 /// Fencing numbers between two takeovers, as a power of two. The number of a takeover derives from the
@@ -79,6 +79,8 @@
     pub end: Position,
     /// The secret that was written with the record.
     pub secret: Option<tunnel::Secret>,
+    /// The versions of groups' servers that the writer had seen; `None` from releases that don't distinguish them.
+    pub versions: Option<origin::Versions>,
 }
 
 impl Reading {
--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -52,6 +52,7 @@
 pub mod link;
 pub mod load;
 pub mod organisation;
+pub mod origin;
 pub mod plan;
 pub mod quota;
 pub mod rate;
--- a/crates/fireflywheel/src/fleet/server.rs
+++ b/crates/fireflywheel/src/fleet/server.rs
@@ -19,6 +19,8 @@
     pub address: SocketAddr,
     /// The server's failure domain.
     pub failure_domain: SmolStr,
+    /// The version of the server's software; `None` if the entry doesn't tell.
+    pub version: Option<SmolStr>,
     /// The number of requests that the server runs at once.
     pub slots: u32,
     /// The server accepts new requests.
--- a/crates/fireflywheel/tests/fleet/lease/rig.rs
+++ b/crates/fireflywheel/tests/fleet/lease/rig.rs
@@ -21,6 +21,7 @@
     pub fn read(&self) -> Reading {
         Reading {
             secret: None,
+            versions: None,
             record: self.record.clone(),
             end: self.end(),
         }
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod link;
 mod load;
 mod organisation;
+mod origin;
 mod overload;
 mod plan;
 mod quota;
--- a/crates/fireflywheel/tests/fleet/tracker.rs
+++ b/crates/fireflywheel/tests/fleet/tracker.rs
@@ -18,6 +18,7 @@
         group: "engines".into(),
         address: ([127, 0, 0, 1], 9).into(),
         failure_domain: "a".into(),
+        version: None,
         slots: 16,
         ready: true,
         stops_at: None,
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -39,6 +39,8 @@
     pub route: config::Route,
     /// The queue in which the request waits for a server.
     pub queue: node::QueueKey,
+    /// The version at which the stream began that the caller takes up again.
+    pub version: Option<SmolStr>,
     /// The organisation that sent the request; `None` if it is anonymous or the configuration has no organisations.
     pub organisation: Option<SmolStr>,
     /// The priority; 0 is the most urgent.
@@ -67,6 +69,8 @@
     pub in_flight: node::InFlight<P>,
     /// The server's id.
     pub server: SmolStr,
+    /// The version of the server's software, if it is known.
+    pub version: Option<SmolStr>,
 }
 
 /// The outcome of an attempt.
@@ -184,6 +188,7 @@
         connection,
         in_flight,
         server: server.clone(),
+        version: chosen.version.clone(),
     }))
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -441,6 +441,8 @@
         }
         frame::Frame::Directory(changes) => steward.node.apply_directory_changes(changes),
         frame::Frame::Gateways(gateways) => steward.node.set_gateways(gateways),
+        frame::Frame::Versions(versions) => steward.node.extend_versions(&versions),
+        frame::Frame::Origins(replies) => steward.node.handle_origin_replies(replies),
         frame::Frame::Hello { .. }
         | frame::Frame::Demand(_)
         | frame::Frame::ConfigUpdate(_)
--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -45,6 +45,8 @@
     lost_paths: IntGauge,
     gateways: IntGauge,
     tunnels: IntCounterVec,
+    resumptions: IntCounterVec,
+    remembered_streams: IntGauge,
     served_tunnels: IntCounterVec,
     steward: IntGauge,
     linked: IntGauge,
@@ -122,6 +124,15 @@
                 "Connections to backend servers through another instance, by result",
                 &["result"],
             )?,
+            resumptions: builder.counter(
+                "fleet_resumptions_total",
+                "Streams that callers take up again, by what tells the version at which each began",
+                &["told_by"],
+            )?,
+            remembered_streams: builder.gauge(
+                "fleet_remembered_streams",
+                "Streams that began at this instance and whose callers may come back to another",
+            )?,
             served_tunnels: builder.counter(
                 "fleet_served_tunnels_total",
                 "Connections to backend servers for another instance, by result",
@@ -237,6 +248,16 @@
     }
 
     /// Counts a connection to a backend server through another instance, by its result.
+    pub fn count_resumption(&self, told_by: &str) {
+        self.resumptions.with_label_values(&[told_by]).inc();
+    }
+
+    /// Sets the number of remembered streams.
+    pub fn set_remembered_streams(&self, count: usize) {
+        self.remembered_streams.set(count as i64);
+    }
+
+    /// Counts the result of opening a tunnel.
     pub fn count_tunnel(&self, result: &str) {
         self.tunnels.with_label_values(&[result]).inc();
     }
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -5,6 +5,7 @@
 mod demand;
 mod guard;
 mod limit;
+mod origin;
 mod path;
 mod quota;
 mod state;
@@ -134,7 +135,10 @@
     pub fn new(platform: P, settings: settings::Settings, metrics: metrics::Metrics) -> Self {
         let clock = Clock::new();
         let started = clock.now();
-        let state = State::new(started, settings.retry_budget.window);
+        let mut state = State::new(started, settings.retry_budget.window);
+        if settings.first_start {
+            state.origins.record_first_start(started);
+        }
         Self {
             platform,
             settings,
@@ -274,6 +278,9 @@
         let mut state = self.lock();
         state.announced_config = reads.version;
         state.update_config_lag(now);
+        if let Some(read) = reads.read {
+            state.origins.history.record_read(read);
+        }
         drop(state);
         self.steward_reads.send_replace(reads);
     }
@@ -306,6 +313,7 @@
         let mut state = self.lock();
         state.directory_read_at = Some(requested_at);
         state.era = era;
+        state.origins.history.record_read(requested_at);
     }
 
     /// Time since the older of the last reads of configuration and directory.
@@ -364,6 +372,8 @@
         if is_acting {
             state.subscriptions = None;
             state.pending_subscriptions.clear();
+            // What an earlier steward was told is now told to this one.
+            state.origins.link_opened();
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -30,6 +30,8 @@
     pub started_ms: u64,
     /// The address that it listens on.
     pub address: SocketAddr,
+    /// The version of its software, if it is known.
+    pub version: Option<SmolStr>,
     /// Maximum number of connections of this instance to it.
     pub connections: usize,
     /// Prompt tokens that it has to prefill, as far as it is known.
@@ -58,6 +60,8 @@
     Subscribing,
     /// The group has no server.
     NoServer,
+    /// No server of the required version can take the request, though servers of others may.
+    NoServerOfVersion,
 }
 
 /// A request that needs a server.
@@ -73,6 +77,8 @@
     pub tried: &'a [SmolStr],
     /// How long it can still wait for a server.
     pub remaining: Duration,
+    /// The version at which its stream began; `None` if it takes up no stream.
+    pub version: Option<&'a SmolStr>,
 }
 
 /// A server that was picked.
@@ -153,16 +159,31 @@
                 false => Choice::NoServer,
             };
         }
+        let usable = servers.len();
+        if query.version.is_some() {
+            servers.retain(|known| known.server.version.as_ref() == query.version);
+            if servers.is_empty() {
+                return Choice::NoServerOfVersion;
+            }
+        }
+        let has_other_versions = servers.len() < usable;
         if let (Some(_), Some(model)) = (&group.engine, &queue.model) {
             let prefer_steward = state.steward_data_valid(now);
             servers.retain(|known| {
                 let held = known.held(prefer_steward);
                 held.holds(model, queue.adapter.as_deref())
             });
+            // The model may become available at another version only.
+            if servers.is_empty() && has_other_versions {
+                return Choice::NoServerOfVersion;
+            }
             if servers.is_empty() {
                 return Choice::NotLoaded(forecast_wait(&state, queue, now));
             }
         }
+        if query.version.is_none() && query.route.kind == config::Kind::Resumable {
+            state.origins.retain_settled(now, &mut servers);
+        }
         let rests_until = |known: &state::ServerState| state.rests_until(now, known);
         let first_rest_end = servers.iter().filter_map(|known| rests_until(known)).min();
         servers.retain(|known| rests_until(known).is_none());
@@ -204,6 +225,7 @@
             server: picked.known.server.id.clone(),
             started_ms: picked.known.server.started_ms,
             address: picked.known.server.address,
+            version: picked.known.server.version.clone(),
             connections: state.connections(group.connections),
             prefill_tokens: picked.prefill_tokens,
         };
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -65,6 +65,7 @@
             permit_requests.extend(known.limit.take_request(now, id));
         }
         let leaving_servers = state.announcements.take_leaving_notices();
+        let origins = state.origins.take_report();
         let gates = state.quota_gates.iter_mut();
         let usage = gates
             .filter_map(|(organisation, gate)| gate.take_usage(now, organisation))
@@ -98,6 +99,7 @@
             needs_config: state.needs_config,
             read_age_ms: frame::millis(state.read_age(now)),
             unreached_groups: Some(state.paths.unreached_groups.clone()),
+            origins: Some(origins),
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -25,8 +25,8 @@
 use fireflywheel::fleet::subscription;
 use smol_str::SmolStr;
 
-use super::path;
 use super::{ConfigSource, QueueKey};
+use super::{origin, path};
 
 /// Number of instances assumed to share limits until it is known: with too many, each instance's part is only
 /// too small.
@@ -110,6 +110,7 @@
     pub(super) directory_catches_up_at: Option<clock::Instant>,
     pub(super) next_waiter: u64,
     pub(super) paths: path::Paths,
+    pub(super) origins: origin::Origins,
     /// When a planned stop will be over, once one has begun.
     pub(super) stop_deadline: Option<clock::Instant>,
 }
@@ -229,6 +230,7 @@
             directory_catches_up_at: None,
             next_waiter: 0,
             paths: path::Paths::default(),
+            origins: origin::Origins::default(),
             stop_deadline: None,
         }
     }
@@ -394,6 +396,8 @@
     }
 
     pub(super) fn remove_missing(&mut self, now: clock::Instant, missing_timeout: Duration) {
+        // Servers that are removed now were there until now.
+        self.observe_versions(now);
         let before = self.servers.len();
         let (gone, era) = (&mut self.gone_servers, self.era);
         gone.retain(|_, gone| now.since(gone.since) < GONE_SERVER_TTL);
@@ -442,6 +446,16 @@
         now.since(pending.since) >= SUBSCRIBE_TIMEOUT
     }
 
+    /// Records the versions of all servers.
+    pub(super) fn observe_versions(&mut self, now: clock::Instant) {
+        for known in self.servers.values() {
+            if let Some(version) = &known.server.version {
+                let group = &known.server.group;
+                self.origins.history.observe(now, group, version);
+            }
+        }
+    }
+
     pub(super) fn usable_servers<'a>(
         &'a self,
         now: clock::Instant,
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -106,6 +106,7 @@
         for holding in holdings.engines {
             state.store_holding(holding, now);
         }
+        state.observe_versions(now);
         for model in holdings.complete {
             state.complete_subscription(now, &model, &holders);
         }
@@ -143,6 +144,7 @@
         }
         state.announcements.link_opened();
         state.paths.link_opened();
+        state.origins.link_opened();
     }
 
     /// Sets whether the steward sends all engines, or only those that hold the models this instance
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -9,7 +9,7 @@
 use fireflywheel::clock;
 use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::era::{Era, Position};
-use fireflywheel::fleet::{announcement, lease, organisation, routing, server, tunnel};
+use fireflywheel::fleet::{announcement, lease, organisation, origin, routing, server, tunnel};
 use http_body_util::Full;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request};
@@ -37,6 +37,9 @@
     pub shared_prefix: Option<SharedPrefix>,
     /// The id of the last event that the caller received from an earlier attempt.
     pub last_event: Option<u64>,
+    /// The id of the attempt that brought the first event of the stream that the caller takes up again, as the caller
+    /// says.
+    pub resumes: Option<SmolStr>,
     /// The key that the request carries.
     pub identity: Identity,
     /// The length of the prompt plus the maximum length of the answer, in tokens, if the request states them.
@@ -247,11 +250,13 @@
     /// Reads the newest record of the steward's lease, and the secret that was written with it.
     fn read_lease(&self) -> impl Future<Output = Result<lease::Reading, StoreError>> + Send;
 
-    /// Writes a record of the steward's lease, with the secret of the fleet's tunnels, if nothing has been written since `end`.
+    /// Writes a record of the steward's lease, with the secret of the fleet's tunnels and the versions of servers that it
+    /// has seen, if nothing has been written since `end`.
     fn write_lease(
         &self,
         end: Position,
         record: &lease::Record,
         secret: &tunnel::Secret,
+        versions: &origin::Versions,
     ) -> impl Future<Output = Result<WriteOutcome, StoreError>> + Send;
 }
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -116,6 +116,10 @@
         let organisation = self.identify_organisation(&config, route, call)?;
         let body = incoming::read(body, &body_limits(&config.limits)).await?;
         let queue = queue_key(&config, route, call);
+        let version = match route.kind.is_stream() && call.last_event.is_some() {
+            true => Some(self.find_origin(call, &queue.group).await?),
+            false => None,
+        };
         if let Some(model) = &queue.model {
             self.node.count_arrival(&queue.group, model);
         }
@@ -140,6 +144,7 @@
             body,
             route: route.clone(),
             queue,
+            version,
             organisation: organisation.map(|organisation| organisation.name.clone()),
             priority: organisation
                 .and_then(|organisation| organisation.priority)
@@ -156,6 +161,37 @@
         result
     }
 
+    /// Finds the version at which the stream began that a caller takes up again.
+    async fn find_origin(
+        &self,
+        call: &platform::Call,
+        group: &SmolStr,
+    ) -> Result<SmolStr, errors::Problem> {
+        let found = self.node.find_origin(call, group).await;
+        let (result, age_ms) = (found.result, found.age.map_or(u64::MAX, clock::millis));
+        self.node.metrics.count_resumption(match &result {
+            Ok(_) => found.source,
+            Err(_) => "unknown",
+        });
+        log::info!(
+            request = call.id.as_str(), resumes = call.resumes.as_deref().unwrap_or_default(), group = group.as_str(),
+            version = result.as_deref().unwrap_or_default(), told_by = found.source, versions = found.versions as u64,
+            age_ms = age_ms;
+            "stream taken up again"
+        );
+        result.map_err(|wait| {
+            let message = "it is not known at which version the stream began";
+            let problem = unavailable("origin_unknown", message);
+            match wait {
+                Some(wait) => {
+                    let left = call.deadline.unwrap_or(wait);
+                    problem.with_retry_after(retry_after(wait, left))
+                }
+                None => problem,
+            }
+        })
+    }
+
     /// Sends a request to servers until one responds, or no further attempt is allowed.
     async fn dispatch(
         &self,
@@ -165,7 +201,7 @@
         let mut may_have_run = 0;
         let mut failure = unavailable("not_sent", "no server took it");
         for send_index in 0..MAX_SENDS {
-            let found = wait_for_server(&self.node, &job, &tried).await;
+            let found = wait_for_server(&self.node, &job, &tried, job.version.as_ref()).await;
             let chosen = match found {
                 Ok(chosen) => chosen,
                 Err(problem) if may_have_run == 0 => return Err(problem),
@@ -347,6 +383,7 @@
     node: &Arc<node::Node<P>>,
     job: &attempt::Job,
     tried: &[SmolStr],
+    version: Option<&SmolStr>,
 ) -> Result<node::Chosen, errors::Problem>
 where
     P: platform::Platform,
@@ -368,6 +405,7 @@
             call: &job.call,
             tried,
             remaining: give_up_at.since(now),
+            version,
         };
         let check_after = match node.choose(query) {
             node::Choice::Server(chosen) => return Ok(chosen),
@@ -380,6 +418,11 @@
                 return Err(unavailable("no_server", "no server of the group is there")
                     .with_retry_after(retry_after(wait, left)));
             }
+            node::Choice::NoServerOfVersion => {
+                let message = "no server of the version at which the stream began can take it";
+                return Err(unavailable("no_server_of_version", message)
+                    .with_retry_after(retry_after(NO_SERVER_RETRY_DELAY, left)));
+            }
             node::Choice::NotLoaded(Some(expected)) if now.after(expected) > give_up_at => {
                 return Err(unavailable("cold", "the model can't be loaded in time")
                     .with_retry_after(retry_after(expected, left)));
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod link;
 mod orders;
+mod origins;
 mod shares;
 mod state;
 mod updates;
@@ -25,6 +26,7 @@
 use fireflywheel::fleet::lease::{HandOver, Lease, Record};
 use fireflywheel::fleet::limit;
 use fireflywheel::fleet::limit::pacer;
+use fireflywheel::fleet::origin;
 use fireflywheel::fleet::plan;
 use fireflywheel::fleet::quota::meter;
 use fireflywheel::fleet::subscription;
@@ -118,6 +120,8 @@
             config_updates: None,
             entries: BTreeMap::new(),
             own_gateway: None,
+            origins: origin::Registry::new(origins::MAX_STREAMS),
+            versions: origin::Versions::default(),
             gateways_changed: false,
             gateways_sent_at: clock::Instant::default(),
             loads_sent: (clock::Instant::default(), false),
@@ -246,6 +250,7 @@
             config_version: None,
             config: None,
             requested_update: None,
+            knows_versions: false,
             has_waiting: false,
             all_engines,
             changed_engines: BTreeSet::new(),
@@ -260,12 +265,15 @@
         let instance = &self.node.settings.instance;
         let mut state = self.lock();
         state.meter.record_usage(now, instance, &demand.usage);
+        let origins = demand.origins.as_ref();
+        let origins = origins.map_or_else(Vec::new, |report| state.handle_origins(now, report));
         state.record_limits(now, &demand.limit_notices);
         let replies =
             state.answer_permit_requests(now, pacer::Requester::Own, &demand.permit_requests);
         drop(state);
         self.count_permits(&replies);
         self.node.handle_permit_replies(&replies);
+        self.node.handle_origin_replies(origins);
     }
 
     /// Handles a demand that was received over a link.
@@ -288,6 +296,10 @@
                 // The queue of a new link has room.
                 let _ = link.send(&frame::Frame::Limits(pacer.notices()));
             }
+            if heartbeat.active && demand.origins.is_some() && !link.knows_versions {
+                link.knows_versions = true;
+                let _ = link.send(&frame::Frame::Versions(self.node.versions()));
+            }
             // The configuration is sent before a heartbeat announces it, upon which the instance would wait for it
             // and then read the store.
             if let Some(updates) = config_updates.as_mut().filter(|_| heartbeat.active)
@@ -321,6 +333,10 @@
             );
             self.count_permits(&replies);
             state.send_permits(number, replies);
+            if let Some(report) = &demand.origins {
+                let replies = state.handle_origins(now, report);
+                state.send_origins(number, replies);
+            }
         }
         let arrived = demand.arrived.iter().map(|count| &count.model);
         for model in arrived.chain(demand.queues.iter().map(|queue| &queue.model)) {
@@ -499,6 +515,7 @@
             self.node.settings.quotas.window,
         );
         if version != tracked_versions {
+            state.send_versions(self.node.versions());
             state.send_directory(self.node.entries());
         }
         state.send_config(self.node.configs());
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -118,7 +118,12 @@
         self.lock().lease.mark_lost();
         self.plan_wake.notify_one();
         let secret = self.node.ensure_tunnel_secret();
-        let result = self.node.platform.write_lease(end, &record, &secret).await;
+        let versions = self.node.versions();
+        let written = self
+            .node
+            .platform
+            .write_lease(end, &record, &secret, &versions);
+        let result = written.await;
         log::info!(end = end.offset, given_up = matches!(result, Ok(platform::WriteOutcome::Stored(_))); "lease released");
     }
 
@@ -231,6 +236,9 @@
         match result {
             Ok(reading) => {
                 self.node.set_tunnel_secret(reading.secret.clone());
+                if let Some(versions) = &reading.versions {
+                    self.node.extend_versions(versions);
+                }
                 let mut state = self.lock();
                 self.update_era(self.node.now(), &mut state);
                 state.lease.record_reading(requested_at, reading);
@@ -246,7 +254,12 @@
     async fn write_lease(&self, end: Position, record: &super::Record) {
         let sent_at = self.node.now();
         let secret = self.node.ensure_tunnel_secret();
-        let result = self.node.platform.write_lease(end, record, &secret).await;
+        let versions = self.node.versions();
+        let written = self
+            .node
+            .platform
+            .write_lease(end, record, &secret, &versions);
+        let result = written.await;
         self.node.record_store_call("write lease", result.is_ok());
         let is_takeover = record.fencing.is_none();
         match result {
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -12,6 +12,7 @@
 use fireflywheel::fleet::gateway;
 use fireflywheel::fleet::lease;
 use fireflywheel::fleet::limit::pacer;
+use fireflywheel::fleet::origin;
 use fireflywheel::fleet::plan;
 use fireflywheel::fleet::quota;
 use fireflywheel::fleet::quota::meter;
@@ -82,6 +83,10 @@
     pub(super) config_updates: Option<updates::Cache>,
     /// The directory as it was last sent.
     pub(super) entries: BTreeMap<SmolStr, frame::Entry>,
+    /// The streams that instances have reported.
+    pub(super) origins: origin::Registry,
+    /// The versions of groups' servers as they were last sent.
+    pub(super) versions: origin::Versions,
     /// Whether the gateways of instances may have changed since they were last sent.
     pub(super) gateways_changed: bool,
     /// This instance as a gateway, when gateways were last sent.
@@ -128,8 +133,10 @@
         self.trackers.clear();
         self.subscriptions = subscription::Registry::default();
         self.tracked_versions = (0, 0);
+        self.versions = origin::Versions::default();
         for link in self.links.values_mut() {
             link.all_engines = false;
+            link.knows_versions = false;
         }
         self.forecasts.clear();
         self.meter = meter::Meter::default();
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -303,6 +303,7 @@
     loop {
         time::sleep(SWEEP_INTERVAL).await;
         node.pool.sweep(node.now());
+        node.sweep_origins();
         node.probe_failing_paths();
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -56,6 +56,7 @@
         framing,
         content: Content::new(&job.route, &upstream.head.headers),
         has_data: false,
+        origin: Origin::new(job.version.as_ref()),
         source: Source::new(upstream),
         tried: Vec::new(),
         runs: 1,
@@ -65,6 +66,29 @@
     response
 }
 
+/// The version at which a caller's stream began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Origin {
+    /// The caller has no data yet, so that it may begin anywhere.
+    Open,
+    Version(SmolStr),
+    /// The entry of the server that began it doesn't tell.
+    Unknown,
+}
+
+impl Origin {
+    fn new(version: Option<&SmolStr>) -> Self {
+        version.map_or(Self::Open, |version| Self::Version(version.clone()))
+    }
+
+    fn version(&self) -> Option<&SmolStr> {
+        match self {
+            Self::Version(version) => Some(version),
+            Self::Open | Self::Unknown => None,
+        }
+    }
+}
+
 /// What is known of the bytes of a stream.
 #[derive(Debug)]
 enum Content {
@@ -120,6 +144,7 @@
     connection: pool::Connection,
     keep_alive: Option<Duration>,
     server: SmolStr,
+    version: Option<SmolStr>,
     _in_flight: node::InFlight<P>,
 }
 
@@ -136,6 +161,8 @@
     content: Content,
     /// Whether the current run has sent anything.
     has_data: bool,
+    /// The version at which the caller's stream began, once the caller has data of it.
+    origin: Origin,
     source: Source<P>,
     tried: Vec<SmolStr>,
     /// The number of runs that have started.
@@ -168,6 +195,7 @@
             connection: upstream.connection,
             keep_alive: upstream.reply.keep_alive,
             server: upstream.server,
+            version: upstream.version,
             _in_flight: upstream.in_flight,
         }
     }
@@ -273,7 +301,9 @@
                 received::Part::Data(bytes) => bytes,
                 received::Part::End(ending) => return self.end_of(ending).await,
             };
-            self.has_data |= !bytes.is_empty();
+            if !bytes.is_empty() {
+                self.begin();
+            }
             match self.forward(bytes).await {
                 Ok(()) => {}
                 Err(end) => return end,
@@ -281,6 +311,22 @@
         }
     }
 
+    /// Notes that the current run has sent data. From the first on, the stream goes on only at the version that sent it;
+    /// callers that come back to another instance rely on what is reported here.
+    fn begin(&mut self) {
+        if std::mem::replace(&mut self.has_data, true) {
+            return;
+        }
+        if self.origin == Origin::Open {
+            let version = self.source.version.clone();
+            self.origin = version.map_or(Origin::Unknown, Origin::Version);
+        }
+        if let (Origin::Version(version), true) = (&self.origin, self.content.is_resumable()) {
+            self.node
+                .record_origin(&self.job.call.id, &self.job.queue.group, version);
+        }
+    }
+
     /// Decides what the end of a run means for the caller's stream.
     async fn end_of(&mut self, ending: Ending) -> End {
         let ending = match self.content {
@@ -348,6 +394,7 @@
             call: &job.call,
             tried: &tried,
             remaining: Duration::ZERO,
+            version: self.origin.version(),
         };
         match self.node.choose(query) {
             node::Choice::Server(chosen) if !tried.contains(&chosen.server) => {
@@ -369,7 +416,9 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.content.is_resumable() && self.runs < self.job.route.attempts
+        self.content.is_resumable()
+            && self.runs < self.job.route.attempts
+            && self.origin != Origin::Unknown
     }
 
     /// Starts another run in place of one that broke off.
@@ -385,7 +434,7 @@
     /// Waits for a server that can resume the stream, and takes a retry from the group's budget.
     async fn wait_for_server(&self) -> Option<node::Chosen> {
         let chosen = tokio::select! {
-            found = relay::wait_for_server(&self.node, &self.job, &self.tried) => found.ok()?,
+            found = relay::wait_for_server(&self.node, &self.job, &self.tried, self.origin.version()) => found.ok()?,
             () = self.sender.closed() => return None,
         };
         self.node.try_retry(&self.job.queue.group).then_some(chosen)
--- a/crates/fireflywheel_standin/src/main.rs
+++ b/crates/fireflywheel_standin/src/main.rs
@@ -150,6 +150,11 @@
         .arg(integer_arg("queue", "8"))
         .arg(integer_arg("model-mb", "40"))
         .arg(integer_arg("weights-mb", "83"))
+        .arg(
+            Arg::new("software-version")
+                .long("software-version")
+                .default_value("v1"),
+        )
 }
 
 fn path_arg(name: &'static str, help: &'static str) -> Arg {
@@ -380,6 +385,7 @@
         queue: usize_value(args, "queue"),
         model_mb: u64_value(args, "model-mb"),
         weights_mb: u64_value(args, "weights-mb"),
+        version: text_value(args, "software-version").into(),
         prints_lines: true,
     };
     let mut worker = site::worker::Worker::with_options(
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -29,6 +29,9 @@
 /// Default number of requests that run concurrently, which directory entries contain.
 const DEFAULT_SLOTS: usize = 8;
 
+/// Default version of the software.
+const DEFAULT_VERSION: &str = "v1";
+
 /// Settings of a worker.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -48,6 +51,8 @@
     pub model_mb: u64,
     /// Memory for weights in MB.
     pub weights_mb: u64,
+    /// Version of the software. Events name it if it is not the default.
+    pub version: SmolStr,
     /// Whether the worker writes its events to standard output, one [`Line`] each.
     pub prints_lines: bool,
 }
@@ -63,6 +68,7 @@
             queue: usize::MAX,
             model_mb: 0,
             weights_mb: 0,
+            version: DEFAULT_VERSION.into(),
             prints_lines: false,
         }
     }
@@ -147,6 +153,19 @@
     pub resets: bool,
 }
 
+/// Returns the versions of the workers that have written a stream's events. A sound stream has one.
+#[must_use]
+pub fn versions(events: &str) -> BTreeSet<&str> {
+    let events = events.split("\n\n").filter(|event| event.contains("id: "));
+    events
+        .map(|event| {
+            let mut lines = event.lines();
+            let version = lines.find_map(|line| line.strip_prefix("version: "));
+            version.unwrap_or(DEFAULT_VERSION)
+        })
+        .collect()
+}
+
 /// A cloneable handle to how the next answers of workers are delivered.
 #[derive(Clone, Debug, Default)]
 pub struct Deliveries(Arc<Mutex<VecDeque<Delivery>>>);
@@ -214,6 +233,18 @@
         Self::with_options(id, service, options)
     }
 
+    /// Creates a worker of `service` with a version of the software, for which each load of a model takes `load`.
+    #[must_use]
+    pub fn with_version(id: &str, service: &str, load: Duration, version: &str) -> Self {
+        let options = Options {
+            load,
+            disk_load: load,
+            version: version.into(),
+            ..Options::default()
+        };
+        Self::with_options(id, service, options)
+    }
+
     /// Creates a worker of `service` that starts now.
     #[must_use]
     pub fn with_options(id: &str, service: &str, options: Options) -> Self {
@@ -272,7 +303,7 @@
             state.entry_seq
         };
         let fields = json!({
-            "service": self.inner.service, "address": address, "zone": "z1", "version": "v1",
+            "service": self.inner.service, "address": address, "zone": "z1", "version": self.inner.options.version,
             "slots": self.inner.options.slots, "state": state, "coldLeftMs": 0, "seq": seq,
             "born": self.inner.started_ms,
         });
@@ -549,7 +580,7 @@
                 after.unwrap_or_default(),
                 faults,
                 delivery,
-                self.inner.options.event_interval,
+                &self.inner.options,
                 running,
             )
         } else {
@@ -673,9 +704,14 @@
     after: u64,
     faults: Switches,
     delivery: Delivery,
-    interval: Duration,
+    options: &Options,
     running: RunningGuard,
 ) -> http::Answer {
+    let interval = options.event_interval;
+    let mark = match options.version.as_str() {
+        DEFAULT_VERSION => String::new(),
+        version => format!("version: {version}\n"),
+    };
     let cut = match faults.cut_streams {
         0 => delivery.cut,
         _ => Some(Cut::WithinEvent),
@@ -688,7 +724,7 @@
             if faults.pause_streams > 0 && id == after + 3 {
                 time::sleep(STREAM_PAUSE).await;
             }
-            let event = format!("id: {id}\ndata: t{id}\n\n");
+            let event = format!("id: {id}\n{mark}data: t{id}\n\n");
             let kept = match cut {
                 Some(Cut::BeforeFirstByte) => Some(0),
                 Some(Cut::WithinEvent) if id == after + 3 => Some(5),
