A new steward sends the whole directory to every instance

What a steward learned by its own reads before it took over was in no change told after it: a link that was opened before the first plan of the stewardship got no directory, and after that only changes; engines were sent without saying that these are all. The list of what was sent also outlived a stewardship.

Each link now receives the whole directory of a stewardship once, with the groups that it is complete for, engines included once the instance receives all of them, and changes only after that.

--- a/crates/fireflywheel_daemon/src/fleet/steward/broadcast.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/broadcast.rs
@@ -128,20 +128,7 @@
     /// Frames for an instance with a new link. They contain engines only if it receives all of them.
     pub(super) fn first_frames(&self, now: clock::Instant, all_engines: bool) -> Vec<frame::Frame> {
         let mut frames = Vec::new();
-        if !self.entries.is_empty() {
-            let receives = |group: &SmolStr| all_engines || !self.engine_groups.contains(group);
-            let entries = self.entries.values();
-            let groups = self.groups.iter().filter(|group| receives(group));
-            frames.push(frame::Frame::Directory(frame::Changes {
-                // Groups without a server are included: the receiver may know servers that are gone.
-                complete_groups: groups.cloned().collect(),
-                entries: entries
-                    .filter(|entry| receives(&entry.group))
-                    .cloned()
-                    .collect(),
-                removed: Vec::new(),
-            }));
-        }
+        frames.extend(self.whole_directory(all_engines));
         if all_engines {
             frames.extend(self.engine_frames(now));
         }
@@ -153,6 +140,22 @@
         frames
     }
 
+    /// The whole directory; engines only with `all_engines`. `None` before it is known in this stewardship.
+    fn whole_directory(&self, all_engines: bool) -> Option<frame::Frame> {
+        let receives = |group: &SmolStr| all_engines || !self.engine_groups.contains(group);
+        let entries = self.entries.as_ref()?.values();
+        let groups = self.groups.iter().filter(|group| receives(group));
+        Some(frame::Frame::Directory(frame::Changes {
+            // Groups without a server are included: the receiver may know servers that are gone.
+            complete_groups: groups.cloned().collect(),
+            entries: entries
+                .filter(|entry| receives(&entry.group))
+                .cloned()
+                .collect(),
+            removed: Vec::new(),
+        }))
+    }
+
     /// All engines, in frames of a size that a slow link can take between two heartbeats.
     fn engine_frames(&self, now: clock::Instant) -> Vec<frame::Frame> {
         let engines: Vec<frame::EngineHoldings> = self
@@ -204,10 +207,11 @@
         {
             return;
         }
-        let all_frames: Vec<Bytes> = self
-            .engine_frames(now)
-            .iter()
-            .map(frame::Frame::encode)
+        // The receivers may know engines that are gone.
+        let all_frames = self.whole_directory(true).into_iter();
+        let all_frames: Vec<Bytes> = all_frames
+            .chain(self.engine_frames(now))
+            .map(|frame| frame.encode())
             .collect();
         let partial_frame = frame::Frame::AllEngines(false).encode();
         self.links.retain(|_, link| {
@@ -269,15 +273,18 @@
     /// Sends the changes of the directory: those of engines to the links that receive these engines, and
     /// those of other servers to all links.
     pub(super) fn send_directory(&mut self, entries: BTreeMap<SmolStr, frame::Entry>) {
-        let changes = frame::Changes::between(&self.entries, &entries);
-        let before = std::mem::replace(&mut self.entries, entries);
-        let Some(changes) = changes else {
+        let before = self.entries.replace(entries);
+        self.send_whole_directory();
+        let (Some(before), Some(entries)) = (&before, &self.entries) else {
+            return;
+        };
+        let Some(changes) = frame::Changes::between(before, entries) else {
             return;
         };
         let mut subscribers: BTreeMap<SmolStr, BTreeSet<u64>> = BTreeMap::new();
         let changed = changes.entries.iter().map(|entry| &entry.id);
         for id in changed.chain(&changes.removed) {
-            let entry = self.entries.get(id).or_else(|| before.get(id));
+            let entry = entries.get(id).or_else(|| before.get(id));
             if entry.is_some_and(|entry| self.engine_groups.contains(&entry.group)) {
                 subscribers.insert(id.clone(), self.subscriptions.subscribers(id));
             }
@@ -300,6 +307,18 @@
         });
     }
 
+    /// Sends the whole directory to the links that haven't received it from this stewardship.
+    fn send_whole_directory(&mut self) {
+        let frames = [false, true].map(|all_engines| self.whole_directory(all_engines));
+        let frames = frames.map(|frame| frame.as_ref().map(frame::Frame::encode));
+        self.links.retain(|_, link| {
+            let frame = frames[usize::from(link.all_engines)].as_ref();
+            let frame = frame.filter(|_| !link.has_directory);
+            link.has_directory = true;
+            frame.is_none_or(|frame| link.sender.try_send(frame.clone()).is_ok())
+        });
+    }
+
     /// Marks an engine as changed for the links that receive it.
     pub(super) fn mark_changed(&mut self, server: &SmolStr) {
         let models = self
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -47,6 +47,9 @@
     pub(super) config: Option<demand::Holding>,
     /// The last update that it was sent on its own request.
     pub(super) requested_update: Option<(demand::Holding, update::Revision)>,
+    /// Whether it has received the whole directory from this stewardship. Changes alone would leave it with servers that
+    /// are gone since it heard from an earlier steward.
+    pub(super) has_directory: bool,
     /// Whether its release distinguishes versions of servers. A frame that it can't read would end the link.
     pub(super) knows_versions: bool,
     /// Whether requests wait there, so that each change of an engine may matter to it at once.
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -81,8 +81,8 @@
     pub(super) sent_config: Option<update::Revision>,
     /// Updates to the newest configuration, while this instance is the active steward.
     pub(super) config_updates: Option<updates::Cache>,
-    /// The directory as it was last sent.
-    pub(super) entries: BTreeMap<SmolStr, frame::Entry>,
+    /// The directory as it was last sent; `None` before that in this stewardship.
+    pub(super) entries: Option<BTreeMap<SmolStr, frame::Entry>>,
     /// The streams that instances have reported.
     pub(super) origins: origin::Registry,
     /// The versions of groups' servers as they were last sent.
@@ -134,8 +134,10 @@
         self.subscriptions = subscription::Registry::default();
         self.tracked_versions = (0, 0);
         self.versions = origin::Versions::default();
+        self.entries = None;
         for link in self.links.values_mut() {
             link.all_engines = false;
+            link.has_directory = false;
             link.knows_versions = false;
         }
         self.forecasts.clear();
