A new steward is told again what its own instance had told an earlier one

An instance that becomes steward had told the earlier one which servers name a limit, what its organisations used, and which streams began there, and told nobody again: it has no link to itself. The same is now told again on a new link and on a new stewardship.

--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -372,8 +372,7 @@
         if is_acting {
             state.subscriptions = None;
             state.pending_subscriptions.clear();
-            // What an earlier steward was told is now told to this one.
-            state.origins.link_opened();
+            state.tell_steward_again();
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -446,6 +446,18 @@
         now.since(pending.since) >= SUBSCRIBE_TIMEOUT
     }
 
+    /// Makes the next demand contain all that an earlier steward was told, for another one, be it this instance.
+    pub(super) fn tell_steward_again(&mut self) {
+        for gate in self.quota_gates.values_mut() {
+            gate.link_opened();
+        }
+        for known in self.servers.values_mut() {
+            known.limit.link_opened();
+        }
+        self.announcements.link_opened();
+        self.origins.link_opened();
+    }
+
     /// Records the versions of all servers.
     pub(super) fn observe_versions(&mut self, now: clock::Instant) {
         for known in self.servers.values() {
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -136,15 +136,8 @@
         for pending in state.pending_subscriptions.values_mut() {
             pending.is_sent = false;
         }
-        for gate in state.quota_gates.values_mut() {
-            gate.link_opened();
-        }
-        for known in state.servers.values_mut() {
-            known.limit.link_opened();
-        }
-        state.announcements.link_opened();
         state.paths.link_opened();
-        state.origins.link_opened();
+        state.tell_steward_again();
     }
 
     /// Sets whether the steward sends all engines, or only those that hold the models this instance
