The soak plays answers without a stated end, and engines of two software versions

Workers deliver series of answers that state neither a length nor chunks: whole, ended too early at and within an event, and reset. Engines of two versions serve side by side, each restart replaces one by the other, and their events name the version. Callers check that an answer which states its end is whole, that any other is a beginning of it, and that no stream has events of two versions; the checker is tested with mixtures made on purpose.

--- a/crates/fireflywheel_standin/src/fault.rs
+++ b/crates/fireflywheel_standin/src/fault.rs
@@ -65,6 +65,8 @@
     late_ms / with_late_ms: u64;
     /// Delay of every answer in milliseconds, also of one without an effect.
     transit_ms / with_transit_ms: u64;
+    /// Worker: number of next answers that state neither a length nor chunks. Most of them end too early.
+    end_unstated / with_end_unstated: u64;
     /// Number of next streams that send one chunk twice.
     duplicate_answers / with_duplicate_answers: u64;
     /// Refuses new requests as draining, and reports so in the load report.
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -166,6 +166,24 @@
         .collect()
 }
 
+/// How the answers are delivered in turn that state neither a length nor chunks.
+const UNSTATED: [Delivery; 6] = [
+    unstated(None, false),
+    unstated(Some(Cut::BeforeFirstByte), false),
+    unstated(Some(Cut::WithinEvent), false),
+    unstated(Some(Cut::AfterEvent), false),
+    unstated(Some(Cut::WithinEvent), true),
+    unstated(Some(Cut::AfterEvent), true),
+];
+
+const fn unstated(cut: Option<Cut>, resets: bool) -> Delivery {
+    Delivery {
+        until_close: true,
+        cut,
+        resets,
+    }
+}
+
 /// A cloneable handle to how the next answers of workers are delivered.
 #[derive(Clone, Debug, Default)]
 pub struct Deliveries(Arc<Mutex<VecDeque<Delivery>>>);
@@ -618,7 +636,14 @@
         });
         let fail = try_consume(&mut state.switches.fail);
         let streams = request.header("x-model").is_some() && !fail;
-        let delivery = state.deliveries.take();
+        let delivery = match self
+            .inner
+            .injector
+            .try_consume(|switches| &mut switches.end_unstated)
+        {
+            true => UNSTATED[state.taken.len() % UNSTATED.len()],
+            false => state.deliveries.take(),
+        };
         let faults = Switches {
             cut_streams: u32::from(streams && try_consume(&mut state.switches.cut_streams)),
             pause_streams: u32::from(streams && try_consume(&mut state.switches.pause_streams)),
--- a/crates/fireflywheel_standin/src/trial/deployment.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment.rs
@@ -298,6 +298,10 @@
                 let change = fault::Change::new().with_lose_answers(count);
                 self.set_worker_faults(index, &change).await;
             }
+            Action::EndAnswersUnstated(index, count) => {
+                let change = fault::Change::new().with_end_unstated(count);
+                self.set_worker_faults(index, &change).await;
+            }
             Action::BreakLink(link, fault) => self.proxy(link).inject(fault),
             Action::HealLink(link) => self.proxy(link).heal(),
             Action::SetStoreOutage(is_out) => {
--- a/crates/fireflywheel_standin/src/trial/deployment/launch.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment/launch.rs
@@ -177,6 +177,9 @@
             .with_args(["--reached-at", &worker.link.address().to_string()])
             .with_lines(sender);
         if worker.is_engine {
+            // Engines of both versions serve side by side, and each restart replaces one by the other.
+            let version = 1 + (index as u64 + worker.incarnation) % 2;
+            program = program.with_args(["--software-version", &format!("v{version}")]);
             program = program.with_args(&self.options.engine_args);
             // Initially, each model is on the disk of one engine.
             let models = 0..self.options.models;
--- a/crates/fireflywheel_standin/src/trial/script.rs
+++ b/crates/fireflywheel_standin/src/trial/script.rs
@@ -12,6 +12,8 @@
 const FAULTS_PER_SERIES: u32 = 5;
 /// Time between two faults of a series, in milliseconds.
 const SERIES_INTERVAL_MS: std::ops::Range<u64> = 150..900;
+/// Time between two series of answers that state neither a length nor chunks, in milliseconds.
+const UNSTATED_INTERVAL_MS: std::ops::Range<u64> = 200..1200;
 /// With [`Faults::Drills`], one fault in this many restores the store from an older copy.
 const FAULTS_PER_RESTORE: u32 = 6;
 /// Age of the copy that the store is restored from, in milliseconds.
@@ -106,6 +108,8 @@
     ReplaceWorker(usize),
     /// Drops the answers of a worker to this many of its next requests or orders, which it still carries out.
     LoseWorkerAnswers(usize, u64),
+    /// Lets this many of a worker's next answers state neither a length nor chunks. Most of them end too early.
+    EndAnswersUnstated(usize, u64),
     /// Injects a fault on a link.
     BreakLink(LinkId, LinkFault),
     /// Ends the faults of a link.
@@ -161,10 +165,28 @@
         }
         at += draw_duration(&mut rng, FAULT_INTERVAL_MS);
     }
+    if faults != Faults::Planned {
+        steps.extend(unstated_endings(seed, time, sizes));
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Returns the steps after which answers state neither a length nor chunks. They are drawn apart from the others, which
+/// stay the same for a seed.
+fn unstated_endings(seed: u64, time: Duration, sizes: Sizes) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let mut steps = Vec::new();
+    let mut at = draw_duration(&mut rng, UNSTATED_INTERVAL_MS);
+    while at < time {
+        let worker = rng.random_range(0..sizes.workers);
+        let action = Action::EndAnswersUnstated(worker, rng.random_range(1..8));
+        steps.push(Step { at, action });
+        at += draw_duration(&mut rng, UNSTATED_INTERVAL_MS);
+    }
+    steps
+}
+
 fn draw_duration(rng: &mut StdRng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
 }
--- a/crates/fireflywheel_standin/tests/trial.rs
+++ b/crates/fireflywheel_standin/tests/trial.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
+use fireflywheel_standin::site::worker::EVENTS;
 use fireflywheel_standin::trial::book::{Book, Probe};
-use fireflywheel_standin::trial::caller::{Answer, Call, Kind, Outcome, Seen};
+use fireflywheel_standin::trial::caller::{self, Answer, Call, Kind, Outcome, Seen};
 use fireflywheel_standin::trial::proxy::{Flow, Proxy};
 use fireflywheel_standin::trial::replay::{Options, Pattern, arrivals};
 use fireflywheel_standin::trial::script::{Action, Faults, Sizes, steps};
@@ -24,6 +25,7 @@
         signed: true,
         id: Some("r1".into()),
         has_retry_after: false,
+        states_end: true,
         flaw: None,
     })
 }
@@ -250,3 +252,44 @@
     assert_eq!(send_through(Proxy::silence).await, (false, false));
     assert_eq!(send_through(Proxy::reset).await, (false, false));
 }
+
+/// Returns what the checker of callers finds in a stream.
+fn stream_flaw(text: &str, states_end: bool) -> Option<&'static str> {
+    let call = Call {
+        id: "r".into(),
+        kind: Kind::Stream,
+        model: Some("m1".into()),
+        size: 0,
+        deadline: Duration::from_secs(1),
+    };
+    caller::find_flaw(&call, text.as_bytes(), states_end)
+}
+
+/// Returns the events of a stream up to one, all of them marked in the same way.
+fn stream(mark: &str, last: u64) -> String {
+    let events = 1..=last;
+    events
+        .map(|id| format!("id: {id}\n{mark}data: t{id}\n\n"))
+        .collect()
+}
+
+/// Guards against a checker that doesn't find a short stream, or that finds one where nobody said that it is whole.
+#[test]
+fn short_stream_is_a_flaw_if_its_end_is_stated() {
+    for mark in ["", "version: v2\n"] {
+        assert_eq!(stream_flaw(&stream(mark, EVENTS), true), None);
+        assert!(stream_flaw(&stream(mark, EVENTS - 1), true).is_some());
+        assert_eq!(stream_flaw(&stream(mark, EVENTS - 1), false), None);
+    }
+}
+
+/// Guards against a checker that doesn't find events of two versions in a stream.
+#[test]
+fn mixed_stream_is_a_flaw() {
+    let other = stream("version: v2\n", EVENTS);
+    let mixed = stream("", 3) + &other[other.find("id: 4").expect("there is a fourth event")..];
+    for states_end in [true, false] {
+        let flaw = stream_flaw(&mixed, states_end);
+        assert_eq!(flaw, Some("the stream has events of two versions"));
+    }
+}
