The steward sends the versions of servers again every three seconds

An instance that doesn't receive all engines counted the time since a version was last seen from the frame that brought it, which came only when a version came or went. It would have forgotten a version that had served until a moment ago after 45 s, and taken another one for the only one. Found in reading; no run showed it.

--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -122,6 +122,7 @@
             own_gateway: None,
             origins: origin::Registry::new(origins::MAX_STREAMS),
             versions: origin::Versions::default(),
+            versions_sent_at: clock::Instant::default(),
             gateways_changed: false,
             gateways_sent_at: clock::Instant::default(),
             loads_sent: (clock::Instant::default(), false),
@@ -516,9 +517,9 @@
             self.node.settings.quotas.window,
         );
         if version != tracked_versions {
-            state.send_versions(self.node.versions());
             state.send_directory(self.node.entries());
         }
+        state.send_versions(now, self.node.versions());
         state.send_config(self.node.configs());
         state.send_heartbeat(now, &heartbeat);
         let gateways = state.send_gateways(now, &self.own_gateway());
--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -1,5 +1,7 @@
 //! Versions of servers' software, and at which of them streams began, as collected and sent by the steward.
 
+use std::time::Duration;
+
 use fireflywheel::clock;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::origin;
@@ -9,6 +11,9 @@
 /// Maximum number of streams that the steward remembers, some 10 MB.
 pub(super) const MAX_STREAMS: usize = 50_000;
 
+/// Interval at which unchanged versions are sent again. It shortens the time for which a version is remembered.
+const RESEND_INTERVAL: Duration = Duration::from_secs(3);
+
 impl State {
     /// Records the streams that an instance reports, and answers its questions.
     pub(super) fn handle_origins(
@@ -44,16 +49,19 @@
         }
     }
 
-    /// Sends the versions of groups' servers when one has come or gone.
-    pub(super) fn send_versions(&mut self, versions: origin::Versions) {
+    /// Sends the versions of groups' servers when one has come or gone, and at intervals: instances that don't receive all
+    /// engines count the time since a version was last seen from the last frame that has it.
+    pub(super) fn send_versions(&mut self, now: clock::Instant, versions: origin::Versions) {
         let names = |versions: &origin::Versions| {
             let seen = versions.seen.iter();
             seen.map(|(group, version, _)| (group.clone(), version.clone()))
                 .collect::<Vec<_>>()
         };
-        if names(&versions) == names(&self.versions) {
+        let is_due = now.since(self.versions_sent_at) >= RESEND_INTERVAL;
+        if !is_due && names(&versions) == names(&self.versions) {
             return;
         }
+        self.versions_sent_at = now;
         let frame = frame::Frame::Versions(versions.clone()).encode();
         self.versions = versions;
         self.links
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -87,6 +87,8 @@
     pub(super) origins: origin::Registry,
     /// The versions of groups' servers as they were last sent.
     pub(super) versions: origin::Versions,
+    /// When they were last sent.
+    pub(super) versions_sent_at: clock::Instant,
     /// Whether the gateways of instances may have changed since they were last sent.
     pub(super) gateways_changed: bool,
     /// This instance as a gateway, when gateways were last sent.
