A stream without an event at its caller may begin at any version

A run that broke off within its first event pinned the stream to its version, although the caller had nothing of it yet. The version now counts from the first event that is forwarded.

--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -57,6 +57,7 @@
         content: Content::new(&job.route, &upstream.head.headers),
         has_data: false,
         origin: Origin::new(job.version.as_ref()),
+        has_begun: false,
         source: Source::new(upstream),
         tried: Vec::new(),
         runs: 1,
@@ -69,7 +70,7 @@
 /// The version at which a caller's stream began.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Origin {
-    /// The caller has no data yet, so that it may begin anywhere.
+    /// The caller has no event yet, so that the stream may begin anywhere.
     Open,
     Version(SmolStr),
     /// The entry of the server that began it doesn't tell.
@@ -161,8 +162,10 @@
     content: Content,
     /// Whether the current run has sent anything.
     has_data: bool,
-    /// The version at which the caller's stream began, once the caller has data of it.
+    /// The version at which the caller's stream began, once the caller has events of it.
     origin: Origin,
+    /// Whether an event of this response has been forwarded.
+    has_begun: bool,
     source: Source<P>,
     tried: Vec<SmolStr>,
     /// The number of runs that have started.
@@ -301,9 +304,7 @@
                 received::Part::Data(bytes) => bytes,
                 received::Part::End(ending) => return self.end_of(ending).await,
             };
-            if !bytes.is_empty() {
-                self.begin();
-            }
+            self.has_data |= !bytes.is_empty();
             match self.forward(bytes).await {
                 Ok(()) => {}
                 Err(end) => return end,
@@ -311,17 +312,17 @@
         }
     }
 
-    /// Notes that the current run has sent data. From the first on, the stream goes on only at the version that sent it;
+    /// Notes that an event is about to be forwarded. From the first on, the stream goes on only at the version that sent it;
     /// callers that come back to another instance rely on what is reported here.
     fn begin(&mut self) {
-        if std::mem::replace(&mut self.has_data, true) {
+        if std::mem::replace(&mut self.has_begun, true) {
             return;
         }
         if self.origin == Origin::Open {
             let version = self.source.version.clone();
             self.origin = version.map_or(Origin::Unknown, Origin::Version);
         }
-        if let (Origin::Version(version), true) = (&self.origin, self.content.is_resumable()) {
+        if let Origin::Version(version) = &self.origin {
             self.node
                 .record_origin(&self.job.call.id, &self.job.queue.group, version);
         }
@@ -370,8 +371,10 @@
         if splitter.pending() > MAX_EVENT_BYTES {
             return Err(End::Broken("an event too large"));
         }
-        while let Some(event) = splitter.pop() {
-            self.sender.send(event).await.map_err(|_| End::CallerGone)?;
+        let events: Vec<Bytes> = std::iter::from_fn(|| splitter.pop()).collect();
+        for event in events {
+            self.begin();
+            self.send_part(event).await?;
         }
         Ok(())
     }
