A stream whose earlier run was lost is not resumed beyond its route's attempts

A run whose answer was lost, then one whose stream broke off, and a third that resumed it: the forwarder counted its runs from one, whatever had been sent before. It now begins with the number of runs that have or may have started.

--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -288,7 +288,8 @@
         let status = upstream.head.status;
         if job.route.kind.is_stream() && status.is_success() {
             self.record_answer(job, status, &upstream.server, upstream.body.framing());
-            return Ok(stream::forward(&self.node, Arc::clone(job), upstream));
+            let runs = may_have_run + 1;
+            return Ok(stream::forward(&self.node, Arc::clone(job), upstream, runs));
         }
         let server = upstream.server.clone();
         let framing = upstream.body.framing();
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -36,11 +36,13 @@
 /// Idle timeout of a resumable stream whose route sets no maximum event gap, and the minimum for all routes.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Returns the response for the caller and starts forwarding the body of `upstream` to it.
+/// Returns the response for the caller and starts forwarding the body of `upstream` to it. `runs` is the number of runs that
+/// have or may have started, including this one.
 pub fn forward<P>(
     node: &Arc<node::Node<P>>,
     job: Arc<attempt::Job>,
     upstream: attempt::Response<P>,
+    runs: u32,
 ) -> Response<door::Body>
 where
     P: platform::Platform,
@@ -60,7 +62,7 @@
         has_begun: false,
         source: Source::new(upstream),
         tried: Vec::new(),
-        runs: 1,
+        runs,
         job,
     };
     tokio::spawn(forwarder.run());
@@ -168,7 +170,7 @@
     has_begun: bool,
     source: Source<P>,
     tried: Vec<SmolStr>,
-    /// The number of runs that have started.
+    /// The number of runs that have or may have started.
     runs: u32,
 }
 
