A caller's long Resumes is not sent to the steward

Found in the last reading: 256 questions with ids of as many bytes as a head may have would exceed the largest frame, which ends the link to the steward. Ids that are too long to be recorded are now unknown at once.

--- a/crates/fireflywheel/src/fleet/origin.rs
+++ b/crates/fireflywheel/src/fleet/origin.rs
@@ -33,7 +33,7 @@
 const YOUNG_TIME: Duration = Duration::from_secs(3);
 
 /// Maximum length of the id of an attempt that is remembered, in bytes.
-const MAX_ID_BYTES: usize = 64;
+pub const MAX_ID_BYTES: usize = 64;
 
 /// A stream that began at a version of a group's servers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/fireflywheel_daemon/src/fleet/node/origin.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/origin.rs
@@ -145,7 +145,8 @@
     /// version at most: the request runs as the caller's own in any case.
     pub async fn find_origin(self: &Arc<Self>, call: &platform::Call, group: &SmolStr) -> Found {
         let answer = match &call.resumes {
-            Some(attempt) => {
+            // A longer id is nowhere recorded, and many of them would not fit into a frame.
+            Some(attempt) if attempt.len() <= origin::MAX_ID_BYTES => {
                 let query = Query {
                     attempt: attempt.clone(),
                     group: group.clone(),
@@ -155,7 +156,7 @@
                 }
                 self.ask_steward(query).await
             }
-            None => None,
+            Some(_) | None => None,
         };
         match answer {
             Some(Answer::Version(version)) => self.found(group, "steward", Ok(version)),
--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -8,7 +8,7 @@
 
 use super::state::State;
 
-/// Maximum number of streams that the steward remembers, some 10 MB.
+/// Maximum number of streams that the steward remembers, which bounds its memory.
 pub(super) const MAX_STREAMS: usize = 50_000;
 
 /// Interval at which unchanged versions are sent again. It shortens the time for which a version is remembered.
