--- a/crates/fireflywheel_standin/src/main.rs
+++ b/crates/fireflywheel_standin/src/main.rs
@@ -150,6 +150,11 @@
         .arg(integer_arg("queue", "8"))
         .arg(integer_arg("model-mb", "40"))
         .arg(integer_arg("weights-mb", "83"))
+        .arg(
+            Arg::new("crash-part")
+                .long("crash-part")
+                .help("Part of prompts on which it crashes"),
+        )
         .arg(
             Arg::new("software-version")
                 .long("software-version")
@@ -387,6 +392,7 @@
         weights_mb: u64_value(args, "weights-mb"),
         version: text_value(args, "software-version").into(),
         prints_lines: true,
+        crash_part: args.get_one::<String>("crash-part").map(Into::into),
     };
     let mut worker = site::worker::Worker::with_options(
         text_value(args, "id"),
--- /dev/null
+++ b/crates/fireflywheel_standin/src/site/host.rs
@@ -0,0 +1,150 @@
+//! An address at which workers run one after another: each one that crashes is replaced after a while.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use smol_str::format_smolstr;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::time;
+
+use super::store::{SERVERS, Store};
+use super::worker::{Options, Worker};
+
+/// Interval between attempts to bind an address that is still in use.
+const BIND_INTERVAL: Duration = Duration::from_millis(1);
+/// Number of connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Settings of a host.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name; the ids of its workers begin with it.
+    pub name: &'static str,
+    /// Service of its workers.
+    pub service: &'static str,
+    /// Model that its first worker holds, and that all have on disk.
+    pub model: &'static str,
+    /// Time from a crash to the start of the next worker. Meanwhile, connections to the address are refused.
+    pub downtime: Duration,
+    /// Settings of its workers.
+    pub worker: Options,
+}
+
+/// A cloneable handle to a host.
+#[derive(Clone, Debug)]
+pub struct Host {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: Settings,
+    address: SocketAddr,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// All workers, the current one last.
+    workers: Vec<Worker>,
+    crashes: Vec<time::Instant>,
+}
+
+impl Host {
+    /// Creates a host and its first worker at a port that the operating system assigns.
+    ///
+    /// # Errors
+    /// If no port is free.
+    pub fn bind(settings: Settings) -> anyhow::Result<(Self, TcpListener)> {
+        let socket = bind_socket(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let address = socket.local_addr()?;
+        let worker = new_worker(&settings, 0).with_model(settings.model);
+        let state = State {
+            workers: vec![worker],
+            crashes: Vec::new(),
+        };
+        let inner = Inner {
+            settings,
+            address,
+            state: Mutex::new(state),
+        };
+        let host = Self {
+            inner: Arc::new(inner),
+        };
+        Ok((host, socket.listen(BACKLOG)?))
+    }
+
+    /// Serves until the future is dropped, and keeps the entry of the current worker in the store.
+    ///
+    /// # Errors
+    /// If the listener fails.
+    pub async fn serve(self, mut listener: TcpListener, store: Store) -> anyhow::Result<()> {
+        loop {
+            let worker = self.worker();
+            let entry = worker.entry(self.inner.address, "ready");
+            store.put(SERVERS, worker.id(), &entry);
+            tokio::select! {
+                result = worker.clone().serve(listener) => return result,
+                () = worker.crashed() => {}
+            }
+            // A bound socket that doesn't listen refuses connections, and no other process gets its port.
+            let socket = self.bind_again().await;
+            self.lock().crashes.push(time::Instant::now());
+            time::sleep(self.inner.settings.downtime).await;
+            store.remove(SERVERS, worker.id());
+            listener = socket.listen(BACKLOG)?;
+            let mut state = self.lock();
+            let next = new_worker(&self.inner.settings, state.workers.len());
+            state.workers.push(next);
+        }
+    }
+
+    /// Returns the times at which its workers have crashed.
+    #[must_use]
+    pub fn crashes(&self) -> Vec<time::Instant> {
+        self.lock().crashes.clone()
+    }
+
+    /// Returns the current worker.
+    #[must_use]
+    pub fn worker(&self) -> Worker {
+        let state = self.lock();
+        state.workers.last().expect("there is one").clone()
+    }
+
+    /// Returns the times at which requests arrived whose attempt ids begin with `prefix`.
+    #[must_use]
+    pub fn arrivals_of(&self, prefix: &str) -> Vec<time::Instant> {
+        let workers = self.lock().workers.clone();
+        let arrivals = workers.iter().map(|worker| worker.arrivals_of(prefix));
+        arrivals.flatten().collect()
+    }
+
+    async fn bind_again(&self) -> TcpSocket {
+        loop {
+            if let Ok(socket) = bind_socket(self.inner.address) {
+                return socket;
+            }
+            time::sleep(BIND_INTERVAL).await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.inner.state.lock().expect("no panic under the lock")
+    }
+}
+
+fn new_worker(settings: &Settings, number: usize) -> Worker {
+    let id = format_smolstr!("{}-{number}", settings.name);
+    Worker::with_options(&id, settings.service, settings.worker.clone())
+        .with_on_disk(settings.model)
+}
+
+fn bind_socket(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    // Connections of the previous worker may not have ended at their other sides.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
--- a/crates/fireflywheel_standin/src/site/mod.rs
+++ b/crates/fireflywheel_standin/src/site/mod.rs
@@ -1,9 +1,10 @@
-//! Stand-ins for the [`store`] and the [`worker`]s of the users' platform, which implement the platform's protocol.
+//! Stand-ins for the [`store`], the [`worker`]s and their [`host`]s of the users' platform, which implement the platform's protocol.
 //!
 //! They are small fakes with fault switches that run in the test process. Each is a cloneable handle: a test serves
 //! requests with one clone, and uses another to inspect the state and to inject faults.
 
 pub mod configuration;
+pub mod host;
 pub mod line;
 pub mod store;
 pub mod worker;
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time;
 
 use super::line::Line;
@@ -29,6 +29,11 @@
 /// Default number of requests that run concurrently, which directory entries contain.
 const DEFAULT_SLOTS: usize = 8;
 
+/// Time between the head of an answer and the crash of a worker that crashes on it, in which the head is flushed.
+const CRASH_DELAY: Duration = Duration::from_millis(2);
+/// Exit code of a process whose worker has crashed.
+const CRASH_EXIT_CODE: i32 = 139;
+
 /// Default version of the software.
 const DEFAULT_VERSION: &str = "v1";
 
@@ -55,6 +60,8 @@
     pub version: SmolStr,
     /// Whether the worker writes its events to standard output, one [`Line`] each.
     pub prints_lines: bool,
+    /// The part of prompts on which the worker crashes once it has begun an answer, unless it is the prompt's last part.
+    pub crash_part: Option<SmolStr>,
 }
 
 impl Default for Options {
@@ -70,6 +77,7 @@
             weights_mb: 0,
             version: DEFAULT_VERSION.into(),
             prints_lines: false,
+            crash_part: None,
         }
     }
 }
@@ -88,6 +96,7 @@
     options: Options,
     started_ms: u64,
     slots: Arc<Semaphore>,
+    has_crashed: watch::Sender<bool>,
     state: Mutex<State>,
 }
 
@@ -119,8 +128,8 @@
     leaving: bool,
     /// The rest that the worker asks for when it turns a call away; `None` while it accepts calls.
     rest: Option<Duration>,
-    /// Times at which requests arrived, including refused ones.
-    arrivals: Vec<time::Instant>,
+    /// Requests that arrived, including refused ones.
+    arrivals: Vec<Arrival>,
     /// Times at which any calls arrived: requests, orders and requests for reports.
     calls: Vec<time::Instant>,
 }
@@ -217,6 +226,13 @@
     AfterEvent,
 }
 
+/// A request that has arrived.
+#[derive(Clone, Debug)]
+struct Arrival {
+    at: time::Instant,
+    id: SmolStr,
+}
+
 /// A request that the worker has run.
 #[derive(Clone, Debug)]
 pub struct Taken {
@@ -272,6 +288,7 @@
             injector: fault::Injector::new(fault::Switches::default()),
             slots: Arc::new(Semaphore::new(options.slots)),
             started_ms: clock::unix_ms(),
+            has_crashed: watch::Sender::new(false),
             options,
             state: Mutex::default(),
         };
@@ -406,7 +423,16 @@
     /// Returns the times at which requests arrived, including refused ones.
     #[must_use]
     pub fn arrivals(&self) -> Vec<time::Instant> {
-        self.lock().arrivals.clone()
+        self.arrivals_of("")
+    }
+
+    /// Returns the times at which requests arrived whose attempt ids begin with `prefix`, including refused ones.
+    #[must_use]
+    pub fn arrivals_of(&self, prefix: &str) -> Vec<time::Instant> {
+        let state = self.lock();
+        let arrivals = state.arrivals.iter();
+        let arrivals = arrivals.filter(|arrival| arrival.id.starts_with(prefix));
+        arrivals.map(|arrival| arrival.at).collect()
     }
 
     /// Changes the fault switches that all stand-ins have.
@@ -414,6 +440,13 @@
         self.inner.injector.apply(change);
     }
 
+    /// Waits until the worker has crashed.
+    pub async fn crashed(&self) {
+        let mut has_crashed = self.inner.has_crashed.subscribe();
+        // The sender lives as long as `self`.
+        let _ = has_crashed.wait_for(|has_crashed| *has_crashed).await;
+    }
+
     /// Returns the number of runs of a request, given its attempt id.
     #[must_use]
     pub fn runs(&self, id: &str) -> u64 {
@@ -542,7 +575,11 @@
                 (None, Ok(order)) => empty_answer(self.execute_order(&order)),
             },
             _ => {
-                self.lock().arrivals.push(time::Instant::now());
+                let arrival = Arrival {
+                    at: time::Instant::now(),
+                    id: request.header("x-attempt-id").unwrap_or_default().into(),
+                };
+                self.lock().arrivals.push(arrival);
                 match self.refuse_before_run(request) {
                     Some(refusal) => refusal,
                     None => self.run(request).await.unwrap_or_else(not_executed),
@@ -588,7 +625,9 @@
         self.print(&Line::Run(id.clone()));
         let (faults, delivery) = self.start_run(&id, request);
         time::sleep(self.inner.options.run).await;
-        let mut answer = if faults.fail > 0 {
+        let mut answer = if self.crashes_on(request) {
+            self.begin_and_crash(running)
+        } else if faults.fail > 0 {
             empty_answer(StatusCode::INTERNAL_SERVER_ERROR)
         } else if request.header("x-model").is_some() {
             let after = request
@@ -615,6 +654,35 @@
         Some(answer)
     }
 
+    fn crashes_on(&self, request: &http::Request) -> bool {
+        let Some(crash_part) = &self.inner.options.crash_part else {
+            return false;
+        };
+        let parts = request.header("x-prompt-prefix").unwrap_or_default();
+        let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
+        let mut names = shared.split(',').filter_map(|part| part.split(':').next());
+        names.any(|name| name == crash_part)
+    }
+
+    /// Begins an answer and crashes before the first byte of its body.
+    fn begin_and_crash(&self, running: RunningGuard) -> http::Answer {
+        let (sender, parts) = mpsc::channel(1);
+        let worker = self.clone();
+        tokio::spawn(async move {
+            time::sleep(CRASH_DELAY).await;
+            worker.inner.has_crashed.send_replace(true);
+            if worker.inner.options.prints_lines {
+                std::process::exit(CRASH_EXIT_CODE);
+            }
+            // The connection must not end before the process does.
+            std::future::pending::<()>().await;
+            drop((sender, running));
+        });
+        let mut answer = Response::new(http::Body::Parts(parts));
+        set_header(&mut answer, "content-type", "text/event-stream");
+        answer
+    }
+
     fn enter_queue(&self) -> Option<WaitingGuard> {
         let mut state = self.lock();
         if state.waiting > self.inner.options.queue {
