--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -8,7 +8,7 @@
 
 use super::config::update;
 use super::era::Era;
-use super::{announcement, limit, load, origin, quota, rate};
+use super::{announcement, limit, load, origin, quarantine, quota, rate};
 use crate::clock;
 
 /// The half-life of arrival rates. Demand moves within seconds, and a rarely used model receives a request
@@ -80,6 +80,9 @@
     /// distinguish versions of servers.
     #[serde(default)]
     pub origins: Option<origin::Report>,
+    /// What is new of crashes of servers, and of parts of prompts that may have caused them.
+    #[serde(default)]
+    pub quarantine: Box<quarantine::Report>,
 }
 
 /// The configuration in force at an instance that accepts updates; none if it has none yet.
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -12,7 +12,8 @@
 use super::config::update;
 use super::era::Era;
 use super::{
-    announcement, config, demand, gateway, lease, limit, load, origin, quota, server, tunnel,
+    announcement, config, demand, gateway, lease, limit, load, origin, quarantine, quota, server,
+    tunnel,
 };
 use crate::clock;
 
@@ -38,6 +39,9 @@
         /// The instance's failure domain; empty from releases without gateways.
         #[serde(default, rename = "domain")]
         failure_domain: SmolStr,
+        /// Whether the instance's release shares facts of crashes. A frame that it can't read would end the link.
+        #[serde(default, rename = "quarantine")]
+        shares_facts: bool,
     },
     /// Everything that an instance requests and has in flight; replaces its previous demand.
     Demand(demand::Demand),
@@ -113,6 +117,11 @@
     Versions(origin::Versions),
     /// Replies to questions about streams, from the steward.
     Origins(Vec<origin::Reply>),
+    /// Crashes of servers, and parts of prompts that may have caused them; from the steward, or from an instance that isn't
+    /// steward to one that looks for it.
+    Facts(quarantine::Facts),
+    /// Whether the receiver may let one request with a quarantined part through, by the part; from the steward.
+    Trials(Vec<(quarantine::Part, bool)>),
     /// The first frame on a connection that becomes a tunnel to a backend server.
     Tunnel(tunnel::Nonce),
 }
--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 //! | [`announcement`] | what servers announce of themselves in their answers |
 //! | [`backoff`] | delays between calls to the platform's store after failed calls |
 //! | [`organisation`] | the organisations and the keys that identify them |
+//! | [`quarantine`] | parts of prompts on which servers crash |
 //! | [`quota`] | limits of the requests of an organisation, over all instances |
 //! | [`limit`] | limits of the requests to an overloaded server, over all instances |
 //! | [`adaptive_timeout`] | the time after which a missing response of a server counts as lost |
@@ -54,6 +55,7 @@
 pub mod organisation;
 pub mod origin;
 pub mod plan;
+pub mod quarantine;
 pub mod quota;
 pub mod rate;
 pub mod reach;
--- /dev/null
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -0,0 +1,631 @@
+//! Parts of prompts on which servers crash.
+//!
+//! A request on which its server crashes crashes the next one as well, and so does each other request with the same part in
+//! its prompt. No single instance sees enough to tell which part it is: requests come at any instance, and an instance sees
+//! connections break, not processes end. Therefore instances share [`Facts`]: which processes have crashed, which parts
+//! were being answered there, and which parts have been answered to the end since. Facts are merged in any order, over the
+//! links to the steward or, without one, over those to its standbys. From them each instance derives by itself which parts are
+//! quarantined ([`Registry`]), and refuses requests with them.
+//!
+//! A crash is a fact once two instances have found that the process doesn't listen any more. A path that is lost, a server that
+//! is frozen and a partition don't show that, and an answer of the process refutes it.
+//!
+//! | module | contents |
+//! |---|---|
+//! | [`answers`] | how often parts have been answered to the end |
+//! | [`fact`] | what instances tell each other |
+
+pub mod answers;
+pub mod fact;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::announcement::Process;
+use super::frame;
+use crate::clock;
+
+pub use fact::{Clearance, Crash, Facts, Part, Report, Verdict};
+
+/// Number of crashes, without a whole answer since, after which a part is quarantined.
+const MIN_CRASHES: u32 = 3;
+/// The same for a part that was answered often before: something else is the more likely cause.
+const MIN_CRASHES_OF_PROVEN: u32 = 5;
+/// Number of whole answers from which on a part has been answered often.
+const PROVEN_ANSWERS: u32 = 10;
+/// Number of instances that must find that a process has ended.
+const MIN_WITNESSES: usize = 2;
+/// Maximum error of times that other instances report, by the delays of their links.
+const TIME_TOLERANCE: Duration = Duration::from_millis(500);
+/// How long after a crash another connection to its address tells about the same process.
+pub const VERIFICATION_TIME: Duration = Duration::from_millis(400);
+/// How long broken runs are kept until it is known whether their process has crashed.
+const BREAK_TTL: Duration = Duration::from_secs(3);
+/// How long crashes, clearances and refutations are kept.
+const FACT_TTL: Duration = Duration::from_secs(600);
+/// Maximum number of crashes that are kept.
+const MAX_CRASHES: usize = 32;
+/// Maximum number of suspected parts of a crash.
+const MAX_SUSPECTS: usize = 64;
+/// Maximum number of quarantined parts.
+const MAX_VERDICTS: usize = 256;
+/// Maximum number of clearances that are kept.
+const MAX_CLEARANCES: usize = 2048;
+/// Maximum number of processes whose broken runs are kept.
+const MAX_BROKEN_PROCESSES: usize = 256;
+/// Delay from the quarantine of a part to the first trial, which lets one request with it through.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(15);
+/// Each further trial comes this many times as long after the one before: each may crash a server.
+const TRIAL_DELAY_FACTOR: u32 = 8;
+/// Maximum number of trials of a part.
+const MAX_TRIALS: u32 = 3;
+/// Retry delay for requests with a part for which there are no more trials.
+const NO_TRIAL_RETRY_DELAY: Duration = Duration::from_secs(3600);
+
+/// A crash as this instance knows it.
+#[derive(Clone, Debug)]
+struct Known {
+    at: clock::Instant,
+    witnesses: BTreeSet<u64>,
+    /// The parts that were being answered, with the number of whole answers before.
+    suspects: BTreeMap<Part, u32>,
+    is_confirmed: bool,
+}
+
+/// A quarantined part.
+#[derive(Clone, Copy, Debug)]
+struct Quarantine {
+    /// The time of the last crash that led to it.
+    since: clock::Instant,
+    trials: u32,
+    trial_at: Option<clock::Instant>,
+}
+
+/// The parts of runs that broke off.
+#[derive(Clone, Debug)]
+struct Breaks {
+    at: clock::Instant,
+    parts: BTreeSet<Part>,
+}
+
+/// What has changed since it was last told.
+#[derive(Clone, Debug, Default)]
+struct News {
+    crashes: BTreeSet<Process>,
+    survivors: BTreeSet<Process>,
+    parts: BTreeSet<Part>,
+}
+
+/// What an instance knows of crashes and parts.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    answers: answers::Answers,
+    breaks: BTreeMap<Process, Breaks>,
+    crashes: BTreeMap<Process, Known>,
+    /// Processes that have answered after they were thought to have crashed.
+    survivors: BTreeMap<Process, clock::Instant>,
+    /// When suspected parts were last answered to the end.
+    cleared: BTreeMap<Part, clock::Instant>,
+    quarantined: BTreeMap<Part, Quarantine>,
+    news: News,
+}
+
+impl Registry {
+    /// Records an answer that has arrived whole. Returns whether other instances have to be told.
+    pub fn record_answer(&mut self, now: clock::Instant, parts: &[Part]) -> bool {
+        for part in parts {
+            self.answers.record(now, *part);
+        }
+        if self.crashes.is_empty() && self.quarantined.is_empty() {
+            return false;
+        }
+        let mut is_news = false;
+        for part in parts {
+            is_news |= self.is_accused(*part) && self.clear(*part, now);
+        }
+        if is_news {
+            self.review();
+        }
+        is_news
+    }
+
+    /// Records that a run broke off at the beginning of its answer.
+    pub fn record_break(&mut self, now: clock::Instant, process: &Process, parts: &[Part]) {
+        if self.breaks.len() >= MAX_BROKEN_PROCESSES && !self.breaks.contains_key(process) {
+            return;
+        }
+        let breaks = self.breaks.entry(process.clone()).or_insert(Breaks {
+            at: now,
+            parts: BTreeSet::new(),
+        });
+        breaks.parts.extend(parts);
+        if self.crashes.contains_key(process) {
+            self.add_suspects(process);
+            self.review();
+        }
+    }
+
+    /// Records that an instance, or the directory, has found that a process has ended. `instances` is the number of instances
+    /// that can find that. Returns whether that is new.
+    pub fn record_end(
+        &mut self,
+        now: clock::Instant,
+        process: &Process,
+        witness: u64,
+        instances: usize,
+    ) -> bool {
+        if self.survivors.contains_key(process) {
+            return false;
+        }
+        let at = self.breaks.get(process).map_or(now, |breaks| breaks.at);
+        let known = self.crashes.entry(process.clone()).or_insert(Known {
+            at,
+            witnesses: BTreeSet::new(),
+            suspects: BTreeMap::new(),
+            is_confirmed: false,
+        });
+        if known.witnesses.len() >= MIN_WITNESSES || !known.witnesses.insert(witness) {
+            return false;
+        }
+        known.is_confirmed |= known.witnesses.len() >= MIN_WITNESSES.min(instances);
+        self.news.crashes.insert(process.clone());
+        self.add_suspects(process);
+        self.limit_crashes();
+        self.review();
+        true
+    }
+
+    /// Records that a process has answered a request, or accepted a connection, that was sent at `sent`. Returns whether that
+    /// refutes a crash.
+    pub fn record_life(
+        &mut self,
+        now: clock::Instant,
+        process: &Process,
+        sent: clock::Instant,
+    ) -> bool {
+        let Some(known) = self.crashes.get(process) else {
+            return false;
+        };
+        if sent < known.at {
+            return false;
+        }
+        self.refute(now, process);
+        true
+    }
+
+    /// Whether a process is thought to have crashed.
+    #[must_use]
+    pub fn has_crashed(&self, process: &Process) -> bool {
+        self.crashes.contains_key(process)
+    }
+
+    /// Forgets the broken runs at a process that goes on.
+    pub fn forget_breaks(&mut self, process: &Process) {
+        self.breaks.remove(process);
+    }
+
+    /// Merges facts that another instance has told. With `passes_on`, what is new is told in turn. Returns the crashed
+    /// processes whose end has too few witnesses.
+    pub fn merge(
+        &mut self,
+        now: clock::Instant,
+        facts: &Facts,
+        passes_on: bool,
+        own: u64,
+    ) -> Vec<Process> {
+        let before = (!passes_on).then(|| self.news.clone());
+        let ago = |age_ms: u32| now.before(Duration::from_millis(age_ms.into()));
+        for process in &facts.survivors {
+            if !self.survivors.contains_key(process) {
+                self.refute(now, process);
+            }
+        }
+        for clearance in &facts.clearances {
+            self.clear(clearance.part, ago(clearance.age_ms));
+        }
+        for verdict in &facts.verdicts {
+            self.merge_verdict(verdict, ago);
+        }
+        if let Some(before) = before {
+            self.news = before;
+        }
+        let mut unverified = Vec::new();
+        for crash in &facts.crashes {
+            let is_new = self.merge_crash(crash, ago(crash.age_ms), passes_on);
+            let needs_witness = !crash.is_confirmed && !crash.witnesses.contains(&own);
+            if is_new && needs_witness && self.crashes.contains_key(&crash.process) {
+                unverified.push(crash.process.clone());
+            }
+        }
+        self.limit_crashes();
+        self.review();
+        unverified
+    }
+
+    /// Takes what has changed since the last call.
+    pub fn take_news(&mut self, now: clock::Instant) -> Facts {
+        let news = std::mem::take(&mut self.news);
+        let crashes = news.crashes.iter();
+        let crashes = crashes.filter_map(|process| self.crash(now, process));
+        let parts = news.parts.iter();
+        Facts {
+            crashes: crashes.collect(),
+            survivors: news.survivors.into_iter().collect(),
+            clearances: parts
+                .clone()
+                .filter_map(|part| self.clearance(now, *part))
+                .collect(),
+            verdicts: parts.filter_map(|part| self.verdict(now, *part)).collect(),
+        }
+    }
+
+    /// Everything that is known, for an instance that may know nothing.
+    #[must_use]
+    pub fn facts(&self, now: clock::Instant) -> Facts {
+        let crashes = self.crashes.keys();
+        let cleared = self.cleared.keys();
+        Facts {
+            crashes: crashes
+                .filter_map(|process| self.crash(now, process))
+                .collect(),
+            survivors: self.survivors.keys().cloned().collect(),
+            clearances: cleared
+                .filter_map(|part| self.clearance(now, *part))
+                .collect(),
+            verdicts: self.verdicts(now),
+        }
+    }
+
+    /// The quarantined parts.
+    #[must_use]
+    pub fn verdicts(&self, now: clock::Instant) -> Vec<Verdict> {
+        let parts = self.quarantined.keys();
+        parts.filter_map(|part| self.verdict(now, *part)).collect()
+    }
+
+    /// Makes everything that is known be told again, to a steward that may know nothing.
+    pub fn tell_again(&mut self) {
+        self.news = News {
+            crashes: self.crashes.keys().cloned().collect(),
+            survivors: self.survivors.keys().cloned().collect(),
+            parts: self
+                .cleared
+                .keys()
+                .chain(self.quarantined.keys())
+                .copied()
+                .collect(),
+        };
+    }
+
+    /// The first of these parts that is quarantined.
+    #[must_use]
+    pub fn find_quarantined(&self, parts: &[Part]) -> Option<Part> {
+        if self.quarantined.is_empty() {
+            return None;
+        }
+        parts
+            .iter()
+            .copied()
+            .find(|part| self.quarantined.contains_key(part))
+    }
+
+    /// The number of quarantined parts.
+    #[must_use]
+    pub fn quarantined_count(&self) -> usize {
+        self.quarantined.len()
+    }
+
+    /// Whether requests with all of these parts have been answered to the end before, so that they are unlikely to crash a
+    /// server.
+    #[must_use]
+    pub fn are_proven(&self, parts: &[Part]) -> bool {
+        parts
+            .iter()
+            .all(|part| self.answers.count(*part) > 0 && !self.quarantined.contains_key(part))
+    }
+
+    /// The time until a trial of a quarantined part is due; zero if it is due or the part isn't quarantined.
+    #[must_use]
+    pub fn trial_wait(&self, now: clock::Instant, part: Part) -> Duration {
+        let Some(quarantine) = self.quarantined.get(&part) else {
+            return Duration::ZERO;
+        };
+        if quarantine.trials >= MAX_TRIALS {
+            return NO_TRIAL_RETRY_DELAY;
+        }
+        let delay = FIRST_TRIAL_DELAY * TRIAL_DELAY_FACTOR.pow(quarantine.trials);
+        let last = quarantine.trial_at.unwrap_or(quarantine.since);
+        last.after(delay).since(now)
+    }
+
+    /// Grants a trial of a part if one is due: one request with it may be sent to a server. For the steward.
+    pub fn try_trial(&mut self, now: clock::Instant, part: Part) -> bool {
+        if !self.trial_wait(now, part).is_zero() {
+            return false;
+        }
+        if let Some(quarantine) = self.quarantined.get_mut(&part) {
+            quarantine.trials += 1;
+            quarantine.trial_at = Some(now);
+            self.news.parts.insert(part);
+        }
+        true
+    }
+
+    /// Forgets what is too old to matter. Quarantined parts stay.
+    pub fn prune(&mut self, now: clock::Instant) {
+        self.breaks
+            .retain(|_, breaks| now.since(breaks.at) < BREAK_TTL);
+        self.crashes
+            .retain(|_, known| now.since(known.at) < FACT_TTL);
+        self.survivors.retain(|_, at| now.since(*at) < FACT_TTL);
+        self.cleared.retain(|_, at| now.since(*at) < FACT_TTL);
+        self.answers.prune(now);
+    }
+
+    /// Whether a whole answer of a part would change anything.
+    fn is_accused(&self, part: Part) -> bool {
+        let mut crashes = self.crashes.values();
+        self.quarantined.contains_key(&part)
+            || crashes
+                .any(|known| known.suspects.contains_key(&part) && !self.is_cleared(part, known.at))
+    }
+
+    /// Whether a part was answered to the end after a crash, or so shortly before that it can't be its cause.
+    fn is_cleared(&self, part: Part, crash: clock::Instant) -> bool {
+        self.cleared
+            .get(&part)
+            .is_some_and(|at| at.after(TIME_TOLERANCE) >= crash)
+    }
+
+    /// Records that a part was answered to the end. Returns whether that changes anything for others.
+    fn clear(&mut self, part: Part, at: clock::Instant) -> bool {
+        let known = self.cleared.get(&part).copied();
+        if known.is_some_and(|known| at <= known) {
+            return false;
+        }
+        if known.is_none() && self.cleared.len() >= MAX_CLEARANCES {
+            return false;
+        }
+        self.cleared.insert(part, at);
+        self.news.parts.insert(part);
+        if let Some(quarantine) = self.quarantined.get(&part)
+            && self.is_cleared(part, quarantine.since)
+        {
+            self.quarantined.remove(&part);
+            log::info!(part = part.to_string().as_str(); "part of prompts is no longer quarantined");
+        }
+        true
+    }
+
+    fn refute(&mut self, now: clock::Instant, process: &Process) {
+        self.breaks.remove(process);
+        self.survivors.insert(process.clone(), now);
+        self.news.survivors.insert(process.clone());
+        if self.crashes.remove(process).is_some() {
+            log::info!(server = process.server.as_str(); "backend server has not crashed");
+        }
+        while self.survivors.len() > MAX_CRASHES {
+            let oldest = self.survivors.iter().min_by_key(|(_, at)| **at);
+            let Some(oldest) = oldest.map(|(process, _)| process.clone()) else {
+                break;
+            };
+            self.survivors.remove(&oldest);
+        }
+    }
+
+    /// Makes the parts of broken runs suspects of their process's crash.
+    fn add_suspects(&mut self, process: &Process) {
+        let (Some(known), Some(breaks)) =
+            (self.crashes.get_mut(process), self.breaks.remove(process))
+        else {
+            return;
+        };
+        for part in breaks.parts {
+            let last = self.answers.last(part);
+            if last.is_some_and(|last| last.after(TIME_TOLERANCE) >= known.at) {
+                continue;
+            }
+            let answers = self.answers.count(part);
+            if known.suspects.insert(part, answers).is_none() {
+                self.news.crashes.insert(process.clone());
+            }
+        }
+        limit_suspects(&mut known.suspects);
+    }
+
+    /// Merges a crash, and returns whether it tells anything new.
+    fn merge_crash(&mut self, crash: &Crash, at: clock::Instant, passes_on: bool) -> bool {
+        if self.survivors.contains_key(&crash.process) {
+            return false;
+        }
+        let mut is_new = !self.crashes.contains_key(&crash.process);
+        let known = self
+            .crashes
+            .entry(crash.process.clone())
+            .or_insert_with(|| Known {
+                at,
+                witnesses: BTreeSet::new(),
+                suspects: BTreeMap::new(),
+                is_confirmed: false,
+            });
+        known.at = known.at.min(at);
+        for witness in &crash.witnesses {
+            is_new |= known.witnesses.len() < MIN_WITNESSES && known.witnesses.insert(*witness);
+        }
+        let is_confirmed = crash.is_confirmed || known.witnesses.len() >= MIN_WITNESSES;
+        is_new |= is_confirmed && !known.is_confirmed;
+        known.is_confirmed |= is_confirmed;
+        let at = known.at;
+        for (part, answers) in &crash.suspects {
+            let count = known.suspects.entry(*part).or_insert_with(|| {
+                is_new = true;
+                0
+            });
+            *count = (*count).max(*answers);
+        }
+        limit_suspects(&mut known.suspects);
+        if is_new && passes_on {
+            self.news.crashes.insert(crash.process.clone());
+        }
+        // What this instance has answered since clears parts, also if that came before the news of the crash.
+        let answered: Vec<(Part, clock::Instant)> = crash
+            .suspects
+            .iter()
+            .filter_map(|(part, _)| Some((*part, self.answers.last(*part)?)))
+            .filter(|(_, last)| last.after(TIME_TOLERANCE) >= at)
+            .collect();
+        for (part, last) in answered {
+            self.clear(part, last);
+        }
+        self.add_suspects(&crash.process);
+        is_new
+    }
+
+    fn merge_verdict<F>(&mut self, verdict: &Verdict, ago: F)
+    where
+        F: Fn(u32) -> clock::Instant,
+    {
+        let since = ago(verdict.age_ms);
+        if self.is_cleared(verdict.part, since) {
+            return;
+        }
+        let trial_at = verdict.trial_age_ms.map(ago);
+        let told = Quarantine {
+            since,
+            trials: verdict.trials,
+            trial_at,
+        };
+        let is_new = !self.quarantined.contains_key(&verdict.part);
+        let known = self.quarantined.entry(verdict.part).or_insert(told);
+        if is_new || known.trials < told.trials {
+            known.trials = told.trials;
+            known.trial_at = known.trial_at.max(trial_at);
+            self.news.parts.insert(verdict.part);
+        }
+        if is_new {
+            log_quarantine(verdict.part, "told");
+        }
+        self.limit_verdicts();
+    }
+
+    /// Quarantines the parts that explain the crashes best.
+    fn review(&mut self) {
+        while let Some(parts) = self.find_causes() {
+            for (part, since) in parts {
+                let quarantine = Quarantine {
+                    since,
+                    trials: 0,
+                    trial_at: None,
+                };
+                self.quarantined.insert(part, quarantine);
+                self.news.parts.insert(part);
+                log_quarantine(part, "crashes");
+            }
+            self.limit_verdicts();
+        }
+    }
+
+    /// The parts that were being answered in enough crashes that no quarantined part explains, with the time of the last of
+    /// these. Of several, those come first that have been answered least often before.
+    fn find_causes(&self) -> Option<Vec<(Part, clock::Instant)>> {
+        let mut accused: BTreeMap<Part, (u32, u32, clock::Instant)> = BTreeMap::new();
+        for known in self.crashes.values().filter(|known| known.is_confirmed) {
+            let mut suspects = known.suspects.keys();
+            if suspects.any(|part| self.quarantined.contains_key(part)) {
+                continue;
+            }
+            for (part, answers) in &known.suspects {
+                if self.is_cleared(*part, known.at) {
+                    continue;
+                }
+                let (crashes, most, last) = accused.entry(*part).or_default();
+                *crashes += 1;
+                *most = (*most).max(*answers);
+                *last = (*last).max(known.at);
+            }
+        }
+        accused.retain(|_, (crashes, answers, _)| *crashes >= required_crashes(*answers));
+        let least = accused.values().map(|(_, answers, _)| *answers).min()?;
+        accused.retain(|_, (_, answers, _)| *answers == least);
+        let causes = accused.into_iter();
+        Some(causes.map(|(part, (_, _, last))| (part, last)).collect())
+    }
+
+    fn crash(&self, now: clock::Instant, process: &Process) -> Option<Crash> {
+        let known = self.crashes.get(process)?;
+        Some(Crash {
+            process: process.clone(),
+            age_ms: frame::millis(now.since(known.at)),
+            witnesses: known.witnesses.iter().copied().collect(),
+            is_confirmed: known.is_confirmed,
+            suspects: known
+                .suspects
+                .iter()
+                .map(|(part, answers)| (*part, *answers))
+                .collect(),
+        })
+    }
+
+    fn clearance(&self, now: clock::Instant, part: Part) -> Option<Clearance> {
+        let at = self.cleared.get(&part)?;
+        Some(Clearance {
+            part,
+            age_ms: frame::millis(now.since(*at)),
+        })
+    }
+
+    fn verdict(&self, now: clock::Instant, part: Part) -> Option<Verdict> {
+        let quarantine = self.quarantined.get(&part)?;
+        Some(Verdict {
+            part,
+            age_ms: frame::millis(now.since(quarantine.since)),
+            trials: quarantine.trials,
+            trial_age_ms: quarantine.trial_at.map(|at| frame::millis(now.since(at))),
+        })
+    }
+
+    fn limit_crashes(&mut self) {
+        while self.crashes.len() > MAX_CRASHES {
+            let oldest = self.crashes.iter().min_by_key(|(_, known)| known.at);
+            let Some(oldest) = oldest.map(|(process, _)| process.clone()) else {
+                break;
+            };
+            self.crashes.remove(&oldest);
+        }
+    }
+
+    fn limit_verdicts(&mut self) {
+        while self.quarantined.len() > MAX_VERDICTS {
+            let oldest = self.quarantined.iter().min_by_key(|(_, one)| one.since);
+            let Some(oldest) = oldest.map(|(part, _)| *part) else {
+                break;
+            };
+            self.quarantined.remove(&oldest);
+        }
+    }
+}
+
+fn required_crashes(answers: u32) -> u32 {
+    if answers < PROVEN_ANSWERS {
+        MIN_CRASHES
+    } else {
+        MIN_CRASHES_OF_PROVEN
+    }
+}
+
+/// Keeps the suspects that have been answered least often before.
+fn limit_suspects(suspects: &mut BTreeMap<Part, u32>) {
+    while suspects.len() > MAX_SUSPECTS {
+        let proven = suspects
+            .iter()
+            .max_by_key(|(part, answers)| (**answers, **part));
+        let Some(proven) = proven.map(|(part, _)| *part) else {
+            break;
+        };
+        suspects.remove(&proven);
+    }
+}
+
+fn log_quarantine(part: Part, by: &str) {
+    log::info!(part = part.to_string().as_str(), by = by; "part of prompts is quarantined");
+}
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -7,6 +7,7 @@
 use fireflywheel::clock;
 use fireflywheel::ending::Ending;
 use fireflywheel::fleet::config;
+use fireflywheel::fleet::quarantine::Part;
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::http::response::Parts;
@@ -41,6 +42,10 @@
     pub queue: node::QueueKey,
     /// The version at which the stream began that the caller takes up again.
     pub version: Option<SmolStr>,
+    /// The parts of the prompt that other requests may have as well.
+    pub parts: Vec<Part>,
+    /// The quarantined part that the request is to try.
+    pub trial: Option<Part>,
     /// The organisation that sent the request; `None` if it is anonymous or the configuration has no organisations.
     pub organisation: Option<SmolStr>,
     /// The priority; 0 is the most urgent.
@@ -67,6 +72,8 @@
     pub connection: pool::Connection,
     /// Counts the request as in flight at its server.
     pub in_flight: node::InFlight<P>,
+    /// Where the request was sent.
+    pub target: node::Target,
     /// The server's id.
     pub server: SmolStr,
     /// The version of the server's software, if it is known.
@@ -151,7 +158,12 @@
     };
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(error) => return handle_pool_error(node, server, error),
+        Err(error) => {
+            if error == pool::Error::Lost {
+                node.examine(&target, &job.parts);
+            }
+            return handle_pool_error(node, server, error);
+        }
     };
     let (head, body) = received::Body::split(response);
     let reply = node.platform.read_reply(&head);
@@ -179,6 +191,7 @@
             "response of another request"
         });
     }
+    node.record_life(&target.process, now);
     node.observe_response_time(&job.route.name, node.now().since(now));
     in_flight.prefill_done();
     Outcome::Response(Box::new(Response {
@@ -187,6 +200,7 @@
         body,
         connection,
         in_flight,
+        target,
         server: server.clone(),
         version: chosen.version.clone(),
     }))
@@ -223,10 +237,14 @@
         node.record_outcome(&response.server, outcome);
     }
     match ending {
-        Ending::BrokenOff(why) => return Err(Outcome::Lost(why.as_str())),
+        Ending::BrokenOff(why) => {
+            node.examine(&response.target, &job.parts);
+            return Err(Outcome::Lost(why.as_str()));
+        }
         // Dropping the connection closes it: it has ended with the body.
         Ending::Unstated => {}
         Ending::Complete => {
+            node.record_whole_answer(&job.parts);
             let keep_alive = response.reply.keep_alive;
             node.pool
                 .release(node.now(), response.connection, keep_alive);
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -176,14 +176,22 @@
     P: platform::Platform,
 {
     let hello = time::timeout(OPEN_TIMEOUT, receive(&mut socket)).await;
-    let (instance, incarnation, address, cpu_share, failure_domain) = match hello {
+    let (instance, incarnation, address, cpu_share, failure_domain, shares_facts) = match hello {
         Ok(Ok(frame::Frame::Hello {
             instance,
             incarnation,
             address,
             cpu_share,
             failure_domain,
-        })) => (instance, incarnation, address, cpu_share, failure_domain),
+            shares_facts,
+        })) => (
+            instance,
+            incarnation,
+            address,
+            cpu_share,
+            failure_domain,
+            shares_facts,
+        ),
         Ok(Ok(frame::Frame::Tunnel(opener))) => {
             tunnel::serve(&steward.node, socket, opener).await;
             return;
@@ -200,7 +208,7 @@
         released: false,
         era: None,
     };
-    let mut frames = steward.open_link(link_id, peer, cpu_share, failure_domain);
+    let mut frames = steward.open_link(link_id, peer, cpu_share, failure_domain, shares_facts);
     let mut last_received = steward.node.now();
     let mut config_update = update::Assembly::default();
     let why = loop {
@@ -272,6 +280,7 @@
         address: steward.node.settings.peers_advertised.to_string().into(),
         cpu_share: steward.node.settings.cpu_share,
         failure_domain: steward.node.settings.failure_domain.clone(),
+        shares_facts: true,
     };
     send(&mut socket, &hello).await?;
     steward.node.link_opened();
@@ -443,6 +452,8 @@
         frame::Frame::Gateways(gateways) => steward.node.set_gateways(gateways),
         frame::Frame::Versions(versions) => steward.node.extend_versions(&versions),
         frame::Frame::Origins(replies) => steward.node.handle_origin_replies(replies),
+        frame::Frame::Facts(facts) => steward.node.merge_facts(&facts, false),
+        frame::Frame::Trials(replies) => steward.node.handle_trials(&replies),
         frame::Frame::Hello { .. }
         | frame::Frame::Demand(_)
         | frame::Frame::ConfigUpdate(_)
--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -48,6 +48,7 @@
     resumptions: IntCounterVec,
     remembered_streams: IntGauge,
     served_tunnels: IntCounterVec,
+    quarantined_parts: IntGauge,
     steward: IntGauge,
     linked: IntGauge,
 }
@@ -138,6 +139,10 @@
                 "Connections to backend servers for another instance, by result",
                 &["result"],
             )?,
+            quarantined_parts: builder.gauge(
+                "fleet_quarantined_parts",
+                "Parts of prompts with which requests are refused, since servers crash on them",
+            )?,
             steward: builder.gauge("fleet_steward", "1 while this instance orders engines")?,
             linked: builder.gauge(
                 "fleet_steward_linked",
@@ -252,6 +257,11 @@
         self.resumptions.with_label_values(&[told_by]).inc();
     }
 
+    /// Sets the number of quarantined parts of prompts.
+    pub fn set_quarantined_parts(&self, count: usize) {
+        self.quarantined_parts.set(count as i64);
+    }
+
     /// Sets the number of remembered streams.
     pub fn set_remembered_streams(&self, count: usize) {
         self.remembered_streams.set(count as i64);
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod origin;
 mod path;
+pub mod quarantine;
 mod quota;
 mod state;
 mod store;
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -66,6 +66,7 @@
         }
         let leaving_servers = state.announcements.take_leaving_notices();
         let origins = state.origins.take_report();
+        let quarantine = Box::new(state.quarantine.take_report(now));
         let gates = state.quota_gates.iter_mut();
         let usage = gates
             .filter_map(|(organisation, gate)| gate.take_usage(now, organisation))
@@ -100,6 +101,7 @@
             read_age_ms: frame::millis(state.read_age(now)),
             unreached_groups: Some(state.paths.unreached_groups.clone()),
             origins: Some(origins),
+            quarantine,
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/path.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/path.rs
@@ -2,6 +2,7 @@
 //! path is lost.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -237,6 +238,16 @@
         pool::Connection::direct(stream, target.address, reservation).await
     }
 
+    /// Opens a TCP connection of this instance's own and closes it, to find out whether a process listens.
+    pub(super) async fn try_connect(self: &Arc<Self>, target: &Target) -> io::Result<()> {
+        let result = pool::try_dial(self.platform.network(), target.address).await;
+        match result {
+            Ok(_) => self.record_direct(target),
+            Err(_) => self.record_direct_failure(target),
+        }
+        result.map(drop)
+    }
+
     /// Opens a TCP connection of this instance's own, and records whether it opens.
     async fn dial(self: &Arc<Self>, target: &Target) -> Result<TcpStream, pool::Error> {
         let result = pool::dial(self.platform.network(), target.address).await;
@@ -594,7 +605,7 @@
     }
 
     /// Where a process is found, if it is known and takes requests.
-    fn target(&self, process: &Process) -> Option<Target> {
+    pub(super) fn target(&self, process: &Process) -> Option<Target> {
         let known = self.servers.get(&process.server)?;
         let server = &known.server;
         if server.started_ms != process.started_ms || !server.ready {
--- /dev/null
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -0,0 +1,408 @@
+//! Crashes of backend servers, and the parts of prompts that may have caused them.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fireflywheel::clock;
+use fireflywheel::fleet::announcement::Process;
+use fireflywheel::fleet::quarantine::{Facts, Part, Registry, Report, VERIFICATION_TIME, Verdict};
+use smol_str::SmolStr;
+use tokio::sync::watch;
+use tokio::time;
+
+use super::{Node, Target, state};
+use crate::fleet::platform;
+
+/// Delay from a broken run to the connection that shows whether its process has ended. A process that ends closes its
+/// connections one by one.
+const EXAMINATION_DELAY: Duration = Duration::from_millis(15);
+/// How long an examination may take: its delay and the time for a connection to open.
+const EXAMINATION_TIMEOUT: Duration = Duration::from_millis(450);
+/// How long to wait for the steward's answer to a trial request.
+const TRIAL_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum number of parts for which trial requests wait at once.
+const MAX_TRIAL_REQUESTS: usize = 64;
+/// Mean number of instances that verify a crash which a single instance has seen.
+const MEAN_VERIFIERS: f64 = 3.0;
+
+/// What an instance knows of crashes, and what it finds out.
+#[derive(Debug, Default)]
+pub(super) struct Quarantine {
+    pub(super) registry: Registry,
+    /// Processes that are being examined, with whether each has ended once that is known.
+    examinations: BTreeMap<Process, watch::Receiver<Option<bool>>>,
+    trial_requests: BTreeMap<Part, TrialRequest>,
+}
+
+/// A request to the steward to let one request with a quarantined part through.
+#[derive(Clone, Copy, Debug, Default)]
+struct TrialRequest {
+    is_sent: bool,
+    is_granted: Option<bool>,
+    /// The number of callers' requests that wait for the answer.
+    waiting: usize,
+}
+
+/// Whether a request may be sent to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// None of its parts is quarantined.
+    Open,
+    /// It is let through to find out whether this part still crashes servers.
+    Trial(Part),
+    /// This part is quarantined, and the next trial is due after that time.
+    Refused(Part, Duration),
+}
+
+impl Quarantine {
+    /// Handles a new link to the steward, which may be another one.
+    pub(super) fn link_opened(&mut self) {
+        self.registry.tell_again();
+        for request in self.trial_requests.values_mut() {
+            request.is_sent = false;
+        }
+    }
+
+    /// Takes what the steward has to be told.
+    pub(super) fn take_report(&mut self, now: clock::Instant) -> Report {
+        let requests = self.trial_requests.iter_mut();
+        let unsent = requests.filter(|(_, request)| !request.is_sent);
+        let unsent = unsent.map(|(part, request)| {
+            request.is_sent = true;
+            *part
+        });
+        Report {
+            facts: self.registry.take_news(now),
+            trial_requests: unsent.collect(),
+        }
+    }
+}
+
+/// Counts a caller's request as waiting for a trial until it is dropped.
+struct Waiter<'a, P>
+where
+    P: Send + Sync,
+{
+    node: &'a Node<P>,
+    part: Part,
+}
+
+impl<P> Drop for Waiter<'_, P>
+where
+    P: Send + Sync,
+{
+    fn drop(&mut self) {
+        let requests = &mut self.node.lock().quarantine.trial_requests;
+        if let Some(request) = requests.get_mut(&self.part) {
+            request.waiting -= 1;
+            if request.waiting == 0 {
+                requests.remove(&self.part);
+            }
+        }
+    }
+}
+
+/// The parts of a prompt to the servers of a group.
+#[must_use]
+pub fn parts(group: &str, call: &platform::Call) -> Vec<Part> {
+    let names = call.prompt_parts.iter();
+    names.map(|name| Part::new(group, name)).collect()
+}
+
+impl<P> Node<P>
+where
+    P: platform::Platform,
+{
+    /// Finds out whether a process has ended at which a run broke off. `parts` are those of its prompt if its answer had just
+    /// begun, or might have.
+    pub fn examine(self: &Arc<Self>, target: &Target, parts: &[Part]) {
+        if parts.is_empty() {
+            return;
+        }
+        let process = &target.process;
+        let now = self.now();
+        let mut state = self.lock();
+        if !state.is_expected_to_stay(process) {
+            return;
+        }
+        let quarantine = &mut state.quarantine;
+        quarantine.registry.record_break(now, process, parts);
+        if quarantine.examinations.contains_key(process) {
+            return;
+        }
+        let (sender, receiver) = watch::channel(None);
+        quarantine.examinations.insert(process.clone(), receiver);
+        drop(state);
+        let (node, target) = (Arc::clone(self), target.clone());
+        tokio::spawn(async move {
+            time::sleep(EXAMINATION_DELAY).await;
+            let has_ended = node.has_ended(&target).await;
+            node.record_examination(&target.process, has_ended);
+            sender.send_replace(Some(has_ended == Some(true)));
+        });
+    }
+
+    /// Whether a request whose run has just broken off at a process may run again: not if the process has ended and the
+    /// request may be the cause.
+    pub async fn may_run_again(&self, process: &Process, parts: &[Part]) -> bool {
+        let examination = {
+            let state = self.lock();
+            if state.quarantine.registry.are_proven(parts) {
+                return true;
+            }
+            state.quarantine.examinations.get(process).cloned()
+        };
+        let Some(mut examination) = examination else {
+            return !self.lock().quarantine.registry.has_crashed(process);
+        };
+        let result = examination.wait_for(Option::is_some);
+        let has_ended = match time::timeout(EXAMINATION_TIMEOUT, result).await {
+            Ok(Ok(result)) => *result,
+            Ok(Err(_)) | Err(_) => None,
+        };
+        has_ended != Some(true)
+    }
+
+    /// Merges what another instance knows. With `passes_on`, others are told in turn.
+    pub fn merge_facts(self: &Arc<Self>, facts: &Facts, passes_on: bool) {
+        if facts.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut state = self.lock();
+        let verifier_share = match passes_on {
+            true => 1.0,
+            false => (MEAN_VERIFIERS / state.instances.count().max(1) as f64).min(1.0),
+        };
+        let registry = &mut state.quarantine.registry;
+        let unverified = registry.merge(now, facts, passes_on, self.incarnation);
+        let targets: Vec<Target> = unverified
+            .iter()
+            .filter(|_| rand::random_bool(verifier_share))
+            .filter_map(|process| state.target(process))
+            .collect();
+        drop(state);
+        self.handle_facts();
+        for target in targets {
+            self.verify(target);
+        }
+    }
+
+    /// Finds out whether a process has ended that another instance thinks has.
+    fn verify(self: &Arc<Self>, target: Target) {
+        let node = Arc::clone(self);
+        tokio::spawn(async move {
+            let started = node.now();
+            let has_ended = node.has_ended(&target).await;
+            if node.now().since(started) < VERIFICATION_TIME {
+                node.record_examination(&target.process, has_ended);
+            }
+        });
+    }
+
+    fn record_examination(&self, process: &Process, has_ended: Option<bool>) {
+        let now = self.now();
+        let mut state = self.lock();
+        let instances = state.instances.count();
+        let quarantine = &mut state.quarantine;
+        quarantine.examinations.remove(process);
+        let registry = &mut quarantine.registry;
+        let is_news = match has_ended {
+            Some(true) => registry.record_end(now, process, self.incarnation, instances),
+            Some(false) => {
+                registry.forget_breaks(process);
+                registry.record_life(now, process, now)
+            }
+            None => false,
+        };
+        drop(state);
+        if has_ended == Some(true) && is_news {
+            log::info!(server = process.server.as_str(); "backend server has ended while it ran requests");
+        }
+        if is_news {
+            self.handle_facts();
+        }
+    }
+
+    /// Whether a process listens no more; `None` if that isn't known.
+    async fn has_ended(self: &Arc<Self>, target: &Target) -> Option<bool> {
+        match self.try_connect(target).await {
+            Ok(()) => Some(false),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Some(true),
+            Err(_) => None,
+        }
+    }
+
+    /// Waits until it is known whether a request with these parts may be sent to a server.
+    pub async fn admit(&self, parts: &[Part]) -> Admission {
+        let mut changed = self.changed.subscribe();
+        let waiter = {
+            let now = self.now();
+            let mut state = self.lock();
+            let quarantine = &mut state.quarantine;
+            let Some(part) = quarantine.registry.find_quarantined(parts) else {
+                return Admission::Open;
+            };
+            let wait = quarantine.registry.trial_wait(now, part);
+            let requests = &mut quarantine.trial_requests;
+            if !wait.is_zero() || requests.len() >= MAX_TRIAL_REQUESTS {
+                return Admission::Refused(part, wait);
+            }
+            requests.entry(part).or_default().waiting += 1;
+            Waiter { node: self, part }
+        };
+        self.demand_changed.notify_one();
+        let answered = async {
+            loop {
+                if let Some(is_granted) = self.take_trial(waiter.part) {
+                    return is_granted;
+                }
+                if changed.changed().await.is_err() {
+                    return false;
+                }
+            }
+        };
+        let is_granted = time::timeout(TRIAL_ANSWER_TIMEOUT, answered).await;
+        if is_granted == Ok(true) {
+            log::info!(part = waiter.part.to_string().as_str(); "request with a quarantined part is let through as a trial");
+            return Admission::Trial(waiter.part);
+        }
+        let now = self.now();
+        let wait = self.lock().quarantine.registry.trial_wait(now, waiter.part);
+        Admission::Refused(waiter.part, wait)
+    }
+
+    /// Takes the steward's answer to a trial request; only one of those that wait is let through.
+    fn take_trial(&self, part: Part) -> Option<bool> {
+        let mut state = self.lock();
+        let request = state.quarantine.trial_requests.get_mut(&part)?;
+        let is_granted = request.is_granted?;
+        request.is_granted = Some(false);
+        Some(is_granted)
+    }
+}
+
+impl<P> Node<P>
+where
+    P: Send + Sync,
+{
+    /// Records an answer that has arrived whole, as its server stated.
+    pub fn record_whole_answer(&self, parts: &[Part]) {
+        if parts.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let is_news = self.lock().quarantine.registry.record_answer(now, parts);
+        if is_news {
+            self.handle_facts();
+        }
+    }
+
+    /// Records that a process has answered a request that was sent at `sent`.
+    pub fn record_life(&self, process: &Process, sent: clock::Instant) {
+        let now = self.now();
+        let is_news = self
+            .lock()
+            .quarantine
+            .registry
+            .record_life(now, process, sent);
+        if is_news {
+            self.handle_facts();
+        }
+    }
+
+    /// The first of these parts that is quarantined, other than one that is on trial, and the time until its next trial.
+    #[must_use]
+    pub fn find_quarantined(
+        &self,
+        parts: &[Part],
+        trial: Option<Part>,
+    ) -> Option<(Part, Duration)> {
+        let now = self.now();
+        let state = self.lock();
+        let registry = &state.quarantine.registry;
+        let part = registry.find_quarantined(parts)?;
+        (Some(part) != trial).then(|| (part, registry.trial_wait(now, part)))
+    }
+
+    /// Stores the steward's answers to trial requests.
+    pub fn handle_trials(&self, replies: &[(Part, bool)]) {
+        if replies.is_empty() {
+            return;
+        }
+        let mut state = self.lock();
+        for (part, is_granted) in replies {
+            if let Some(request) = state.quarantine.trial_requests.get_mut(part) {
+                request.is_granted = Some(*is_granted);
+            }
+        }
+        drop(state);
+        self.wake();
+    }
+
+    /// Decides on trial requests, as the steward.
+    pub fn decide_trials(&self, parts: &[Part], is_settled: bool) -> Vec<(Part, bool)> {
+        if parts.is_empty() {
+            return Vec::new();
+        }
+        let now = self.now();
+        let registry = &mut self.lock().quarantine.registry;
+        let decide = |part: &Part| (*part, is_settled && registry.try_trial(now, *part));
+        let decided = parts.iter().map(decide).collect();
+        self.demand_changed.notify_one();
+        decided
+    }
+
+    /// Everything that this instance knows of crashes and parts.
+    #[must_use]
+    pub fn facts(&self) -> Facts {
+        let now = self.now();
+        self.lock().quarantine.registry.facts(now)
+    }
+
+    /// The quarantined parts, to be kept with the lease.
+    #[must_use]
+    pub fn verdicts(&self) -> Vec<Verdict> {
+        let now = self.now();
+        self.lock().quarantine.registry.verdicts(now)
+    }
+
+    /// Forgets crashes that are too old to matter.
+    pub fn sweep_quarantine(&self) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.quarantine.registry.prune(now);
+    }
+
+    /// Tells others what is new, and lets waiting requests find out.
+    fn handle_facts(&self) {
+        let count = self.lock().quarantine.registry.quarantined_count();
+        self.metrics.set_quarantined_parts(count);
+        self.wake();
+        self.demand_changed.notify_one();
+    }
+}
+
+impl state::State {
+    /// Whether a process has not announced that it leaves: the end of one that has is no crash.
+    fn is_expected_to_stay(&self, process: &Process) -> bool {
+        let Process { server, started_ms } = process;
+        let known: Option<&state::ServerState> = self.servers.get(server);
+        let is_ready = known.is_some_and(|known| {
+            known.server.started_ms == *started_ms
+                && known.server.ready
+                && known.server.stops_at.is_none()
+        });
+        is_ready && !self.announcements.is_leaving(server, *started_ms)
+    }
+}
+
+/// The names of quarantined parts, for callers and logs.
+#[must_use]
+pub fn name(group: &str, call: &platform::Call, part: Part) -> SmolStr {
+    let names = call.prompt_parts.iter();
+    let mut names = names.filter(|name| Part::new(group, name) == part);
+    names.next().cloned().unwrap_or_default()
+}
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -26,7 +26,7 @@
 use smol_str::SmolStr;
 
 use super::{ConfigSource, QueueKey};
-use super::{origin, path};
+use super::{origin, path, quarantine};
 
 /// Number of instances assumed to share limits until it is known: with too many, each instance's part is only
 /// too small.
@@ -111,6 +111,7 @@
     pub(super) next_waiter: u64,
     pub(super) paths: path::Paths,
     pub(super) origins: origin::Origins,
+    pub(super) quarantine: quarantine::Quarantine,
     /// When a planned stop will be over, once one has begun.
     pub(super) stop_deadline: Option<clock::Instant>,
 }
@@ -231,6 +232,7 @@
             next_waiter: 0,
             paths: path::Paths::default(),
             origins: origin::Origins::default(),
+            quarantine: quarantine::Quarantine::default(),
             stop_deadline: None,
         }
     }
@@ -456,6 +458,7 @@
         }
         self.announcements.link_opened();
         self.origins.link_opened();
+        self.quarantine.link_opened();
     }
 
     /// Records the versions of all servers.
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -35,6 +35,8 @@
     pub prompt_tokens: u32,
     /// The start of the prompt, which other requests may share.
     pub shared_prefix: Option<SharedPrefix>,
+    /// The names of the prompt's parts that other requests may have as well, in order.
+    pub prompt_parts: Vec<SmolStr>,
     /// The id of the last event that the caller received from an earlier attempt.
     pub last_event: Option<u64>,
     /// The id of the attempt that brought the first event of the stream that the caller takes up again, as the caller
--- a/crates/fireflywheel_daemon/src/fleet/pool.rs
+++ b/crates/fireflywheel_daemon/src/fleet/pool.rs
@@ -5,6 +5,7 @@
 //! anything unexpected is closed (by hyper) and never reused: the bytes may belong to another request.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -251,10 +252,20 @@
 where
     N: net::Network,
 {
-    let stream = time::timeout(CONNECT_TIMEOUT, network.connect(address)).await;
-    let Ok(Ok(stream)) = stream else {
-        return Err(Error::Unreachable);
-    };
+    let stream = try_dial(network, address).await;
+    stream.map_err(|_| Error::Unreachable)
+}
+
+/// Opens a TCP connection to a server. Dropping the future closes it.
+///
+/// # Errors
+///
+/// Returns why it doesn't open.
+pub async fn try_dial<N>(network: &N, address: SocketAddr) -> io::Result<TcpStream>
+where
+    N: net::Network,
+{
+    let stream = time::timeout(CONNECT_TIMEOUT, network.connect(address)).await??;
     net::configure(&stream);
     Ok(stream)
 }
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -23,6 +23,7 @@
 
 use super::attempt;
 use super::node;
+use super::node::quarantine::{self, Admission};
 use super::platform;
 use super::stream;
 use crate::callers::incoming;
@@ -116,6 +117,16 @@
         let organisation = self.identify_organisation(&config, route, call)?;
         let body = incoming::read(body, &body_limits(&config.limits)).await?;
         let queue = queue_key(&config, route, call);
+        let parts = quarantine::parts(&queue.group, call);
+        let trial = match self.node.admit(&parts).await {
+            Admission::Open => None,
+            Admission::Trial(part) => Some(part),
+            Admission::Refused(part, wait) => {
+                let name = quarantine::name(&queue.group, call, part);
+                log::info!(request = call.id.as_str(), part = name.as_str(); "servers crash on a part of the prompt");
+                return Err(quarantined(wait));
+            }
+        };
         let version = match route.kind.is_stream() && call.last_event.is_some() {
             true => Some(self.find_origin(call, &queue.group).await?),
             false => None,
@@ -145,6 +156,8 @@
             route: route.clone(),
             queue,
             version,
+            parts,
+            trial,
             organisation: organisation.map(|organisation| organisation.name.clone()),
             priority: organisation
                 .and_then(|organisation| organisation.priority)
@@ -238,6 +251,9 @@
                     if !job.route.kind.is_retryable() || may_have_run >= job.route.attempts {
                         return Err(failure);
                     }
+                    if !self.node.may_run_again(&chosen.process(), &job.parts).await {
+                        return Err(failure);
+                    }
                 }
                 attempt::Outcome::TimedOut | attempt::Outcome::Response(_) => {
                     return Err(errors::Problem::new(
@@ -263,7 +279,7 @@
         log::info!(
             request = job.call.id.as_str(), server = chosen.server.as_str(), sending = send_index as u64,
             organisation = job.organisation.as_deref().unwrap_or_default(), tokens = job.call.total_tokens.unwrap_or_default(),
-            waited_ms = clock::millis(self.node.now().since(job.arrived));
+            parts = job.call.prompt_parts.join(",").as_str(), waited_ms = clock::millis(self.node.now().since(job.arrived));
             "request sent"
         );
         let can_retry = job.route.kind.is_retryable() && may_have_run + 1 < job.route.attempts;
@@ -395,6 +411,9 @@
     let mut changed = node.changed.subscribe();
     let mut waiter = None;
     loop {
+        if let Some((_, wait)) = node.find_quarantined(&job.parts, job.trial) {
+            return Err(quarantined(wait));
+        }
         let now = node.now();
         let left = job.deadline.since(now);
         let give_up_at = node.stop_deadline().map_or(queue_deadline, |stop| {
@@ -488,6 +507,12 @@
     }
 }
 
+/// The refusal of a request with a part on which servers crash. Its caller has no reason to come back before the next trial
+/// of the part.
+fn quarantined(wait: Duration) -> errors::Problem {
+    unavailable("quarantined", "servers crash on a part of the prompt").with_retry_after(wait)
+}
+
 /// Returns whether a request should still wait for its model to be loaded on another engine.
 fn may_load_elsewhere(job: &attempt::Job, now: clock::Instant) -> bool {
     job.queue.model.is_some() && now.since(job.arrived) < LOAD_ELSEWHERE_TIMEOUT
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -7,6 +7,7 @@
 mod link;
 mod orders;
 mod origins;
+mod quarantine;
 mod shares;
 mod state;
 mod updates;
@@ -213,6 +214,7 @@
         peer: Record,
         cpu_share: f64,
         failure_domain: SmolStr,
+        shares_facts: bool,
     ) -> mpsc::Receiver<Bytes> {
         let now = self.node.now();
         let mut state = self.lock();
@@ -233,6 +235,9 @@
         };
         let known = state.lease.holder().filter(|_| state.linked);
         frames.extend(known.cloned().map(frame::Frame::Steward));
+        // An instance that isn't steward tells its peer as well: without a steward, nobody else does.
+        let facts = Some(self.node.facts()).filter(|facts| shares_facts && !facts.is_empty());
+        frames.extend(facts.map(frame::Frame::Facts));
         frames.push(heartbeat.frame(0));
         for frame in frames {
             // The queue has room for all of these frames.
@@ -253,6 +258,7 @@
             requested_update: None,
             has_directory: heartbeat.active && state.entries.is_some(),
             knows_versions: false,
+            shares_facts,
             has_waiting: false,
             all_engines,
             changed_engines: BTreeSet::new(),
@@ -272,7 +278,13 @@
         state.record_limits(now, &demand.limit_notices);
         let replies =
             state.answer_permit_requests(now, pacer::Requester::Own, &demand.permit_requests);
+        state.send_facts(&demand.quarantine.facts);
+        let is_settled = now.since(state.role_changed_at) >= origin::SETTLING_TIME;
         drop(state);
+        let trials = self
+            .node
+            .decide_trials(&demand.quarantine.trial_requests, is_settled);
+        self.node.handle_trials(&trials);
         self.count_permits(&replies);
         self.node.handle_permit_replies(&replies);
         self.node.handle_origin_replies(origins);
@@ -281,6 +293,7 @@
     /// Handles a demand that was received over a link.
     pub fn handle_demand(&self, number: u64, demand: &demand::Demand) {
         let now = self.node.now();
+        self.node.merge_facts(&demand.quarantine.facts, true);
         let mut state = self.lock();
         let heartbeat = self.heartbeat(&state, now);
         let State {
@@ -339,6 +352,11 @@
                 let replies = state.handle_origins(now, report);
                 state.send_origins(number, replies);
             }
+            let is_settled = now.since(state.role_changed_at) >= origin::SETTLING_TIME;
+            let trials = self
+                .node
+                .decide_trials(&demand.quarantine.trial_requests, is_settled);
+            state.send_trials(number, trials);
         }
         let arrived = demand.arrived.iter().map(|count| &count.model);
         for model in arrived.chain(demand.queues.iter().map(|queue| &queue.model)) {
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -304,6 +304,7 @@
         time::sleep(SWEEP_INTERVAL).await;
         node.pool.sweep(node.now());
         node.sweep_origins();
+        node.sweep_quarantine();
         node.probe_failing_paths();
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -33,6 +33,8 @@
 const IDLE_TIMEOUT_GAPS: u32 = 4;
 /// Maximum number of sends for one resumption, counting servers that refuse the request without running it.
 const MAX_RESUME_SENDS: usize = 3;
+/// How long an answer counts as just begun after the first byte of its body.
+const BEGINNING: Duration = Duration::from_millis(300);
 /// Idle timeout of a resumable stream whose route sets no maximum event gap, and the minimum for all routes.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -146,8 +148,11 @@
     body: received::Body,
     connection: pool::Connection,
     keep_alive: Option<Duration>,
+    target: node::Target,
     server: SmolStr,
     version: Option<SmolStr>,
+    /// When the first byte of the body arrived.
+    data_at: Option<clock::Instant>,
     _in_flight: node::InFlight<P>,
 }
 
@@ -199,8 +204,10 @@
             body: upstream.body,
             connection: upstream.connection,
             keep_alive: upstream.reply.keep_alive,
+            target: upstream.target,
             server: upstream.server,
             version: upstream.version,
+            data_at: None,
             _in_flight: upstream.in_flight,
         }
     }
@@ -218,6 +225,9 @@
                 End::Broken(_) | End::Idle => {
                     let outcome = node::ServerOutcome::Failed;
                     self.node.record_outcome(&self.source.server, outcome);
+                    if matches!(end, End::Broken(_)) && self.is_at_beginning() {
+                        self.node.examine(&self.source.target, &self.job.parts);
+                    }
                 }
                 End::CallerGone | End::TimedOut => break self.abort(end),
             }
@@ -254,6 +264,7 @@
         }
         let outcome = node::ServerOutcome::Good;
         self.node.record_outcome(&self.source.server, outcome);
+        self.node.record_whole_answer(&self.job.parts);
         self.node
             .pool
             .release(now, self.source.connection, self.source.keep_alive);
@@ -307,6 +318,10 @@
                 received::Part::End(ending) => return self.end_of(ending).await,
             };
             self.has_data |= !bytes.is_empty();
+            if self.has_data {
+                let now = self.node.now();
+                self.source.data_at.get_or_insert(now);
+            }
             match self.forward(bytes).await {
                 Ok(()) => {}
                 Err(end) => return end,
@@ -387,7 +402,12 @@
 
     /// Chooses another server that can resume the stream immediately, and takes a retry from the group's budget.
     fn reserve_alternative(&self) -> Option<node::Chosen> {
-        if !self.may_resume() {
+        let is_quarantined = || {
+            let job = &self.job;
+            let part = self.node.find_quarantined(&job.parts, job.trial);
+            part.is_some()
+        };
+        if !self.may_resume() || is_quarantined() {
             return None;
         }
         let mut tried = self.tried.clone();
@@ -426,12 +446,27 @@
             && self.origin != Origin::Unknown
     }
 
+    /// Whether the answer of the current run has just begun, or hasn't yet: a server that crashes on a request does so as it
+    /// begins to answer it.
+    fn is_at_beginning(&self) -> bool {
+        let now = self.node.now();
+        let data_at = self.source.data_at;
+        data_at.is_none_or(|at| now.since(at) < BEGINNING)
+    }
+
     /// Starts another run in place of one that broke off.
     async fn resume(&mut self) -> Option<Source<P>> {
+        let is_at_beginning = self.is_at_beginning();
         self.end_run();
         if !self.may_resume() {
             return None;
         }
+        if is_at_beginning {
+            let process = &self.source.target.process;
+            if !self.node.may_run_again(process, &self.job.parts).await {
+                return None;
+            }
+        }
         let chosen = self.wait_for_server().await?;
         self.send(chosen).await
     }
