--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -18,6 +18,7 @@
 mod origin;
 mod overload;
 mod plan;
+mod quarantine;
 mod quota;
 mod rate;
 mod reach;
--- /dev/null
+++ b/crates/fireflywheel/tests/fleet/quarantine.rs
@@ -0,0 +1,293 @@
+//! Tests of the quarantine of parts of prompts on which servers crash.
+
+use std::time::Duration;
+
+use fireflywheel::clock::Instant;
+use fireflywheel::fleet::announcement::Process;
+use fireflywheel::fleet::quarantine::{Facts, Part, Registry};
+
+/// Number of instances of a fleet.
+const INSTANCES: usize = 3;
+/// Time between two crashes.
+const INTERVAL: Duration = Duration::from_secs(2);
+
+fn process(number: u64) -> Process {
+    Process {
+        server: format!("s{number}").into(),
+        started_ms: number,
+    }
+}
+
+fn part(name: &str) -> Part {
+    Part::new("llm", name)
+}
+
+fn parts<const COUNT: usize>(names: [&str; COUNT]) -> Vec<Part> {
+    names.map(part).to_vec()
+}
+
+/// Instances that exchange what is new after each step, without a delay.
+struct Fleet {
+    now: Instant,
+    registries: Vec<Registry>,
+    crashes: u64,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Self {
+            now: Instant(1_000_000),
+            registries: vec![Registry::default(); INSTANCES],
+            crashes: 0,
+        }
+    }
+
+    fn exchange(&mut self) {
+        for index in 0..INSTANCES {
+            let facts = self.registries[index].take_news(self.now);
+            for (other, registry) in self.registries.iter_mut().enumerate() {
+                if other != index {
+                    registry.merge(self.now, &facts, false, other as u64);
+                }
+            }
+        }
+    }
+
+    /// A server crashes that had begun to answer these prompts, each for another instance. `witnesses` of the instances find
+    /// that it has ended.
+    fn crash_with_witnesses(&mut self, prompts: &[Vec<Part>], witnesses: usize) -> Process {
+        self.now = self.now.after(INTERVAL);
+        self.crashes += 1;
+        let process = process(self.crashes);
+        for (index, prompt) in prompts.iter().enumerate() {
+            let registry = &mut self.registries[index % INSTANCES];
+            registry.record_break(self.now, &process, prompt);
+        }
+        for witness in 0..witnesses {
+            let registry = &mut self.registries[witness];
+            registry.record_end(self.now, &process, witness as u64, INSTANCES);
+        }
+        self.exchange();
+        process
+    }
+
+    fn crash(&mut self, prompts: &[Vec<Part>]) -> Process {
+        self.crash_with_witnesses(prompts, 2)
+    }
+
+    fn answer(&mut self, index: usize, prompt: &[Part]) {
+        self.registries[index].record_answer(self.now, prompt);
+        self.exchange();
+    }
+
+    /// Whether requests with a part are refused. All instances must agree.
+    fn refuses(&self, name: &str) -> bool {
+        let refuse = |registry: &Registry| registry.find_quarantined(&[part(name)]).is_some();
+        let refusing = self.registries.iter().filter(|one| refuse(one)).count();
+        assert!(refusing == 0 || refusing == INSTANCES, "{name}: {refusing}");
+        refusing > 0
+    }
+}
+
+/// Guards against a part on which server after server crashes, whatever instance each request came to.
+#[test]
+fn part_of_three_crashes_is_quarantined() {
+    let mut fleet = Fleet::new();
+    for number in 0..3 {
+        assert!(!fleet.refuses("bad"));
+        let other = format!("other{number}");
+        fleet.crash(&[parts(["bad", &other])]);
+    }
+    assert!(fleet.refuses("bad"));
+    assert!(!fleet.refuses("other2"));
+}
+
+/// Guards against a common part that is blamed for what a rare one does, while no server is left to answer anything.
+#[test]
+fn part_that_was_often_answered_is_not_blamed_beside_a_new_one() {
+    let mut fleet = Fleet::new();
+    for index in 0..INSTANCES {
+        for _ in 0..100 {
+            fleet.answer(index, &parts(["common"]));
+        }
+    }
+    for number in 0..4 {
+        let sound = format!("sound{number}");
+        fleet.crash(&[parts(["common", "bad"]), parts(["common", &sound])]);
+    }
+    assert!(fleet.refuses("bad"));
+    assert!(!fleet.refuses("common"));
+}
+
+/// Guards against sound requests that are refused since they ran where another one crashed servers.
+#[test]
+fn part_that_is_answered_between_crashes_is_not_blamed() {
+    let mut fleet = Fleet::new();
+    for _ in 0..4 {
+        fleet.crash(&[parts(["bad"]), parts(["sound"])]);
+        fleet.answer(2, &parts(["sound"]));
+    }
+    assert!(fleet.refuses("bad"));
+    assert!(!fleet.refuses("sound"));
+}
+
+/// Guards against an answer that came before the news of the crash and is not counted for its parts.
+#[test]
+fn answer_before_the_news_of_a_crash_clears_its_parts() {
+    let mut fleet = Fleet::new();
+    for _ in 0..4 {
+        fleet.now = fleet.now.after(INTERVAL);
+        fleet.crashes += 1;
+        let process = process(fleet.crashes);
+        fleet.registries[0].record_break(fleet.now, &process, &parts(["sound"]));
+        fleet.registries[2].record_answer(fleet.now, &parts(["sound"]));
+        for witness in 0..2 {
+            fleet.registries[witness].record_end(fleet.now, &process, witness as u64, INSTANCES);
+        }
+        fleet.exchange();
+        fleet.exchange();
+    }
+    assert!(!fleet.refuses("sound"));
+}
+
+/// Guards against three paths that are reset, or a partition, and are taken for three crashes.
+#[test]
+fn ends_that_one_instance_sees_are_no_crashes() {
+    let mut fleet = Fleet::new();
+    for _ in 0..5 {
+        fleet.crash_with_witnesses(&[parts(["sound"])], 1);
+    }
+    assert!(!fleet.refuses("sound"));
+}
+
+/// Guards against a partition that two instances take for crashes though others reach the servers.
+#[test]
+fn answer_of_a_server_refutes_its_crash() {
+    let mut fleet = Fleet::new();
+    for _ in 0..5 {
+        let process = fleet.crash(&[parts(["sound"])]);
+        let now = fleet.now.after(Duration::from_millis(50));
+        fleet.registries[2].record_life(now, &process, now);
+        fleet.exchange();
+    }
+    assert!(!fleet.refuses("sound"));
+}
+
+/// Guards against a part that is blamed wrongly and refused for good.
+#[test]
+fn trial_that_is_answered_ends_the_quarantine() {
+    let mut fleet = Fleet::new();
+    for _ in 0..3 {
+        fleet.crash(&[parts(["rare"])]);
+    }
+    assert!(fleet.refuses("rare"));
+    assert!(!fleet.registries[0].try_trial(fleet.now, part("rare")));
+    fleet.now = fleet.now.after(Duration::from_secs(20));
+    assert!(fleet.registries[0].try_trial(fleet.now, part("rare")));
+    fleet.exchange();
+    fleet.answer(1, &parts(["rare"]));
+    assert!(!fleet.refuses("rare"));
+}
+
+/// Guards against trials that crash a server each time, throughout the day.
+#[test]
+fn trials_of_a_part_are_few() {
+    let mut fleet = Fleet::new();
+    for _ in 0..3 {
+        fleet.crash(&[parts(["bad"])]);
+    }
+    let mut trials = 0;
+    let day = Duration::from_secs(24 * 3600);
+    let end = fleet.now.after(day);
+    while fleet.now < end {
+        fleet.now = fleet.now.after(Duration::from_secs(10));
+        let granting = fleet.now.0 as usize % INSTANCES;
+        if fleet.registries[granting].try_trial(fleet.now, part("bad")) {
+            trials += 1;
+            fleet.exchange();
+            fleet.crash(&[parts(["bad"])]);
+        }
+        for registry in &mut fleet.registries {
+            registry.prune(fleet.now);
+        }
+    }
+    assert!(fleet.refuses("bad"));
+    assert!(trials <= 3, "{trials} trials");
+}
+
+/// Guards against a new steward, or an instance that starts later, that doesn't know what is quarantined.
+#[test]
+fn everything_is_told_to_an_instance_that_knows_nothing() {
+    let mut fleet = Fleet::new();
+    for _ in 0..3 {
+        fleet.crash(&[parts(["bad"])]);
+    }
+    fleet.now = fleet.now.after(Duration::from_secs(20));
+    assert!(fleet.registries[0].try_trial(fleet.now, part("bad")));
+    let mut new = Registry::default();
+    new.merge(fleet.now, &fleet.registries[0].facts(fleet.now), false, 9);
+    assert!(new.find_quarantined(&[part("bad")]).is_some());
+    assert!(!new.try_trial(fleet.now, part("bad")));
+    fleet.registries[1].tell_again();
+    let told = fleet.registries[1].take_news(fleet.now);
+    let mut new = Registry::default();
+    new.merge(fleet.now, &told, true, 9);
+    assert!(new.find_quarantined(&[part("bad")]).is_some());
+}
+
+/// Guards against memory and bytes on the links that grow with the parts that callers invent.
+#[test]
+fn facts_are_bounded() {
+    let mut fleet = Fleet::new();
+    for number in 0..200 {
+        let prompts: Vec<Vec<Part>> = (0..200)
+            .map(|prompt| parts([&format!("p{number}-{prompt}")]))
+            .collect();
+        fleet.crash(&prompts);
+        for prompt in &prompts {
+            fleet.registries[0].record_answer(fleet.now, prompt);
+        }
+        fleet.exchange();
+    }
+    let mut bytes = Vec::new();
+    let facts: Facts = fleet.registries[0].facts(fleet.now);
+    ciborium::into_writer(&facts, &mut bytes).expect("facts can be encoded");
+    assert!(facts.crashes.len() <= 32);
+    assert!(bytes.len() < 128 << 10, "{} bytes", bytes.len());
+}
+
+/// Guards against facts that depend on the order in which they arrive, so that instances disagree for good.
+#[test]
+fn facts_may_arrive_in_any_order() {
+    arbtest::arbtest(|draw| {
+        let mut now = Instant(1_000_000);
+        let mut told: Vec<Facts> = Vec::new();
+        let mut registries = vec![Registry::default(); INSTANCES];
+        for number in 0..draw.int_in_range(3..=8_u64)? {
+            now = now.after(INTERVAL);
+            let process = process(number);
+            for (witness, registry) in registries.iter_mut().enumerate() {
+                let name = ["a", "b", "c"][draw.int_in_range(0..=2_usize)?];
+                registry.record_break(now, &process, &parts([name]));
+                registry.record_end(now, &process, witness as u64, INSTANCES);
+                told.push(registry.take_news(now));
+            }
+        }
+        let mut backwards = Registry::default();
+        let mut forwards = Registry::default();
+        for facts in &told {
+            forwards.merge(now, facts, true, 8);
+        }
+        for facts in told.iter().rev() {
+            backwards.merge(now, facts, true, 9);
+        }
+        let names = ["a", "b", "c"].map(part);
+        let quarantined =
+            |registry: &Registry| names.map(|part| registry.find_quarantined(&[part]).is_some());
+        let (first, second) = (forwards.facts(now), backwards.facts(now));
+        forwards.merge(now, &second, true, 8);
+        backwards.merge(now, &first, true, 9);
+        assert_eq!(quarantined(&forwards), quarantined(&backwards));
+        Ok(())
+    });
+}
