Quarantined parts are kept with the lease, and told without a steward

And a fleet whose instances are all lost would learn the part anew.

The steward writes the quarantined parts with the lease's record; an instance that starts reads them there, or is told by the steward, before it lets the first request with parts through, for a second at most.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -25,7 +25,7 @@
 use smol_str::SmolStr;
 
 use super::era::{Era, Position};
-use super::{origin, tunnel};
+use super::{origin, quarantine, tunnel};
 use crate::clock;
 
 /// Fencing numbers between two takeovers, as a power of two. The number of a takeover derives from the
@@ -77,10 +77,22 @@
     pub record: Option<(u64, Record)>,
     /// The position that the next record will have.
     pub end: Position,
-    /// The secret that was written with the record.
+    /// What was written with the record.
+    pub attachment: Attachment,
+}
+
+/// What is written with the lease's record, for instances that nobody else tells.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Attachment {
+    /// The secret of the fleet's tunnels; absent from releases without gateways.
+    #[serde(default)]
     pub secret: Option<tunnel::Secret>,
-    /// The versions of groups' servers that the writer had seen; `None` from releases that don't distinguish them.
+    /// The versions of groups' servers that the writer had seen; absent from releases that don't distinguish them.
+    #[serde(default)]
     pub versions: Option<origin::Versions>,
+    /// The quarantined parts of prompts.
+    #[serde(default)]
+    pub quarantined: Vec<quarantine::Verdict>,
 }
 
 impl Reading {
--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -37,6 +37,8 @@
 const MIN_WITNESSES: usize = 2;
 /// Maximum error of times that other instances report, by the delays of their links.
 const TIME_TOLERANCE: Duration = Duration::from_millis(500);
+/// The same for times that were kept in the store with the lease, which is renewed within this time.
+const STORED_TIME_TOLERANCE: Duration = Duration::from_secs(5);
 /// How long after a crash another connection to its address tells about the same process.
 pub const VERIFICATION_TIME: Duration = Duration::from_millis(400);
 /// How long broken runs are kept until it is known whether their process has crashed.
@@ -79,6 +81,8 @@
     since: clock::Instant,
     trials: u32,
     trial_at: Option<clock::Instant>,
+    /// Maximum error of `since`.
+    tolerance: Duration,
 }
 
 /// The parts of runs that broke off.
@@ -259,6 +263,12 @@
         }
     }
 
+    /// The number of crashes, survivors and parts of which there is something new to tell.
+    #[must_use]
+    pub fn news_count(&self) -> usize {
+        self.news.crashes.len() + self.news.survivors.len() + self.news.parts.len()
+    }
+
     /// Everything that is known, for an instance that may know nothing.
     #[must_use]
     pub fn facts(&self, now: clock::Instant) -> Facts {
@@ -372,9 +382,12 @@
 
     /// Whether a part was answered to the end after a crash, or so shortly before that it can't be its cause.
     fn is_cleared(&self, part: Part, crash: clock::Instant) -> bool {
-        self.cleared
-            .get(&part)
-            .is_some_and(|at| at.after(TIME_TOLERANCE) >= crash)
+        self.is_answered_since(part, crash, TIME_TOLERANCE)
+    }
+
+    fn is_answered_since(&self, part: Part, crash: clock::Instant, tolerance: Duration) -> bool {
+        let cleared = self.cleared.get(&part);
+        cleared.is_some_and(|at| at.after(tolerance) >= crash)
     }
 
     /// Records that a part was answered to the end. Returns whether that changes anything for others.
@@ -389,7 +402,7 @@
         self.cleared.insert(part, at);
         self.news.parts.insert(part);
         if let Some(quarantine) = self.quarantined.get(&part)
-            && self.is_cleared(part, quarantine.since)
+            && self.is_answered_since(part, quarantine.since, quarantine.tolerance)
         {
             self.quarantined.remove(&part);
             log::info!(part = part.to_string().as_str(); "part of prompts is no longer quarantined");
@@ -486,7 +499,7 @@
         F: Fn(u32) -> clock::Instant,
     {
         let since = ago(verdict.age_ms);
-        if self.is_cleared(verdict.part, since) {
+        if self.is_answered_since(verdict.part, since, STORED_TIME_TOLERANCE) {
             return;
         }
         let trial_at = verdict.trial_age_ms.map(ago);
@@ -494,6 +507,7 @@
             since,
             trials: verdict.trials,
             trial_at,
+            tolerance: STORED_TIME_TOLERANCE,
         };
         let is_new = !self.quarantined.contains_key(&verdict.part);
         let known = self.quarantined.entry(verdict.part).or_insert(told);
@@ -516,6 +530,7 @@
                     since,
                     trials: 0,
                     trial_at: None,
+                    tolerance: TIME_TOLERANCE,
                 };
                 self.quarantined.insert(part, quarantine);
                 self.news.parts.insert(part);
--- a/crates/fireflywheel/tests/fleet/lease/rig.rs
+++ b/crates/fireflywheel/tests/fleet/lease/rig.rs
@@ -4,7 +4,7 @@
 
 use fireflywheel::clock::Instant;
 use fireflywheel::fleet::era::{Era, Position};
-use fireflywheel::fleet::lease::{Lease, Options, Reading, Record};
+use fireflywheel::fleet::lease::{Attachment, Lease, Options, Reading, Record};
 
 pub const ADDRESS: &str = "10.0.0.1:1";
 pub const TERM: Duration = Duration::from_secs(3);
@@ -20,8 +20,7 @@
 impl Log {
     pub fn read(&self) -> Reading {
         Reading {
-            secret: None,
-            versions: None,
+            attachment: Attachment::default(),
             record: self.record.clone(),
             end: self.end(),
         }
--- a/crates/fireflywheel_daemon/src/fleet/daemon.rs
+++ b/crates/fireflywheel_daemon/src/fleet/daemon.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time;
 
+use super::gossip;
 use super::health::Endpoint;
 use super::metrics;
 use super::node;
@@ -107,6 +108,7 @@
         tasks.spawn(store_watch::follow_directory(Arc::clone(&node)));
         tasks.spawn(store_watch::sweep_connections(Arc::clone(&node)));
         tasks.spawn(links::accept(Arc::clone(&steward), peers_listener));
+        tasks.spawn(gossip::run(Arc::clone(&steward)));
         tasks.spawn(links::follow_steward(Arc::clone(&steward)));
         tasks.spawn(Arc::clone(&steward).keep_lease());
         tasks.spawn(Arc::clone(&steward).run());
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -196,6 +196,14 @@
             tunnel::serve(&steward.node, socket, opener).await;
             return;
         }
+        Ok(Ok(frame::Frame::Facts(facts))) => {
+            steward.node.merge_facts(&facts, true);
+            let answer = frame::Frame::Facts(steward.node.facts());
+            if let Err(error) = send(&mut socket, &answer).await {
+                log::debug!(why = error.to_string().as_str(); "facts not sent");
+            }
+            return;
+        }
         _ => return,
     };
     let link_id = NEXT_LINK_ID.fetch_add(1, Ordering::Relaxed);
@@ -251,6 +259,25 @@
     log::info!(instance = instance.as_str(), why = why; "link ended");
 }
 
+/// Sends another instance a frame on a connection of its own, and returns the answer.
+///
+/// # Errors
+///
+/// Returns an error if there is none.
+pub async fn ask(address: &str, frame: &frame::Frame) -> anyhow::Result<frame::Frame> {
+    let mut socket = open(address).await?;
+    send(&mut socket, frame).await?;
+    receive(&mut socket).await
+}
+
+async fn open(address: &str) -> anyhow::Result<Socket> {
+    let stream = TcpStream::connect(address).await?;
+    net::configure(&stream);
+    let url = format!("ws://{address}/");
+    let opened = client_async_with_config(url, stream, Some(websocket_config())).await?;
+    Ok(opened.0)
+}
+
 /// Opens a link to `holder` and runs the connecting end of it until the link ends.
 async fn run_link<P>(
     steward: &steward::Steward<P>,
@@ -260,18 +287,7 @@
 where
     P: platform::Platform,
 {
-    let address = holder.address.as_str();
-    let opening = async {
-        let stream = TcpStream::connect(address).await?;
-        net::configure(&stream);
-        let url = format!("ws://{address}/");
-        anyhow::Ok(
-            client_async_with_config(url, stream, Some(websocket_config()))
-                .await?
-                .0,
-        )
-    };
-    let mut socket = time::timeout(open_timeout, opening)
+    let mut socket = time::timeout(open_timeout, open(&holder.address))
         .await
         .context("link did not open in time")??;
     let hello = frame::Frame::Hello {
@@ -419,6 +435,7 @@
             steward.node.update_instance_count(instances as usize);
             steward.set_linked(true);
             steward.node.set_has_steward(true);
+            steward.node.record_informed();
         }
         frame::Frame::Held(holdings) => steward.node.update_holdings(holdings),
         frame::Frame::AllEngines(complete) => steward.node.set_all_engines(complete),
--- a/crates/fireflywheel_daemon/src/fleet/mod.rs
+++ b/crates/fireflywheel_daemon/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 //! | [`net`] | opens connections to backend servers and sets their socket options |
 //! | [`store_watch`] | keeps the configuration and the directory up to date |
 //! | [`steward`] | holds the lease, plans and sends orders |
+//! | `gossip` | exchanges facts of crashes with standbys while there is no steward |
 //! | [`links`] | opens and serves links between instances and the steward |
 //! | [`health`] | serves readiness probes and metrics |
 //! | [`metrics`] | records Prometheus metrics |
@@ -25,6 +26,7 @@
 mod access;
 pub mod attempt;
 pub mod daemon;
+mod gossip;
 pub mod health;
 pub mod links;
 pub mod log_output;
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -59,6 +59,8 @@
     pub demand_changed: Notify,
     /// Notified when requests in flight start or end.
     pub usage_changed: Notify,
+    /// Notified when there are new facts of crashes.
+    pub facts_changed: Notify,
     /// Notified when the store answers again after failed calls.
     pub store_recovered: Notify,
     /// The steward's reads of the store, as it reports them.
@@ -151,6 +153,7 @@
             changed: watch::Sender::new(0),
             demand_changed: Notify::new(),
             usage_changed: Notify::new(),
+            facts_changed: Notify::new(),
             store_recovered: Notify::new(),
             steward_reads: watch::Sender::new(StewardReads::default()),
             state: Mutex::new(state),
--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -24,6 +24,10 @@
 const TRIAL_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of parts for which trial requests wait at once.
 const MAX_TRIAL_REQUESTS: usize = 64;
+/// Maximum number of quarantined parts that are kept with the lease, which is written once a second.
+const MAX_STORED_VERDICTS: usize = 64;
+/// How long after its start an instance waits to be told what is quarantined.
+const START_TIMEOUT: Duration = Duration::from_secs(1);
 /// Mean number of instances that verify a crash which a single instance has seen.
 const MEAN_VERIFIERS: f64 = 3.0;
 
@@ -34,6 +38,8 @@
     /// Processes that are being examined, with whether each has ended once that is known.
     examinations: BTreeMap<Process, watch::Receiver<Option<bool>>>,
     trial_requests: BTreeMap<Part, TrialRequest>,
+    /// Whether the store or the steward has told what is quarantined.
+    is_informed: bool,
 }
 
 /// A request to the steward to let one request with a quarantined part through.
@@ -177,14 +183,20 @@
             false => (MEAN_VERIFIERS / state.instances.count().max(1) as f64).min(1.0),
         };
         let registry = &mut state.quarantine.registry;
+        let news_before = registry.news_count();
         let unverified = registry.merge(now, facts, passes_on, self.incarnation);
+        let has_news = registry.news_count() > news_before;
         let targets: Vec<Target> = unverified
             .iter()
             .filter(|_| rand::random_bool(verifier_share))
             .filter_map(|process| state.target(process))
             .collect();
         drop(state);
-        self.handle_facts();
+        if has_news {
+            self.handle_facts();
+        } else {
+            self.show_facts();
+        }
         for target in targets {
             self.verify(target);
         }
@@ -237,7 +249,16 @@
 
     /// Waits until it is known whether a request with these parts may be sent to a server.
     pub async fn admit(&self, parts: &[Part]) -> Admission {
+        if parts.is_empty() {
+            return Admission::Open;
+        }
         let mut changed = self.changed.subscribe();
+        let started_for = self.now().since(self.started);
+        let informed = async {
+            while !self.lock().quarantine.is_informed && changed.changed().await.is_ok() {}
+        };
+        // Without a store and a steward, nobody tells.
+        let _ = time::timeout(START_TIMEOUT.saturating_sub(started_for), informed).await;
         let waiter = {
             let now = self.now();
             let mut state = self.lock();
@@ -355,6 +376,29 @@
         decided
     }
 
+    /// Adds the quarantined parts that were kept with the lease.
+    pub fn merge_verdicts(&self, verdicts: &[Verdict]) {
+        let now = self.now();
+        let facts = Facts {
+            verdicts: verdicts.to_vec(),
+            ..Facts::default()
+        };
+        let mut state = self.lock();
+        let registry = &mut state.quarantine.registry;
+        registry.merge(now, &facts, false, self.incarnation);
+        state.quarantine.is_informed = true;
+        drop(state);
+        self.show_facts();
+    }
+
+    /// Records that the steward has told what is quarantined.
+    pub fn record_informed(&self) {
+        let was_informed = std::mem::replace(&mut self.lock().quarantine.is_informed, true);
+        if !was_informed {
+            self.wake();
+        }
+    }
+
     /// Everything that this instance knows of crashes and parts.
     #[must_use]
     pub fn facts(&self) -> Facts {
@@ -362,11 +406,14 @@
         self.lock().quarantine.registry.facts(now)
     }
 
-    /// The quarantined parts, to be kept with the lease.
+    /// The parts that were quarantined last, to be kept with the lease.
     #[must_use]
     pub fn verdicts(&self) -> Vec<Verdict> {
         let now = self.now();
-        self.lock().quarantine.registry.verdicts(now)
+        let mut verdicts = self.lock().quarantine.registry.verdicts(now);
+        verdicts.sort_by_key(|verdict| verdict.age_ms);
+        verdicts.truncate(MAX_STORED_VERDICTS);
+        verdicts
     }
 
     /// Forgets crashes that are too old to matter.
@@ -376,12 +423,18 @@
         state.quarantine.registry.prune(now);
     }
 
-    /// Tells others what is new, and lets waiting requests find out.
-    fn handle_facts(&self) {
+    /// Lets waiting requests and the operator find out what is known.
+    fn show_facts(&self) {
         let count = self.lock().quarantine.registry.quarantined_count();
         self.metrics.set_quarantined_parts(count);
         self.wake();
+    }
+
+    /// The same, and tells others what is new.
+    fn handle_facts(&self) {
+        self.show_facts();
         self.demand_changed.notify_one();
+        self.facts_changed.notify_one();
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -9,7 +9,7 @@
 use fireflywheel::clock;
 use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::era::{Era, Position};
-use fireflywheel::fleet::{announcement, lease, organisation, origin, routing, server, tunnel};
+use fireflywheel::fleet::{announcement, lease, organisation, routing, server};
 use http_body_util::Full;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request};
@@ -249,16 +249,14 @@
     where
         F: Fn() -> Duration + Send + Sync;
 
-    /// Reads the newest record of the steward's lease, and the secret that was written with it.
+    /// Reads the newest record of the steward's lease, and what was written with it.
     fn read_lease(&self) -> impl Future<Output = Result<lease::Reading, StoreError>> + Send;
 
-    /// Writes a record of the steward's lease, with the secret of the fleet's tunnels and the versions of servers that it
-    /// has seen, if nothing has been written since `end`.
+    /// Writes a record of the steward's lease if nothing has been written since `end`.
     fn write_lease(
         &self,
         end: Position,
         record: &lease::Record,
-        secret: &tunnel::Secret,
-        versions: &origin::Versions,
+        attachment: &lease::Attachment,
     ) -> impl Future<Output = Result<WriteOutcome, StoreError>> + Send;
 }
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -279,7 +279,7 @@
         log::info!(
             request = job.call.id.as_str(), server = chosen.server.as_str(), sending = send_index as u64,
             organisation = job.organisation.as_deref().unwrap_or_default(), tokens = job.call.total_tokens.unwrap_or_default(),
-            parts = job.call.prompt_parts.join(",").as_str(), waited_ms = clock::millis(self.node.now().since(job.arrived));
+            waited_ms = clock::millis(self.node.now().since(job.arrived));
             "request sent"
         );
         let can_retry = job.route.kind.is_retryable() && may_have_run + 1 < job.route.attempts;
@@ -350,7 +350,7 @@
         self.node.metrics.count_failed_attempt(&job.route.name, why);
         log::info!(
             request = job.call.id.as_str(), server = chosen.server.as_str(), verdict = verdict, why = why,
-            model = job.queue.model.as_deref().unwrap_or_default(),
+            model = job.queue.model.as_deref().unwrap_or_default(), parts = job.call.prompt_parts.join(",").as_str(),
             waited_ms = clock::millis(self.node.now().since(job.arrived));
             "attempt failed"
         );
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -449,12 +449,19 @@
     /// A random one of the standbys that were named last, other than this instance.
     #[must_use]
     pub fn random_standby(&self) -> Option<Record> {
+        let mut others = self.other_standbys();
+        let index = rand::random_range(0..others.len().max(1));
+        (index < others.len()).then(|| others.swap_remove(index))
+    }
+
+    /// The standbys that were named last, other than this instance.
+    #[must_use]
+    pub fn other_standbys(&self) -> Vec<Record> {
         let own_name = &self.node.settings.instance;
         let state = self.lock();
         let others = state.standbys.iter();
-        let others: Vec<&Record> = others.filter(|other| other.instance != *own_name).collect();
-        let index = rand::random_range(0..others.len().max(1));
-        others.get(index).map(|standby| (*standby).clone())
+        let others = others.filter(|other| other.instance != *own_name);
+        others.cloned().collect()
     }
 
     /// Removes the link of an instance after it has ended.
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -7,6 +7,7 @@
 use fireflywheel::clock;
 use fireflywheel::fleet::era::Position;
 use fireflywheel::fleet::frame;
+use fireflywheel::fleet::lease;
 use fireflywheel::fleet::successor;
 use smol_str::SmolStr;
 use tokio::time;
@@ -117,12 +118,8 @@
         };
         self.lock().lease.mark_lost();
         self.plan_wake.notify_one();
-        let secret = self.node.ensure_tunnel_secret();
-        let versions = self.node.versions();
-        let written = self
-            .node
-            .platform
-            .write_lease(end, &record, &secret, &versions);
+        let attachment = self.attachment();
+        let written = self.node.platform.write_lease(end, &record, &attachment);
         let result = written.await;
         log::info!(end = end.offset, given_up = matches!(result, Ok(platform::WriteOutcome::Stored(_))); "lease released");
     }
@@ -235,10 +232,12 @@
         self.node.record_store_call("read lease", result.is_ok());
         match result {
             Ok(reading) => {
-                self.node.set_tunnel_secret(reading.secret.clone());
-                if let Some(versions) = &reading.versions {
+                let attachment = &reading.attachment;
+                self.node.set_tunnel_secret(attachment.secret.clone());
+                if let Some(versions) = &attachment.versions {
                     self.node.extend_versions(versions);
                 }
+                self.node.merge_verdicts(&attachment.quarantined);
                 let mut state = self.lock();
                 self.update_era(self.node.now(), &mut state);
                 state.lease.record_reading(requested_at, reading);
@@ -251,14 +250,19 @@
         }
     }
 
+    /// What is written with the lease's record.
+    fn attachment(&self) -> lease::Attachment {
+        lease::Attachment {
+            secret: Some(self.node.ensure_tunnel_secret()),
+            versions: Some(self.node.versions()),
+            quarantined: self.node.verdicts(),
+        }
+    }
+
     async fn write_lease(&self, end: Position, record: &super::Record) {
         let sent_at = self.node.now();
-        let secret = self.node.ensure_tunnel_secret();
-        let versions = self.node.versions();
-        let written = self
-            .node
-            .platform
-            .write_lease(end, record, &secret, &versions);
+        let attachment = self.attachment();
+        let written = self.node.platform.write_lease(end, record, &attachment);
         let result = written.await;
         self.node.record_store_call("write lease", result.is_ok());
         let is_takeover = record.fencing.is_none();
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -282,7 +282,8 @@
         };
         log::info!(
             request = self.job.call.id.as_str(), server = self.source.server.as_str(), why = why,
-            events = self.content.last_event().unwrap_or_default();
+            events = self.content.last_event().unwrap_or_default(), parts = self.job.call.prompt_parts.join(",").as_str(),
+            just_begun = self.is_at_beginning();
             "stream ended early"
         );
         self.node
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -440,6 +440,11 @@
         self.inner.injector.apply(change);
     }
 
+    /// Crashes the worker.
+    pub fn crash(&self) {
+        self.inner.has_crashed.send_replace(true);
+    }
+
     /// Waits until the worker has crashed.
     pub async fn crashed(&self) {
         let mut has_crashed = self.inner.has_crashed.subscribe();
@@ -670,7 +675,7 @@
         let worker = self.clone();
         tokio::spawn(async move {
             time::sleep(CRASH_DELAY).await;
-            worker.inner.has_crashed.send_replace(true);
+            worker.crash();
             if worker.inner.options.prints_lines {
                 std::process::exit(CRASH_EXIT_CODE);
             }
