The soak plays a part on which engines crash

Engines exit once they have begun an answer on a part, and start again after 1.5 s under a new id; one caller sends such streams to any instance. The link to an engine refuses connections while its process is down, as its own port would.

--- a/crates/fireflywheel_standin/src/site/host.rs
+++ b/crates/fireflywheel_standin/src/site/host.rs
@@ -5,16 +5,12 @@
 use std::time::Duration;
 
 use smol_str::format_smolstr;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::time;
 
 use super::store::{SERVERS, Store};
 use super::worker::{Options, Worker};
-
-/// Interval between attempts to bind an address that is still in use.
-const BIND_INTERVAL: Duration = Duration::from_millis(1);
-/// Number of connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
+use crate::trial::proxy;
 
 /// Settings of a host.
 #[derive(Clone, Debug)]
@@ -57,7 +53,7 @@
     /// # Errors
     /// If no port is free.
     pub fn bind(settings: Settings) -> anyhow::Result<(Self, TcpListener)> {
-        let socket = bind_socket(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let socket = proxy::bind_socket(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
         let address = socket.local_addr()?;
         let worker = new_worker(&settings, 0).with_model(settings.model);
         let state = State {
@@ -72,7 +68,7 @@
         let host = Self {
             inner: Arc::new(inner),
         };
-        Ok((host, socket.listen(BACKLOG)?))
+        Ok((host, socket.listen(proxy::BACKLOG)?))
     }
 
     /// Serves until the future is dropped, and keeps the entry of the current worker in the store.
@@ -89,11 +85,11 @@
                 () = worker.crashed() => {}
             }
             // A bound socket that doesn't listen refuses connections, and no other process gets its port.
-            let socket = self.bind_again().await;
+            let socket = proxy::bind_again(self.inner.address).await;
             self.lock().crashes.push(time::Instant::now());
             time::sleep(self.inner.settings.downtime).await;
             store.remove(SERVERS, worker.id());
-            listener = socket.listen(BACKLOG)?;
+            listener = socket.listen(proxy::BACKLOG)?;
             let mut state = self.lock();
             let next = new_worker(&self.inner.settings, state.workers.len());
             state.workers.push(next);
@@ -121,15 +117,6 @@
         arrivals.flatten().collect()
     }
 
-    async fn bind_again(&self) -> TcpSocket {
-        loop {
-            if let Ok(socket) = bind_socket(self.inner.address) {
-                return socket;
-            }
-            time::sleep(BIND_INTERVAL).await;
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.inner.state.lock().expect("no panic under the lock")
     }
@@ -140,11 +127,3 @@
     Worker::with_options(&id, settings.service, settings.worker.clone())
         .with_on_disk(settings.model)
 }
-
-fn bind_socket(address: SocketAddr) -> std::io::Result<TcpSocket> {
-    let socket = TcpSocket::new_v4()?;
-    // Connections of the previous worker may not have ended at their other sides.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    Ok(socket)
-}
--- a/crates/fireflywheel_standin/src/trial/book.rs
+++ b/crates/fireflywheel_standin/src/trial/book.rs
@@ -116,6 +116,13 @@
         self.orders.values().map(Vec::len).sum()
     }
 
+    /// Number of runs of requests whose ids begin with `prefix`.
+    #[must_use]
+    pub fn run_count(&self, prefix: &str) -> usize {
+        let runs = self.runs.iter().filter(|(id, _)| id.starts_with(prefix));
+        runs.map(|(_, workers)| workers.len()).sum()
+    }
+
     /// Checks all rules and returns a line for each violation.
     #[must_use]
     pub fn violations(&self) -> Vec<String> {
--- a/crates/fireflywheel_standin/src/trial/caller.rs
+++ b/crates/fireflywheel_standin/src/trial/caller.rs
@@ -72,6 +72,8 @@
     pub kind: Kind,
     /// Model, for streams only.
     pub model: Option<SmolStr>,
+    /// Parts of the prompt, for streams only.
+    pub prompt: Option<SmolStr>,
     /// Size of the body in bytes.
     pub size: usize,
     /// Deadline, measured from the start of the request.
@@ -236,6 +238,9 @@
     if let Some(model) = &call.model {
         request = request.header("x-model", model.as_str());
     }
+    if let Some(prompt) = &call.prompt {
+        request = request.header("x-prompt-prefix", prompt.as_str());
+    }
     let body = Full::new(Bytes::from(vec![b'x'; call.size]));
     request.body(body).expect("the request is valid")
 }
--- a/crates/fireflywheel_standin/src/trial/deployment.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment.rs
@@ -2,6 +2,8 @@
 
 mod launch;
 
+pub use launch::CRASH_PART;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -121,6 +123,8 @@
     id: SmolStr,
     /// When the worker announced that it leaves.
     leaving_since: Option<time::Instant>,
+    /// When it was found to have crashed, until the next one starts.
+    crashed_at: Option<time::Instant>,
 }
 
 #[derive(Debug)]
@@ -339,8 +343,13 @@
                 time::sleep_until(since + LEAVING_PERIOD).await;
                 self.kill_worker(index).await?;
             }
-            self.workers[index].link.heal();
-            send_signal(&self.workers[index].child, Child::resume);
+            let worker = &mut self.workers[index];
+            worker.link.heal();
+            worker.crashed_at = None;
+            if worker.child.as_mut().is_some_and(Child::has_ended) {
+                worker.child = None;
+            }
+            send_signal(&worker.child, Child::resume);
             self.start_worker(index, true).await?;
         }
         for index in 0..self.instances.len() {
--- a/crates/fireflywheel_standin/src/trial/deployment/launch.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment/launch.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use smol_str::{SmolStr, format_smolstr};
 use tokio::net::TcpStream;
@@ -12,7 +13,7 @@
 
 use super::{CONTROL_REQUEST_TIMEOUT, Deployment, Instance, POLL_INTERVAL, Worker};
 use crate::fault;
-use crate::process::Program;
+use crate::process::{Child, Program};
 use crate::trial::proxy::Proxy;
 
 /// Environment variable with the path of an instance's settings file.
@@ -25,6 +26,11 @@
 /// Second octet of the first of these addresses.
 const FIRST_HOST_OCTET: u8 = 64;
 
+/// The part of prompts on which engines crash.
+pub const CRASH_PART: &str = "bad0";
+/// Time from the crash of a worker to the start of the next one.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(1500);
+
 /// Error text of an instance whose port is in use.
 const PORT_IN_USE: &str = "Address already in use";
 /// Attempts to start an instance on free ports.
@@ -150,7 +156,8 @@
     pub(super) async fn add_worker(&mut self, index: usize) -> anyhow::Result<()> {
         self.workers.push(Worker {
             child: None,
-            link: Proxy::new().await?,
+            link: new_worker_link().await?,
+            crashed_at: None,
             is_engine: index < self.options.engines,
             incarnation: 0,
             id: SmolStr::default(),
@@ -181,6 +188,7 @@
             let version = 1 + (index as u64 + worker.incarnation) % 2;
             program = program.with_args(["--software-version", &format!("v{version}")]);
             program = program.with_args(&self.options.engine_args);
+            program = program.with_args(["--crash-part", CRASH_PART]);
             // Initially, each model is on the disk of one engine.
             let models = 0..self.options.models;
             for model in models.filter(|model| model % self.options.engines == index) {
@@ -191,7 +199,10 @@
         }
         let child = program.start().await?;
         let address = child.address("listening");
-        worker.link.change(|link| link.target = Some(address));
+        worker.link.change(|link| {
+            link.target = Some(address);
+            link.refuses = false;
+        });
         worker.child = Some(child);
         let name = format_smolstr!("{} life {}", worker.id, worker.incarnation);
         let book = Arc::clone(&self.book);
@@ -211,6 +222,26 @@
         Ok(())
     }
 
+    /// Starts the workers that crashed at least [`CRASH_DOWNTIME`] ago, under new ids.
+    ///
+    /// # Errors
+    /// When a process can't be started.
+    pub async fn replace_crashed_workers(&mut self) -> anyhow::Result<()> {
+        for index in 0..self.workers.len() {
+            let worker = &mut self.workers[index];
+            if worker.child.as_mut().is_some_and(Child::has_ended) {
+                worker.child = None;
+                worker.crashed_at = Some(time::Instant::now());
+            }
+            let is_due = |at: time::Instant| at.elapsed() >= CRASH_DOWNTIME;
+            if worker.crashed_at.is_some_and(is_due) {
+                worker.crashed_at = None;
+                self.start_worker(index, false).await?;
+            }
+        }
+        Ok(())
+    }
+
     pub(super) async fn set_worker_faults(&self, index: usize, change: &fault::Change) {
         if let Some(child) = &self.workers[index].child {
             let base = child.base("listening");
@@ -221,6 +252,13 @@
     }
 }
 
+/// Creates the link to a worker, which refuses connections while the worker's process is down.
+async fn new_worker_link() -> anyhow::Result<Proxy> {
+    let link = Proxy::new().await?;
+    link.change(|link| link.mirrors_refusals = true);
+    Ok(link)
+}
+
 /// Returns a loopback address that is unique to a deployment, derived from the id of one of its processes. At
 /// 127.0.0.1, any process could take a port after it was found free and before the instance listens on it. That
 /// instance would exit at once, and whoever connects to its port would reach the wrong process. On Linux, all
--- a/crates/fireflywheel_standin/src/trial/proxy.rs
+++ b/crates/fireflywheel_standin/src/trial/proxy.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time;
@@ -15,6 +15,11 @@
 /// Largest chunk that is forwarded at once, in bytes.
 const MAX_CHUNK_BYTES: usize = 16 << 10;
 
+/// Interval between attempts to bind an address that is still in use.
+const BIND_INTERVAL: Duration = Duration::from_millis(1);
+/// Number of connections that wait to be accepted.
+pub const BACKLOG: u32 = 1024;
+
 /// Whether a link forwards bytes in one direction.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Flow {
@@ -36,6 +41,10 @@
     pub upstream: Flow,
     /// Flow from the target to the connecting side.
     pub downstream: Flow,
+    /// Whether connections are refused from when the target is found to refuse them until [`Link::refuses`] is reset.
+    pub mirrors_refusals: bool,
+    /// Whether connections are refused.
+    pub refuses: bool,
     reset_count: u64,
     silence_count: u64,
 }
@@ -58,7 +67,7 @@
         let address = listener.local_addr()?;
         let link = watch::Sender::new(Link::default());
         let mut task = JoinSet::new();
-        task.spawn(serve(listener, link.subscribe()));
+        task.spawn(serve(listener, address, link.clone()));
         Ok(Self {
             address,
             link,
@@ -100,19 +109,80 @@
     }
 }
 
-async fn serve(listener: TcpListener, link: watch::Receiver<Link>) {
+async fn serve(mut listener: TcpListener, address: SocketAddr, link: watch::Sender<Link>) {
+    let mut changes = link.subscribe();
     let mut connections = JoinSet::new();
-    while let Ok((socket, _)) = listener.accept().await {
-        connections.spawn(forward(socket, link.clone()));
-        while connections.try_join_next().is_some() {}
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => Some(accepted),
+            _ = changes.wait_for(|link| link.refuses) => None,
+        };
+        match accepted {
+            Some(Ok((socket, _))) => {
+                connections.spawn(forward(socket, link.clone()));
+                while connections.try_join_next().is_some() {}
+            }
+            Some(Err(_)) => return,
+            None => {
+                drop(listener);
+                let socket = bind_again(address).await;
+                // The sender lives as long as this task.
+                let _ = changes.wait_for(|link| !link.refuses).await;
+                let Ok(again) = socket.listen(BACKLOG) else {
+                    return;
+                };
+                listener = again;
+            }
+        }
+    }
+}
+
+/// Binds the address of a listener that was closed. Until the socket listens, connections are refused and no other process
+/// gets its port.
+pub async fn bind_again(address: SocketAddr) -> TcpSocket {
+    loop {
+        if let Ok(socket) = bind_socket(address) {
+            return socket;
+        }
+        time::sleep(BIND_INTERVAL).await;
     }
 }
 
-async fn forward(mut client: TcpStream, mut link: watch::Receiver<Link>) {
+/// Binds a socket to an address that connections of an earlier listener may still use.
+///
+/// # Errors
+/// When the address is in use.
+pub fn bind_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+async fn forward(client: TcpStream, link: watch::Sender<Link>) {
     let initial = *link.borrow();
     let Some(target) = initial.target else {
         return;
     };
+    forward_to(target, client, link.subscribe(), initial).await;
+    if !initial.mirrors_refusals {
+        return;
+    }
+    let reached = TcpStream::connect(target).await;
+    if reached.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused) {
+        link.send_if_modified(|link| {
+            link.refuses |= link.target == Some(target);
+            link.refuses
+        });
+    }
+}
+
+async fn forward_to(
+    target: SocketAddr,
+    mut client: TcpStream,
+    mut link: watch::Receiver<Link>,
+    initial: Link,
+) {
     let Ok(mut server) = TcpStream::connect(target).await else {
         return;
     };
--- a/crates/fireflywheel_standin/src/trial/replay.rs
+++ b/crates/fireflywheel_standin/src/trial/replay.rs
@@ -252,6 +252,7 @@
                 .kind
                 .is_stream()
                 .then(|| format_smolstr!("m{}", arrival.model + 1)),
+            prompt: None,
             size: 100,
             deadline: DEADLINE,
         };
--- a/crates/fireflywheel_standin/src/trial/soak.rs
+++ b/crates/fireflywheel_standin/src/trial/soak.rs
@@ -17,7 +17,7 @@
 
 use super::book::{Book, PROBE_ID_PREFIX, Probe};
 use super::caller::{Call, Caller, Kind, Outcome};
-use super::deployment::{self, Deployment};
+use super::deployment::{self, CRASH_PART, Deployment};
 use super::script::{self, Faults, Sizes};
 use crate::client::Client;
 
@@ -27,6 +27,12 @@
 const THINK_TIME_MS: std::ops::Range<u64> = 5..60;
 /// Deadlines of requests, in milliseconds.
 const DEADLINE_MS: std::ops::Range<u64> = 300..3000;
+/// Time between two requests with a part on which engines crash, in milliseconds.
+const CRASHING_INTERVAL_MS: std::ops::Range<u64> = 200..2000;
+/// Deadline of such requests.
+const CRASHING_DEADLINE: Duration = Duration::from_secs(2);
+/// What their ids begin with.
+const CRASHING_ID_PREFIX: &str = "crash-";
 /// Sizes of request bodies, in bytes.
 const BODY_BYTES: std::ops::Range<usize> = 0..4000;
 /// Time between two configuration probes of an instance.
@@ -67,6 +73,8 @@
     pub actions: usize,
     /// Number of requests by kind and outcome.
     pub counts: BTreeMap<Kind, BTreeMap<String, usize>>,
+    /// Number of runs with a part of the prompt on which engines crash.
+    pub crashing_runs: usize,
     /// Violations of rules, a line each.
     pub broken: Vec<String>,
 }
@@ -76,8 +84,9 @@
         let (seed, actions) = (self.seed, self.actions);
         writeln!(
             f,
-            "seed {seed}: {actions} actions, {} broken",
-            self.broken.len()
+            "seed {seed}: {actions} actions, {} broken, {} runs that crash an engine",
+            self.broken.len(),
+            self.crashing_runs
         )?;
         for (kind, counts) in &self.counts {
             let counts: Vec<String> = counts
@@ -119,15 +128,30 @@
     let stop = watch::Sender::new(false);
     let versions = watch::Sender::new(read_versions(&deployment, sizes.instances));
     let mut tasks = spawn_callers(options, &deployment, &stop, &versions, &book);
+    let crashing_stop = watch::Sender::new(false);
+    let mut crashing = JoinSet::new();
+    if options.faults != Faults::Planned {
+        crashing.spawn(run_crashing_caller(
+            options.seed,
+            deployment.caller_addresses(),
+            crashing_stop.subscribe(),
+            Arc::clone(&book),
+        ));
+    }
     let start = time::Instant::now();
     let mut actions = 0;
     for step in script::steps(options.seed, options.faults, options.time, sizes) {
         time::sleep_until(start + step.at).await;
         deployment.check_exits();
         deployment.apply(step.action).await?;
+        deployment.replace_crashed_workers().await?;
         versions.send_replace(read_versions(&deployment, sizes.instances));
         actions += 1;
     }
+    crashing_stop.send_replace(true);
+    while let Some(ended) = crashing.join_next().await {
+        ended?;
+    }
     deployment.heal().await?;
     versions.send_replace(read_versions(&deployment, sizes.instances));
     wait_until_served(&deployment, models, &book, "the end").await;
@@ -138,7 +162,9 @@
     deployment.check_exits();
     deployment.stop().await?;
     let book = lock(&book);
+    let crashing = book.run_count(CRASHING_ID_PREFIX);
     Ok(Report {
+        crashing_runs: crashing,
         seed: options.seed,
         actions,
         counts: Kind::ALL
@@ -229,6 +255,9 @@
             id: format_smolstr!("{name}-{number}"),
             kind,
             model: kind.is_stream().then(|| format_smolstr!("m{}", model + 1)),
+            prompt: kind
+                .is_stream()
+                .then(|| format_smolstr!("aa:90,{:x}:60,{number:x}:20", 16 + model)),
             size: rng.random_range(BODY_BYTES),
             deadline: Duration::from_millis(rng.random_range(DEADLINE_MS)),
         };
@@ -237,6 +266,46 @@
     }
 }
 
+/// Sends streams with a part of the prompt on which engines crash, to any instance.
+async fn run_crashing_caller(
+    seed: u64,
+    addresses: Vec<SocketAddr>,
+    mut stop: watch::Receiver<bool>,
+    book: Arc<Mutex<Book>>,
+) {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(17));
+    let mut requests = JoinSet::new();
+    for number in 0.. {
+        let pause = Duration::from_millis(rng.random_range(CRASHING_INTERVAL_MS));
+        if time::timeout(pause, stop.wait_for(|stop| *stop))
+            .await
+            .is_ok()
+        {
+            break;
+        }
+        let instance = rng.random_range(0..addresses.len());
+        let kind = *[Kind::Stream, Kind::SingleStream]
+            .choose(&mut rng)
+            .expect("the list is not empty");
+        let call = Call {
+            id: format_smolstr!("{CRASHING_ID_PREFIX}{seed}-{number}"),
+            kind,
+            model: Some(format_smolstr!("m{}", rng.random_range(1..=2))),
+            prompt: Some(format_smolstr!("aa:90,{CRASH_PART}:40,{number:x}:20")),
+            size: 10,
+            deadline: CRASHING_DEADLINE,
+        };
+        // Another request may come before this one has ended.
+        let book = Arc::clone(&book);
+        let address = addresses[instance];
+        requests.spawn(async move {
+            let request = Caller::new(instance, address).send(call).await;
+            lock(&book).record_request(request);
+        });
+    }
+    while requests.join_next().await.is_some() {}
+}
+
 async fn run_probe(
     instance: usize,
     address: SocketAddr,
@@ -306,6 +375,7 @@
                     id: format_smolstr!("{}-{instance}-{number}", when.replace(' ', "-")),
                     kind,
                     model: model.clone(),
+                    prompt: None,
                     size: 10,
                     deadline: Duration::from_secs(3),
                 };
--- a/crates/fireflywheel_standin/tests/trial.rs
+++ b/crates/fireflywheel_standin/tests/trial.rs
@@ -36,6 +36,7 @@
             id: "r1".into(),
             kind,
             model: None,
+            prompt: None,
             size: 0,
             deadline: Duration::from_secs(2),
         },
@@ -259,6 +260,7 @@
         id: "r".into(),
         kind: Kind::Stream,
         model: Some("m1".into()),
+        prompt: None,
         size: 0,
         deadline: Duration::from_secs(1),
     };
