--- a/crates/fireflywheel_standin/src/main.rs
+++ b/crates/fireflywheel_standin/src/main.rs
@@ -392,6 +392,7 @@
         weights_mb: u64_value(args, "weights-mb"),
         version: text_value(args, "software-version").into(),
         prints_lines: true,
+        crash_model: None,
         crash_part: args.get_one::<String>("crash-part").map(Into::into),
     };
     let mut worker = site::worker::Worker::with_options(
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -62,6 +62,8 @@
     pub prints_lines: bool,
     /// The part of prompts on which the worker crashes once it has begun an answer, unless it is the prompt's last part.
     pub crash_part: Option<SmolStr>,
+    /// The model on which the worker crashes at the end of a load.
+    pub crash_model: Option<SmolStr>,
 }
 
 impl Default for Options {
@@ -78,6 +80,7 @@
             version: DEFAULT_VERSION.into(),
             prints_lines: false,
             crash_part: None,
+            crash_model: None,
         }
     }
 }
@@ -552,6 +555,10 @@
             self.print(&Line::Fetch);
             time::sleep(self.inner.options.load).await;
         }
+        if self.inner.options.crash_model.as_ref() == Some(&model) {
+            self.crash();
+            return;
+        }
         let mut state = self.lock();
         state.busy = false;
         state.on_disk.insert(model.clone());
