A load that ends engine after engine is no longer ordered at the next one

Cause: the steward knew of each engine whether it loads, and of no load what became of the engines that tried it. Loads are now facts like parts of prompts: what an engine was loading when it crashed is suspected, a load that ends well clears it, and after three crashes it is ordered only as a trial. Callers of a model that no engine holds are refused at once, with the time of the next trial. Models that are loaded ahead of demand count as well.

--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -61,6 +61,8 @@
 const TRIAL_DELAY_FACTOR: u32 = 8;
 /// Maximum number of trials of a part.
 const MAX_TRIALS: u32 = 3;
+/// How long the steward may order a load that is on trial: room may have to be made first.
+const LOAD_TRIAL_TIME: Duration = Duration::from_secs(3);
 /// Retry delay for requests with a part for which there are no more trials.
 const NO_TRIAL_RETRY_DELAY: Duration = Duration::from_secs(3600);
 
@@ -361,6 +363,26 @@
         true
     }
 
+    /// Whether a model or an adapter may be loaded: its load is not quarantined, or on trial. For the steward.
+    pub fn may_load(&mut self, now: clock::Instant, part: Part) -> bool {
+        let Some(quarantine) = self.quarantined.get(&part) else {
+            return true;
+        };
+        let has_crashed_since = |at: clock::Instant| {
+            let mut crashes = self.crashes.values();
+            crashes.any(|known| known.at > at && known.suspects.contains_key(&part))
+        };
+        let is_on_trial = quarantine
+            .trial_at
+            .is_some_and(|at| now.since(at) < LOAD_TRIAL_TIME && !has_crashed_since(at));
+        is_on_trial || self.try_trial(now, part)
+    }
+
+    /// The processes that are thought to have crashed.
+    pub fn crashed_processes(&self) -> impl Iterator<Item = &Process> {
+        self.crashes.keys()
+    }
+
     /// Forgets what is too old to matter. Quarantined parts stay.
     pub fn prune(&mut self, now: clock::Instant) {
         self.breaks
--- a/crates/fireflywheel/src/fleet/quarantine/fact.rs
+++ b/crates/fireflywheel/src/fleet/quarantine/fact.rs
@@ -8,7 +8,8 @@
 
 use crate::fleet::announcement::Process;
 
-/// A part of prompts to the servers of a group. Its name may be long, so a hash stands for it.
+/// What may crash the servers of a group: a part of prompts, or the load of a model or adapter. Its name may be long, so a
+/// hash stands for it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Part(u64);
 
@@ -21,6 +22,14 @@
             xxh3::xxh3_64(group.as_bytes()),
         ))
     }
+
+    /// The load of a model, or of an adapter of it.
+    #[must_use]
+    pub fn of_load(group: &str, model: &str, adapter: Option<&str>) -> Self {
+        // No name of a part in a header has a line feed.
+        let name = format!("load\n{model}\n{}", adapter.unwrap_or_default());
+        Self::new(group, &name)
+    }
 }
 
 impl fmt::Display for Part {
--- a/crates/fireflywheel/src/fleet/tracker.rs
+++ b/crates/fireflywheel/src/fleet/tracker.rs
@@ -51,6 +51,7 @@
     published: bool,
     loading: Option<Loading>,
     finished_fetch: Option<FinishedFetch>,
+    finished_loads: Vec<(SmolStr, Option<SmolStr>)>,
     /// The time before which the engine gets no order.
     next_order_at: clock::Instant,
     /// Whether a report has been requested and not received yet.
@@ -102,6 +103,7 @@
             published: false,
             loading: None,
             finished_fetch: None,
+            finished_loads: Vec::new(),
             next_order_at: clock::Instant::default(),
             report_pending: false,
             next_report_at: Some(clock::Instant::default()),
@@ -318,9 +320,14 @@
         if awaits_answer || is_stale {
             return false;
         }
+        let awaited = self.awaited_loads();
         self.pending_order = None;
         self.orders = report.orders;
         let before = std::mem::replace(&mut self.held, report.held);
+        let held = &self.held;
+        let finished = awaited.into_iter();
+        let finished = finished.filter(|(model, adapter)| held.holds(model, adapter.as_deref()));
+        self.finished_loads.extend(finished);
         self.state_uncertain = false;
         for (model, adapters) in &self.held.models {
             self.held_since.entry((model.clone(), None)).or_insert(now);
@@ -359,6 +366,28 @@
         self.finished_fetch.take()
     }
 
+    /// The models and adapters that the engine loads, or may have been ordered to load.
+    #[must_use]
+    pub fn awaited_loads(&self) -> Vec<(SmolStr, Option<SmolStr>)> {
+        let ordered = match &self.pending_order {
+            Some(plan::Step::Load { model, .. }) => Some((model.clone(), None)),
+            Some(plan::Step::LoadAdapter { model, adapter, .. }) => {
+                Some((model.clone(), Some(adapter.clone())))
+            }
+            Some(plan::Step::Unload { .. } | plan::Step::UnloadAdapter { .. }) | None => None,
+        };
+        let loading = self.loading.iter();
+        let loading = loading.map(|loading| (loading.model.clone(), None));
+        let adapters = self.held.loading_adapters.iter();
+        let adapters = adapters.map(|(model, adapter)| (model.clone(), Some(adapter.clone())));
+        ordered.into_iter().chain(loading).chain(adapters).collect()
+    }
+
+    /// Takes the models and adapters that the engine has loaded since the last call.
+    pub fn take_finished_loads(&mut self) -> Vec<(SmolStr, Option<SmolStr>)> {
+        std::mem::take(&mut self.finished_loads)
+    }
+
     /// Whether the engine is loading from the weight store.
     #[must_use]
     pub fn is_loading_from_store(&self) -> bool {
--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
-use super::{Node, Target, state};
+use super::{Node, QueueKey, Target, state};
 use crate::fleet::platform;
 
 /// Delay from a broken run to the connection that shows whether its process has ended. A process that ends closes its
@@ -399,6 +399,54 @@
         }
     }
 
+    /// Adds the loads that were in progress at crashed processes to what may have caused the crashes, as the steward.
+    pub fn record_crashed_loads<F>(&self, awaited_loads: F)
+    where
+        F: Fn(&Process) -> Vec<Part>,
+    {
+        let now = self.now();
+        let mut state = self.lock();
+        let registry = &mut state.quarantine.registry;
+        let crashed = registry.crashed_processes();
+        let loads = crashed.map(|process| (process.clone(), awaited_loads(process)));
+        let loads: Vec<_> = loads.filter(|(_, parts)| !parts.is_empty()).collect();
+        let news_before = registry.news_count();
+        for (process, parts) in &loads {
+            registry.record_break(now, process, parts);
+        }
+        let has_news = registry.news_count() > news_before;
+        drop(state);
+        if has_news {
+            self.handle_facts();
+        }
+    }
+
+    /// Whether anything is quarantined.
+    #[must_use]
+    pub fn has_quarantined(&self) -> bool {
+        self.lock().quarantine.registry.quarantined_count() > 0
+    }
+
+    /// Whether a model or an adapter may be loaded, as far as the steward knows.
+    #[must_use]
+    pub fn may_load(&self, group: &str, model: &str, adapter: Option<&str>) -> bool {
+        let now = self.now();
+        let part = Part::of_load(group, model, adapter);
+        self.lock().quarantine.registry.may_load(now, part)
+    }
+
+    /// The time until the load of what the requests of a queue need is tried again, if engines crash on it.
+    #[must_use]
+    pub fn load_trial_wait(&self, queue: &QueueKey) -> Option<Duration> {
+        let (group, model) = (&queue.group, queue.model.as_ref()?);
+        let mut parts = vec![Part::of_load(group, model, None)];
+        if let Some(adapter) = &queue.adapter {
+            parts.push(Part::of_load(group, model, Some(adapter)));
+        }
+        let (_, wait) = self.find_quarantined(&parts, None)?;
+        Some(wait)
+    }
+
     /// Everything that this instance knows of crashes and parts.
     #[must_use]
     pub fn facts(&self) -> Facts {
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -443,6 +443,14 @@
                 return Err(unavailable("no_server_of_version", message)
                     .with_retry_after(retry_after(NO_SERVER_RETRY_DELAY, left)));
             }
+            node::Choice::NotLoaded(_) if node.load_trial_wait(&job.queue).is_some() => {
+                let wait = node.load_trial_wait(&job.queue).unwrap_or_default();
+                return Err(unavailable(
+                    "load_quarantined",
+                    "engines crash as they load the model",
+                )
+                .with_retry_after(wait));
+            }
             node::Choice::NotLoaded(Some(expected)) if now.after(expected) > give_up_at => {
                 return Err(unavailable("cold", "the model can't be loaded in time")
                     .with_retry_after(retry_after(expected, left)));
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -522,17 +522,23 @@
             return;
         }
         state.apply_rests(&self.node.resting_servers());
+        self.node
+            .record_crashed_loads(|process| state.awaited_loads(process));
         let mut orders = Vec::new();
         let mut forecasts = Vec::new();
         let version = (config.version, self.node.directory_version());
         let tracked_versions = std::mem::replace(&mut state.tracked_versions, version);
         state.groups = config.groups.keys().cloned().collect();
         state.engine_groups = engines(&config).map(|(name, _)| name.clone()).collect();
+        let has_quarantined = self.node.has_quarantined();
         for (name, engine) in engines(&config) {
             if version != tracked_versions {
                 state.update_engines(name, self.node.engines(name));
             }
-            orders.extend(state.plan(now, name, engine, fencing, &mut forecasts));
+            let may_load = |model: &str, adapter: Option<&str>| {
+                !has_quarantined || self.node.may_load(name, model, adapter)
+            };
+            orders.extend(state.plan(now, name, engine, fencing, may_load, &mut forecasts));
         }
         state.send_forecasts(now, forecasts);
         let shares = state.send_shares(
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -18,6 +18,7 @@
 use super::super::platform;
 use super::super::pool;
 use super::Steward;
+use super::quarantine;
 use super::state;
 use crate::received;
 
@@ -130,6 +131,7 @@
             self.withhold_order(&order);
             return;
         }
+        self.examine_after(&server, &answer);
         let status = answer.as_ref().ok().map(|(status, _)| *status);
         self.handle_order_answer(&order, status);
     }
@@ -195,6 +197,7 @@
                 self.node.platform.build_report_request(),
             )
             .await;
+        self.examine_after(&server, &answer);
         let reached = !matches!(answer, Err(ExchangeError::Pool(pool::Error::Unreachable)));
         let report = match answer {
             Ok((StatusCode::OK, body)) => self
@@ -222,6 +225,9 @@
             }
         };
         let changed = tracker.report_received(requested_at, now, report);
+        let finished = tracker.take_finished_loads();
+        let finished = quarantine::load_parts(&tracker.group, finished);
+        self.node.record_whole_answer(&finished);
         if let Some(fetched) = tracker.take_finished_fetch() {
             let unshared_time = self.unshared_load_time(&server.group, &fetched.model);
             state.record_fetch(&fetched, unshared_time);
@@ -238,6 +244,25 @@
         self.publish_holding(holding);
     }
 
+    /// Finds out whether an engine has ended that loads a model or an adapter, if the connection to it has failed.
+    fn examine_after(
+        &self,
+        server: &server::Server,
+        answer: &Result<(StatusCode, Bytes), ExchangeError>,
+    ) {
+        if !matches!(
+            answer,
+            Err(ExchangeError::Pool(
+                pool::Error::Unreachable | pool::Error::Lost
+            ))
+        ) {
+            return;
+        }
+        let target = target(server);
+        let loads = self.lock().awaited_loads(&target.process);
+        self.node.examine(&target, &loads);
+    }
+
     /// Publishes a change in what an engine holds, first to this instance itself.
     fn publish_holding(&self, holding: frame::EngineHoldings) {
         self.node.record_own_holding(holding);
@@ -283,14 +308,7 @@
         via: node::Via,
         request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, Bytes), ExchangeError> {
-        let target = node::Target {
-            process: Process {
-                server: server.id.clone(),
-                started_ms: server.started_ms,
-            },
-            address: server.address,
-            connections: MAX_CONNECTIONS,
-        };
+        let target = target(server);
         let exchange = async {
             let sending = self.node.send_to(&target, via, request);
             let (response, connection) = sending.await.map_err(ExchangeError::Pool)?;
@@ -315,3 +333,15 @@
             .unwrap_or(Err(ExchangeError::TimedOut))
     }
 }
+
+/// Where orders and requests for reports are sent.
+fn target(server: &server::Server) -> node::Target {
+    node::Target {
+        process: Process {
+            server: server.id.clone(),
+            started_ms: server.started_ms,
+        },
+        address: server.address,
+        connections: MAX_CONNECTIONS,
+    }
+}
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -1,5 +1,6 @@
 //! The steward's knowledge and decisions, behind its lock.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -197,20 +198,28 @@
     }
 
     /// Plans the orders that are due in a group, and counts them as sent.
-    pub(super) fn plan(
+    pub(super) fn plan<F>(
         &mut self,
         now: clock::Instant,
         group: &SmolStr,
         engine: &config::Engine,
         fencing: u64,
+        may_load: F,
         forecasts: &mut Vec<frame::Forecast>,
-    ) -> Vec<Order> {
+    ) -> Vec<Order>
+    where
+        F: Fn(&str, Option<&str>) -> bool,
+    {
         let ids: Vec<SmolStr> = self
             .trackers
             .iter()
             .filter(|(_, tracker)| tracker.group == *group)
             .map(|(id, _)| id.clone())
             .collect();
+        let config = without_crashing_loads(engine, &may_load, |model| {
+            let mut trackers = ids.iter().filter_map(|id| self.trackers.get(id));
+            trackers.any(|tracker| tracker.held.models.contains_key(model))
+        });
         let loads = self.demands.loads();
         let mut running = self.demands.running();
         let mut engines = Vec::with_capacity(ids.len());
@@ -224,7 +233,12 @@
                 });
             }
         }
-        let pending = self.demands.pending(group);
+        let mut pending = self.demands.pending(group);
+        pending.retain(|pending| {
+            let adapter = pending.adapter.as_deref();
+            may_load(&pending.model, None)
+                && (adapter.is_none() || may_load(&pending.model, adapter))
+        });
         let models = engine.models.keys();
         let arrival_rates = models
             .map(|model| (model.clone(), self.demands.arrival_rate(now, group, model)))
@@ -232,7 +246,7 @@
         let drain_rates = self.demands.drain_rates(now, group);
         let view = plan::View {
             now,
-            config: engine,
+            config: &config,
             engines: &engines,
             pending: &pending,
             arrival_rates: &arrival_rates,
@@ -247,7 +261,12 @@
             wait_ms: frame::millis(wait),
         }));
         log_delays(&view, &mut self.delays_logged_at);
-        let steps = plan::steps(&view);
+        let mut steps = plan::steps(&view);
+        steps.retain(|step| match step {
+            plan::Step::Load { model, .. } => may_load(model, None),
+            plan::Step::LoadAdapter { model, adapter, .. } => may_load(model, Some(adapter)),
+            plan::Step::Unload { .. } | plan::Step::UnloadAdapter { .. } => true,
+        });
         self.count_as_sent(now, &ids, &steps);
         let orders = steps.into_iter().map(|step| Order {
             server: ids[step.engine()].clone(),
@@ -367,6 +386,25 @@
     }
 }
 
+/// The configuration without the models that no engine holds and none may load. Engines would be kept free for them.
+fn without_crashing_loads<'a, F, H>(
+    engine: &'a config::Engine,
+    may_load: F,
+    is_held: H,
+) -> Cow<'a, config::Engine>
+where
+    F: Fn(&str, Option<&str>) -> bool,
+    H: Fn(&SmolStr) -> bool,
+{
+    let is_kept = |model: &SmolStr| is_held(model) || may_load(model, None);
+    if engine.models.keys().all(is_kept) {
+        return Cow::Borrowed(engine);
+    }
+    let mut engine = engine.clone();
+    engine.models.retain(|model, _| is_kept(model));
+    Cow::Owned(engine)
+}
+
 /// Logs what keeps callers waiting for long, once a second for each model.
 pub(super) fn log_delays(view: &plan::View<'_>, logged_at: &mut BTreeMap<SmolStr, clock::Instant>) {
     logged_at.retain(|_, at| view.now.since(*at) < DELAY_LOG_INTERVAL);
