Pool and tunnel no longer depend on the node

The circle of pool, path, tunnel and node: what limits the connections of a request is the pool's own type, a pooled tunnel is any stream, and the gateway's end of tunnels has a module of its own.

--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -124,7 +124,7 @@
     let server = &chosen.server;
     let mut in_flight = node.register_in_flight(chosen, &job.queue);
     let target = chosen.target();
-    let connecting = time::timeout(remaining, node.connect(&target, node::Via::Any));
+    let connecting = time::timeout(remaining, node.connect(&target, pool::Via::Any));
     let connection = match connecting.await {
         Ok(Ok(connection)) => connection,
         Ok(Err(error)) => return handle_pool_error(node, server, error),
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -20,11 +20,11 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
+use super::gateway;
 use super::net;
 use super::node;
 use super::platform;
 use super::steward;
-use super::tunnel;
 
 /// A link that receives no frame for this long, which is three heartbeats, is considered dead.
 const LINK_TIMEOUT: Duration = Duration::from_millis(900);
@@ -193,7 +193,7 @@
             shares_facts,
         ),
         Ok(Ok(frame::Frame::Tunnel(opener))) => {
-            tunnel::serve(&steward.node, socket, opener).await;
+            gateway::serve(&steward.node, socket, opener).await;
             return;
         }
         Ok(Ok(frame::Frame::Facts(facts))) => {
--- a/crates/fireflywheel_daemon/src/fleet/mod.rs
+++ b/crates/fireflywheel_daemon/src/fleet/mod.rs
@@ -13,7 +13,8 @@
 //! | [`attempt`] | sends a request to one backend server and classifies the outcome |
 //! | [`stream`] | forwards streamed responses and resumes them after a failure |
 //! | [`pool`] | keeps connections to backend servers |
-//! | [`tunnel`] | opens and serves connections to backend servers through another instance |
+//! | [`tunnel`] | opens connections to backend servers through another instance |
+//! | `gateway` | serves such connections for other instances |
 //! | [`net`] | opens connections to backend servers and sets their socket options |
 //! | [`store_watch`] | keeps the configuration and the directory up to date |
 //! | [`steward`] | holds the lease, plans and sends orders |
@@ -26,6 +27,7 @@
 mod access;
 pub mod attempt;
 pub mod daemon;
+mod gateway;
 mod gossip;
 pub mod health;
 pub mod links;
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -27,7 +27,7 @@
 pub use choice::{Choice, Chosen, Query, ServerOutcome};
 pub use guard::{InFlight, Waiter};
 pub use limit::Answer;
-pub use path::{ServedTunnel, Target, Via};
+pub use path::{ServedTunnel, Target};
 pub use quota::Charge;
 pub use store::ANSWER_TIMEOUT;
 
--- a/crates/fireflywheel_daemon/src/fleet/node/path.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/path.rs
@@ -45,15 +45,6 @@
     pub connections: usize,
 }
 
-/// Which connections a request may take.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Via {
-    /// This instance's own, or a tunnel.
-    Any,
-    /// Only this instance's own. An engine must not receive orders of one steward from two instances.
-    Direct,
-}
-
 /// A connection that this instance has opened to a server for another instance.
 #[derive(Debug)]
 pub struct ServedTunnel {
@@ -112,7 +103,7 @@
     pub async fn send_to(
         self: &Arc<Self>,
         target: &Target,
-        via: Via,
+        via: pool::Via,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, pool::Connection), pool::Error> {
         self.connect(target, via).await?.send(request).await
@@ -148,7 +139,7 @@
     pub async fn connect(
         self: &Arc<Self>,
         target: &Target,
-        via: Via,
+        via: pool::Via,
     ) -> Result<pool::Connection, pool::Error> {
         let connection = self.take_or_open(target, via).await?;
         // An answer may have come while the connection was opened.
@@ -162,14 +153,14 @@
     async fn take_or_open(
         self: &Arc<Self>,
         target: &Target,
-        via: Via,
+        via: pool::Via,
     ) -> Result<pool::Connection, pool::Error> {
         let idle = self.pool.take_idle(self.now(), target.address, via);
         if let Some(connection) = idle {
             return Ok(connection);
         }
         let reservation = self.pool.reserve(target.address, target.connections)?;
-        if via == Via::Direct {
+        if via == pool::Via::Direct {
             return self.open_direct(target, reservation).await;
         }
         match self.path(&target.process) {
--- a/crates/fireflywheel_daemon/src/fleet/pool.rs
+++ b/crates/fireflywheel_daemon/src/fleet/pool.rs
@@ -25,8 +25,6 @@
 use tokio::time;
 
 use super::net;
-use super::node::Via;
-use super::tunnel;
 
 /// How long a connection may take to open. Servers answer within a round trip; the rest allows for the retransmission
 /// of a lost packet.
@@ -71,6 +69,15 @@
     }
 }
 
+/// Which connections a request may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Via {
+    /// This instance's own, or a tunnel.
+    Any,
+    /// Only this instance's own. An engine must not receive orders of one steward from two instances.
+    Direct,
+}
+
 /// How a connection gets to its server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Route {
@@ -284,17 +291,20 @@
         Self::start(stream, address, Route::Direct, reservation, None).await
     }
 
-    /// Uses a tunnel for requests. `guard` counts it at its gateway.
+    /// Uses a connection through another instance for requests. `guard` counts it at that gateway.
     ///
     /// # Errors
     ///
     /// Returns an [`Error`] if it has ended.
-    pub async fn tunnel(
-        tunnel: tunnel::Tunnel,
+    pub async fn tunnel<T>(
+        tunnel: T,
         address: SocketAddr,
         reservation: Arc<OpenGuard>,
         guard: OpenGuard,
-    ) -> Result<Self, Error> {
+    ) -> Result<Self, Error>
+    where
+        T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         Self::start(tunnel, address, Route::Tunnel, reservation, Some(guard)).await
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -126,7 +126,7 @@
             accepted_orders,
             change: change(&order.step),
         });
-        let answer = self.send_request(&server, node::Via::Direct, request).await;
+        let answer = self.send_request(&server, pool::Via::Direct, request).await;
         if matches!(answer, Err(ExchangeError::Pool(pool::Error::Withheld))) {
             self.withhold_order(&order);
             return;
@@ -193,7 +193,7 @@
         let answer = self
             .send_request(
                 &server,
-                node::Via::Any,
+                pool::Via::Any,
                 self.node.platform.build_report_request(),
             )
             .await;
@@ -305,7 +305,7 @@
     async fn send_request(
         &self,
         server: &server::Server,
-        via: node::Via,
+        via: pool::Via,
         request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, Bytes), ExchangeError> {
         let target = target(server);
--- a/crates/fireflywheel_daemon/src/fleet/tunnel.rs
+++ b/crates/fireflywheel_daemon/src/fleet/tunnel.rs
@@ -6,40 +6,31 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::{Buf as _, Bytes, BytesMut};
+use bytes::{Buf as _, Bytes};
 use fireflywheel::fleet::announcement::Process;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::gateway;
 use fireflywheel::fleet::tunnel::{Message, Nonce, PROOF_BYTES, Proof, Refusal, Secret};
-use futures_util::stream::SplitSink;
 use futures_util::{Sink as _, SinkExt as _, Stream as _, StreamExt as _};
 use hmac::{Hmac, Mac as _};
 use rand::RngCore as _;
 use sha2::Sha256;
-use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::time;
 use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
-use tokio_tungstenite::tungstenite::protocol::{self, CloseFrame, WebSocketConfig};
+use tokio_tungstenite::tungstenite::protocol::{CloseFrame, WebSocketConfig};
 use tokio_tungstenite::tungstenite::{self, Message as WebSocketMessage, Utf8Bytes};
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 use super::net;
-use super::node;
-use super::platform;
 
 /// How long each end waits for the other to complete the handshake. It includes the time for which the gateway tries
 /// to reach the server.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Maximum number of tunnels that one instance serves. They bound its memory and descriptors.
-const MAX_SERVED_TUNNELS: usize = 256;
-/// Maximum number of bytes that are read from a server at once.
-const CHUNK_BYTES: usize = 8 << 10;
+pub(super) const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Size of a tunnel's read buffer, in bytes.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 /// Maximum size of a message, in bytes. An opener sends the parts of a request as they come.
@@ -47,7 +38,7 @@
 
 /// What a gateway closes a tunnel with when the server has ended its connection in order. Whatever else ends a tunnel is
 /// a failure.
-const END: CloseFrame = CloseFrame {
+pub(super) const END: CloseFrame = CloseFrame {
     code: CloseCode::Normal,
     reason: Utf8Bytes::from_static("server ended"),
 };
@@ -89,7 +80,7 @@
 
 /// The ends of a tunnel. A proof covers its maker's role, so that it can't be sent back to its maker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Role {
+pub(super) enum Role {
     Opener,
     Gateway,
 }
@@ -105,11 +96,11 @@
 
 /// What both ends have agreed on before they prove that they know the secret.
 #[derive(Clone, Copy, Debug)]
-struct Handshake<'a> {
-    secret: &'a Secret,
-    opener: Nonce,
-    gateway: Nonce,
-    process: &'a Process,
+pub(super) struct Handshake<'a> {
+    pub(super) secret: &'a Secret,
+    pub(super) opener: Nonce,
+    pub(super) gateway: Nonce,
+    pub(super) process: &'a Process,
 }
 
 impl Handshake<'_> {
@@ -124,12 +115,12 @@
         mac
     }
 
-    fn prove(&self, role: Role) -> Proof {
+    pub(super) fn prove(&self, role: Role) -> Proof {
         self.mac(role).finalize().into_bytes().into()
     }
 
     /// Compares in constant time.
-    fn is_proven(&self, role: Role, proof: &Proof) -> bool {
+    pub(super) fn is_proven(&self, role: Role, proof: &Proof) -> bool {
         self.mac(role).verify_slice(proof).is_ok()
     }
 }
@@ -186,118 +177,6 @@
     }
 }
 
-/// Serves the gateway's end of a tunnel whose opener has sent its nonce.
-pub async fn serve<P>(node: &Arc<node::Node<P>>, socket: Socket, opener: Nonce)
-where
-    P: platform::Platform,
-{
-    // The opener sends nothing until it has the challenge, so replacing the socket and its large buffers loses no bytes.
-    let stream = socket.into_inner();
-    let config = Some(websocket_config());
-    let mut socket = WebSocketStream::from_raw_socket(stream, protocol::Role::Server, config).await;
-    let Ok(outcome) = time::timeout(HANDSHAKE_TIMEOUT, accept(node, &mut socket, opener)).await
-    else {
-        return;
-    };
-    let refusal = match outcome {
-        Ok(Ok(accepted)) => {
-            node.metrics.count_served_tunnel("opened");
-            forward(socket, accepted).await;
-            return;
-        }
-        Ok(Err(refusal)) => refusal,
-        Err(error) => {
-            log::debug!(why = error.to_string().as_str(); "tunnel handshake broke off");
-            return;
-        }
-    };
-    node.metrics.count_served_tunnel(refusal.as_str());
-    // The opener may have left.
-    let _ = send(&mut socket, encode(&Message::Refused(refusal))).await;
-}
-
-async fn accept<P>(
-    node: &Arc<node::Node<P>>,
-    socket: &mut Socket,
-    opener: Nonce,
-) -> anyhow::Result<Result<node::ServedTunnel, Refusal>>
-where
-    P: platform::Platform,
-{
-    let nonce = generate_nonce();
-    send(socket, encode(&Message::Challenge(nonce))).await?;
-    let Message::Open { process, proof } = receive(socket).await? else {
-        anyhow::bail!("unexpected message");
-    };
-    let Some(secret) = node.tunnel_secret() else {
-        return Ok(Err(Refusal::Unauthenticated));
-    };
-    let handshake = Handshake {
-        secret: &secret,
-        opener,
-        gateway: nonce,
-        process: &process,
-    };
-    if !handshake.is_proven(Role::Opener, &proof) {
-        // The opener may know a later secret.
-        node.request_secret();
-        return Ok(Err(Refusal::Unauthenticated));
-    }
-    let served = match node.serve_tunnel(&process, MAX_SERVED_TUNNELS).await {
-        Ok(served) => served,
-        Err(refusal) => return Ok(Err(refusal)),
-    };
-    send(
-        socket,
-        encode(&Message::Opened(handshake.prove(Role::Gateway))),
-    )
-    .await?;
-    Ok(Ok(served))
-}
-
-/// Forwards bytes between an opener and a server until either connection ends.
-async fn forward(socket: Socket, served: node::ServedTunnel) {
-    let (mut to_opener, mut from_opener) = socket.split();
-    let (mut from_server, mut to_server) = served.stream.into_split();
-    let upstream = async {
-        while let Some(Ok(WebSocketMessage::Binary(bytes))) = from_opener.next().await {
-            if to_server.write_all(&bytes).await.is_err() {
-                break;
-            }
-        }
-    };
-    tokio::select! {
-        () = upstream => {}
-        () = forward_answers(&mut from_server, &mut to_opener) => {}
-    }
-}
-
-/// Forwards a server's bytes to the opener. The end of the server's connection is forwarded as such; a connection that
-/// breaks off is not, since an answer without length would look complete.
-async fn forward_answers(
-    from_server: &mut OwnedReadHalf,
-    to_opener: &mut SplitSink<Socket, WebSocketMessage>,
-) {
-    let mut buffer = BytesMut::with_capacity(CHUNK_BYTES);
-    loop {
-        buffer.reserve(CHUNK_BYTES);
-        match from_server.read_buf(&mut buffer).await {
-            Ok(0) => {
-                // The opener may have left.
-                let _ = to_opener.send(WebSocketMessage::Close(Some(END))).await;
-                return;
-            }
-            Ok(_) => {
-                let message = WebSocketMessage::Binary(buffer.split().freeze());
-                if to_opener.send(message).await.is_err() {
-                    return;
-                }
-            }
-            Err(_) => return,
-        }
-    }
-}
-
 impl AsyncRead for Tunnel {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -361,23 +240,23 @@
     }
 }
 
-fn generate_nonce() -> Nonce {
+pub(super) fn generate_nonce() -> Nonce {
     let mut nonce = [0; PROOF_BYTES];
     rand::rng().fill_bytes(&mut nonce);
     nonce
 }
 
-fn encode(message: &Message) -> Bytes {
+pub(super) fn encode(message: &Message) -> Bytes {
     let mut bytes = Vec::new();
     ciborium::into_writer(message, &mut bytes).expect("writing to a buffer cannot fail");
     bytes.into()
 }
 
-async fn send(socket: &mut Socket, bytes: Bytes) -> anyhow::Result<()> {
+pub(super) async fn send(socket: &mut Socket, bytes: Bytes) -> anyhow::Result<()> {
     Ok(socket.send(WebSocketMessage::Binary(bytes)).await?)
 }
 
-async fn receive(socket: &mut Socket) -> anyhow::Result<Message> {
+pub(super) async fn receive(socket: &mut Socket) -> anyhow::Result<Message> {
     match socket.next().await {
         Some(Ok(WebSocketMessage::Binary(bytes))) => Ok(ciborium::from_reader(bytes.as_ref())?),
         Some(Ok(_)) | None => anyhow::bail!("closed"),
@@ -385,7 +264,7 @@
     }
 }
 
-fn websocket_config() -> WebSocketConfig {
+pub(super) fn websocket_config() -> WebSocketConfig {
     WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
