The lease's records and its succession have modules of their own

lease.rs had 788 lines: what is written to the store and handed over is lease/record.rs, how the lease passes to another holder is lease/succession.rs, and holding it stays. Names are re-exported; no behaviour changes, the tests of the lease pass.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -19,93 +19,17 @@
 //! fleet of 136 instances would cost 800 calls to the store, and the instance that won might be too weak to
 //! serve that many links.
 
+mod record;
+mod succession;
+
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use super::era::{Era, Position};
-use super::{origin, quarantine, tunnel};
 use crate::clock;
 
-/// Fencing numbers between two takeovers, as a power of two. The number of a takeover derives from the
-/// position of its record, so it is above all earlier numbers; each hand-over adds one.
-const HAND_OVER_BITS: u32 = 10;
-
-/// Offsets of one era, as a power of two: more than eight billion.
-const OFFSET_BITS: u32 = 33;
-
-/// The highest era that fencing numbers distinguish; later eras share its numbers.
-const MAX_FENCING_ERA: u64 = (1 << (u64::BITS - OFFSET_BITS - HAND_OVER_BITS)) - 1;
-
-/// How much longer than a term instances that are not standbys wait before a takeover, as a share of the
-/// term.
-const STANDBY_WINDOW_RATIO: f64 = 0.5;
-
-/// The lease's record in the store.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Record {
-    /// The holder's instance name.
-    pub instance: SmolStr,
-    /// Distinguishes processes that run under the same instance name.
-    pub incarnation: u64,
-    /// The address at which peers reach the holder.
-    pub address: SmolStr,
-    /// The holder's fencing number; absent from the record of the takeover itself, whose position
-    /// determines it.
-    pub fencing: Option<u64>,
-    /// The holder has released the lease.
-    pub released: bool,
-    /// The era in which the record was written; `None` in records of versions that do not know eras.
-    #[serde(default)]
-    pub era: Option<Era>,
-}
-
-impl Record {
-    /// The holder's fencing number, given the offset of the record.
-    fn fencing_at(&self, offset: u64) -> u64 {
-        let era = self.era.unwrap_or_default();
-        self.fencing
-            .unwrap_or_else(|| takeover_fencing(Position { era, offset }))
-    }
-}
-
-/// The result of reading the lease's record.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Reading {
-    /// The newest record and its offset; `None` if the lease was never written.
-    pub record: Option<(u64, Record)>,
-    /// The position that the next record will have.
-    pub end: Position,
-    /// What was written with the record.
-    pub attachment: Attachment,
-}
-
-/// What is written with the lease's record, for instances that nobody else tells.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Attachment {
-    /// The secret of the fleet's tunnels; absent from releases without gateways.
-    #[serde(default)]
-    pub secret: Option<tunnel::Secret>,
-    /// The versions of groups' servers that the writer had seen; absent from releases that don't distinguish them.
-    #[serde(default)]
-    pub versions: Option<origin::Versions>,
-    /// The quarantined parts of prompts.
-    #[serde(default)]
-    pub quarantined: Vec<quarantine::Verdict>,
-}
-
-impl Reading {
-    /// The reading without a record of an earlier era, which does not show who holds the lease now.
-    fn current(self) -> Self {
-        let era = self.end.era;
-        let is_current = |record: &Record| record.era.is_none_or(|record_era| record_era == era);
-        Self {
-            record: self.record.filter(|(_, record)| is_current(record)),
-            ..self
-        }
-    }
-}
+pub use record::{Attachment, HandOver, Reading, Record};
 
 /// Durations that govern the lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -195,19 +119,6 @@
     incarnation: u64,
 }
 
-/// A transfer of the lease from its holder to a successor, without the store.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HandOver {
-    /// The successor's fencing number.
-    pub fencing: u64,
-    /// The end of the log of the lease's record.
-    pub end: Position,
-    /// The process that hands over. Another process of the same instance may have continued with its number
-    /// since.
-    #[serde(default)]
-    pub incarnation: u64,
-}
-
 impl Tenure {
     fn is_renewal_due(&self, now: clock::Instant, renewal: Duration) -> bool {
         self.renewed_at
@@ -527,7 +438,7 @@
         if record.era != Some(position.era) || self.era != Some(position.era) {
             return;
         }
-        let fencing = held.unwrap_or_else(|| takeover_fencing(position));
+        let fencing = held.unwrap_or_else(|| record::takeover_fencing(position));
         self.held = Some(Tenure {
             fencing,
             end: position.next(),
@@ -580,156 +491,6 @@
         (is_renewed || (self.fenced && held.is_certain && has_tried)).then_some(held.fencing)
     }
 
-    /// Hands the lease over to a successor at `now`, without the store. This instance then no longer holds
-    /// it. Returns `None` and changes nothing if it is not certain that this instance held the lease, or if
-    /// the lease is from another era.
-    pub fn hand_over(&mut self, now: clock::Instant, successor: Record) -> Option<HandOver> {
-        let era = self.era;
-        let held = self
-            .held
-            .take_if(|held| held.is_certain && era == Some(held.era))?;
-        self.max_ceded_fencing = Some(held.fencing);
-        self.observation = Some(Observation {
-            end: Some(held.end),
-            since: now,
-            holder: Some(successor),
-            is_reported: true,
-        });
-        Some(HandOver {
-            fencing: held.fencing + 1,
-            end: held.end,
-            incarnation: self.own_record.incarnation,
-        })
-    }
-
-    /// Accepts a hand-over of the lease. If engines do not check fencing numbers, the lease may be used
-    /// only once it is renewed, because the rest of the holder's term cannot be compared across clocks. In
-    /// that case a lease handed over in an earlier era is void: others may have taken it before the store
-    /// was restored.
-    pub fn accept_hand_over(&mut self, now: clock::Instant, hand_over: HandOver) {
-        self.enter_era(now, hand_over.end.era);
-        if !self.fenced && self.era != Some(hand_over.end.era) {
-            return;
-        }
-        self.held = Some(Tenure {
-            fencing: hand_over.fencing,
-            end: hand_over.end,
-            era: hand_over.end.era,
-            renewed_at: None,
-            unanswered_at: Some(now),
-            rewrite_deadline: None,
-            is_certain: true,
-            predecessor: Some(Predecessor {
-                fencing: hand_over.fencing - 1,
-                incarnation: hand_over.incarnation,
-            }),
-        });
-    }
-
-    /// Records that the process last seen as holder has ended, since a process of another incarnation
-    /// answers at its address. If engines check fencing numbers, the lease is free at once: only orders
-    /// that the holder sent before may still be in transit.
-    pub fn holder_ended(&mut self, incarnation: u64) {
-        let Some(observation) = &mut self.observation else {
-            return;
-        };
-        let holder = observation.holder.as_mut();
-        if let Some(holder) = holder.filter(|holder| holder.incarnation == incarnation) {
-            holder.released = true;
-            observation.is_reported = true;
-        }
-    }
-
-    /// Processes a report that another instance acts as steward and that its record ends at `end`. If
-    /// engines check fencing numbers, this holder may have continued past its term while the store refused
-    /// its calls; a later end shows that the other instance took over. Returns whether it did.
-    pub fn observe_overtaking(
-        &mut self,
-        now: clock::Instant,
-        end: Position,
-        holder: Record,
-    ) -> bool {
-        let is_later = |held: &Tenure| held.end.era == end.era && held.end.offset < end.offset;
-        if !self.held.as_ref().is_some_and(is_later) {
-            return false;
-        }
-        self.held = None;
-        self.observation = Some(Observation {
-            end: Some(end),
-            since: now,
-            holder: Some(holder),
-            is_reported: true,
-        });
-        true
-    }
-
-    /// Processes the holder's announcement of the new holder.
-    pub fn holder_moved(&mut self, now: clock::Instant, holder: Record) {
-        if self.held.is_some() {
-            return;
-        }
-        let end = self
-            .observation
-            .as_ref()
-            .and_then(|observation| observation.end);
-        self.observation = Some(Observation {
-            end,
-            since: now,
-            holder: Some(holder),
-            is_reported: true,
-        });
-    }
-
-    /// Processes a report that another instance has a link to this holder. The report says nothing of the
-    /// record, so the term is counted as before.
-    pub fn redirect(&mut self, now: clock::Instant, holder: Record) {
-        if self.held.is_some() {
-            return;
-        }
-        let previous = self.observation.take();
-        self.observation = Some(Observation {
-            end: previous.as_ref().and_then(|observation| observation.end),
-            since: previous
-                .as_ref()
-                .map_or(now, |observation| observation.since),
-            holder: Some(holder),
-            is_reported: true,
-        });
-    }
-
-    /// Processes the holder's list of standbys. A holder that has just started has none yet, so there are
-    /// no standbys to wait for.
-    pub fn set_standbys(&mut self, standbys: &[Record]) {
-        let is_standby = standbys.iter().any(|standby| self.is_own(standby));
-        self.standby = (!standbys.is_empty()).then_some(is_standby);
-    }
-
-    /// Whether the last holder that sent its standbys designated this instance as one; `None` if there were
-    /// none.
-    #[must_use]
-    pub fn is_standby(&self) -> Option<bool> {
-        self.standby
-    }
-
-    /// Whether this instance leaves the takeover to standbys for now, so that it need not read the record.
-    #[must_use]
-    pub fn defers_to_standbys(&self, now: clock::Instant) -> bool {
-        let observation = self.observation.as_ref();
-        self.held.is_none()
-            && self.standby == Some(false)
-            && observation
-                .is_some_and(|observation| now < observation.since.after(self.takeover_delay()))
-    }
-
-    /// How long the record must stay unchanged before this instance may take the lease over.
-    fn takeover_delay(&self) -> Duration {
-        let term = self.options.term;
-        match self.standby {
-            Some(false) => term.mul_f64(1.0 + STANDBY_WINDOW_RATIO),
-            Some(true) | None => term,
-        }
-    }
-
     /// This instance's record as the holder.
     #[must_use]
     pub fn own_record(&self) -> &Record {
@@ -762,20 +523,8 @@
         Some(at.since(now))
     }
 
-    fn is_ceded(&self, fencing: u64) -> bool {
-        self.max_ceded_fencing
-            .is_some_and(|max_ceded_fencing| fencing <= max_ceded_fencing)
-    }
-
     fn is_own(&self, record: &Record) -> bool {
         record.instance == self.own_record.instance
             && record.incarnation == self.own_record.incarnation
     }
 }
-
-/// The fencing number of a takeover: above those of all earlier eras and of all earlier offsets of its own
-/// era.
-fn takeover_fencing(position: Position) -> u64 {
-    let era = position.era.0.min(MAX_FENCING_ERA);
-    (era << OFFSET_BITS | position.offset) << HAND_OVER_BITS
-}
