A request with several quarantined parts is tried only when a trial of each is due

Found by reading: the first quarantined part decided, and a trial of it let the request through though servers crash on another one, too. The latest trial decides now.

--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -309,16 +309,21 @@
         };
     }
 
-    /// The first of these parts that is quarantined.
+    /// The one of these parts that is quarantined, and the time until its next trial; of several, the one whose trial comes
+    /// last.
     #[must_use]
-    pub fn find_quarantined(&self, parts: &[Part]) -> Option<Part> {
+    pub fn find_quarantined(
+        &self,
+        now: clock::Instant,
+        parts: &[Part],
+    ) -> Option<(Part, Duration)> {
         if self.quarantined.is_empty() {
             return None;
         }
-        parts
-            .iter()
-            .copied()
-            .find(|part| self.quarantined.contains_key(part))
+        let parts = parts.iter().copied();
+        let quarantined = parts.filter(|part| self.quarantined.contains_key(part));
+        let waits = quarantined.map(|part| (part, self.trial_wait(now, part)));
+        waits.max_by_key(|(_, wait)| *wait)
     }
 
     /// The number of quarantined parts.
--- a/crates/fireflywheel/tests/fleet/quarantine.rs
+++ b/crates/fireflywheel/tests/fleet/quarantine.rs
@@ -82,7 +82,8 @@
 
     /// Whether requests with a part are refused. All instances must agree.
     fn refuses(&self, name: &str) -> bool {
-        let refuse = |registry: &Registry| registry.find_quarantined(&[part(name)]).is_some();
+        let refuse =
+            |registry: &Registry| registry.find_quarantined(self.now, &[part(name)]).is_some();
         let refusing = self.registries.iter().filter(|one| refuse(one)).count();
         assert!(refusing == 0 || refusing == INSTANCES, "{name}: {refusing}");
         refusing > 0
@@ -226,13 +227,13 @@
     assert!(fleet.registries[0].try_trial(fleet.now, part("bad")));
     let mut new = Registry::default();
     new.merge(fleet.now, &fleet.registries[0].facts(fleet.now), false, 9);
-    assert!(new.find_quarantined(&[part("bad")]).is_some());
+    assert!(new.find_quarantined(fleet.now, &[part("bad")]).is_some());
     assert!(!new.try_trial(fleet.now, part("bad")));
     fleet.registries[1].tell_again();
     let told = fleet.registries[1].take_news(fleet.now);
     let mut new = Registry::default();
     new.merge(fleet.now, &told, true, 9);
-    assert!(new.find_quarantined(&[part("bad")]).is_some());
+    assert!(new.find_quarantined(fleet.now, &[part("bad")]).is_some());
 }
 
 /// Guards against memory and bytes on the links that grow with the parts that callers invent.
@@ -282,8 +283,9 @@
             backwards.merge(now, facts, true, 9);
         }
         let names = ["a", "b", "c"].map(part);
-        let quarantined =
-            |registry: &Registry| names.map(|part| registry.find_quarantined(&[part]).is_some());
+        let quarantined = |registry: &Registry| {
+            names.map(|part| registry.find_quarantined(now, &[part]).is_some())
+        };
         let (first, second) = (forwards.facts(now), backwards.facts(now));
         forwards.merge(now, &second, true, 8);
         backwards.merge(now, &first, true, 9);
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -44,8 +44,8 @@
     pub version: Option<SmolStr>,
     /// The parts of the prompt that other requests may have as well.
     pub parts: Vec<Part>,
-    /// The quarantined part that the request is to try.
-    pub trial: Option<Part>,
+    /// Whether the request is let through to find out whether servers still crash on its quarantined part.
+    pub is_trial: bool,
     /// The organisation that sent the request; `None` if it is anonymous or the configuration has no organisations.
     pub organisation: Option<SmolStr>,
     /// The priority; 0 is the most urgent.
@@ -56,6 +56,21 @@
     pub deadline: clock::Instant,
 }
 
+impl Job {
+    /// The time for which requests with a part of this one's prompt are refused; `None` if it may be sent.
+    #[must_use]
+    pub fn quarantined_for<P>(&self, node: &node::Node<P>) -> Option<Duration>
+    where
+        P: platform::Platform,
+    {
+        if self.is_trial {
+            return None;
+        }
+        let (_, wait) = node.find_quarantined(&self.parts)?;
+        Some(wait)
+    }
+}
+
 /// A backend server's response whose head has arrived.
 #[derive(Debug)]
 pub struct Response<P>
--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -56,8 +56,8 @@
 pub enum Admission {
     /// None of its parts is quarantined.
     Open,
-    /// It is let through to find out whether this part still crashes servers.
-    Trial(Part),
+    /// It is let through to find out whether servers still crash on its quarantined part.
+    Trial,
     /// This part is quarantined, and the next trial is due after that time.
     Refused(Part, Duration),
 }
@@ -263,10 +263,9 @@
             let now = self.now();
             let mut state = self.lock();
             let quarantine = &mut state.quarantine;
-            let Some(part) = quarantine.registry.find_quarantined(parts) else {
+            let Some((part, wait)) = quarantine.registry.find_quarantined(now, parts) else {
                 return Admission::Open;
             };
-            let wait = quarantine.registry.trial_wait(now, part);
             let requests = &mut quarantine.trial_requests;
             if !wait.is_zero() || requests.len() >= MAX_TRIAL_REQUESTS {
                 return Admission::Refused(part, wait);
@@ -288,7 +287,7 @@
         let is_granted = time::timeout(TRIAL_ANSWER_TIMEOUT, answered).await;
         if is_granted == Ok(true) {
             log::info!(part = waiter.part.to_string().as_str(); "request with a quarantined part is let through as a trial");
-            return Admission::Trial(waiter.part);
+            return Admission::Trial;
         }
         let now = self.now();
         let wait = self.lock().quarantine.registry.trial_wait(now, waiter.part);
@@ -334,18 +333,12 @@
         }
     }
 
-    /// The first of these parts that is quarantined, other than one that is on trial, and the time until its next trial.
+    /// The one of these parts that is quarantined, and the time until its next trial.
     #[must_use]
-    pub fn find_quarantined(
-        &self,
-        parts: &[Part],
-        trial: Option<Part>,
-    ) -> Option<(Part, Duration)> {
+    pub fn find_quarantined(&self, parts: &[Part]) -> Option<(Part, Duration)> {
         let now = self.now();
         let state = self.lock();
-        let registry = &state.quarantine.registry;
-        let part = registry.find_quarantined(parts)?;
-        (Some(part) != trial).then(|| (part, registry.trial_wait(now, part)))
+        state.quarantine.registry.find_quarantined(now, parts)
     }
 
     /// Stores the steward's answers to trial requests.
@@ -443,7 +436,7 @@
         if let Some(adapter) = &queue.adapter {
             parts.push(Part::of_load(group, model, Some(adapter)));
         }
-        let (_, wait) = self.find_quarantined(&parts, None)?;
+        let (_, wait) = self.find_quarantined(&parts)?;
         Some(wait)
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -118,9 +118,9 @@
         let body = incoming::read(body, &body_limits(&config.limits)).await?;
         let queue = queue_key(&config, route, call);
         let parts = quarantine::parts(&queue.group, call);
-        let trial = match self.node.admit(&parts).await {
-            Admission::Open => None,
-            Admission::Trial(part) => Some(part),
+        let is_trial = match self.node.admit(&parts).await {
+            Admission::Open => false,
+            Admission::Trial => true,
             Admission::Refused(part, wait) => {
                 let name = quarantine::name(&queue.group, call, part);
                 log::info!(request = call.id.as_str(), part = name.as_str(); "servers crash on a part of the prompt");
@@ -157,7 +157,7 @@
             queue,
             version,
             parts,
-            trial,
+            is_trial,
             organisation: organisation.map(|organisation| organisation.name.clone()),
             priority: organisation
                 .and_then(|organisation| organisation.priority)
@@ -411,7 +411,7 @@
     let mut changed = node.changed.subscribe();
     let mut waiter = None;
     loop {
-        if let Some((_, wait)) = node.find_quarantined(&job.parts, job.trial) {
+        if let Some(wait) = job.quarantined_for(node) {
             return Err(quarantined(wait));
         }
         let now = node.now();
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -403,12 +403,7 @@
 
     /// Chooses another server that can resume the stream immediately, and takes a retry from the group's budget.
     fn reserve_alternative(&self) -> Option<node::Chosen> {
-        let is_quarantined = || {
-            let job = &self.job;
-            let part = self.node.find_quarantined(&job.parts, job.trial);
-            part.is_some()
-        };
-        if !self.may_resume() || is_quarantined() {
+        if !self.may_resume() || self.job.quarantined_for(&self.node).is_some() {
             return None;
         }
         let mut tried = self.tried.clone();
