Sizes whose sum overflows no longer end an instance

Two streams at once that state prompts of 4,294,967,295 tokens overflowed a sum under the node's lock; in builds that check for overflows the panic poisons the lock, and the instance answers nothing more. Release builds don't check: there such prompts counted as small ones.

--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -311,7 +311,7 @@
             known.backlog.add_own(chosen.prefill_tokens);
             let running = known.running.entry(key.clone()).or_default();
             running.count += 1;
-            running.prefill_tokens += chosen.prefill_tokens;
+            running.prefill_tokens = running.prefill_tokens.saturating_add(chosen.prefill_tokens);
             server_started_ms = known.server.started_ms;
         }
         drop(state);
