An instance without a free connection to a server borrows one of another instance

Cause: each instance has an equal part of the connections that a server takes. One that gets nine tenths of the callers has a fifteenth of them, refuses, and the other fourteen keep theirs idle.

Change: it opens a connection through one of its gateways, which counts it as its own and lends up to three quarters of its part. The sum over all instances stays below the bound, with and without a steward; instances of earlier releases are not asked.

Not met, and not measured: a hundred instances, whose parts are two connections each.

--- a/crates/fireflywheel/src/fleet/gateway.rs
+++ b/crates/fireflywheel/src/fleet/gateway.rs
@@ -33,6 +33,9 @@
     /// The groups whose servers it doesn't reach itself.
     #[serde(rename = "unreached")]
     pub unreached_groups: BTreeSet<SmolStr>,
+    /// Whether its release lends connections of its own.
+    #[serde(default)]
+    pub lends: bool,
 }
 
 /// Returns the gateways for an instance out of all candidates. The groups without a candidate that reaches them have
@@ -105,6 +108,13 @@
         entries.any(|entry| !entry.gateway.unreached_groups.contains(group))
     }
 
+    /// The gateways that lend no connections of their own.
+    pub fn non_lending(&self) -> impl Iterator<Item = &SmolStr> {
+        let gateways = self.gateways.iter().map(|entry| &entry.gateway);
+        let gateways = gateways.filter(|gateway| !gateway.lends);
+        gateways.map(|gateway| &gateway.instance)
+    }
+
     /// Returns the gateway for another connection to a server of a group, or `None` if there is none at the moment.
     /// Those in `tried` are left out. `open_count` returns the number of open connections through a gateway, and `draw`
     /// breaks ties.
--- a/crates/fireflywheel/src/fleet/tunnel.rs
+++ b/crates/fireflywheel/src/fleet/tunnel.rs
@@ -48,6 +48,10 @@
         process: announcement::Process,
         /// The proof.
         proof: Proof,
+        /// Whether the connection is one of the gateway's own, of which it has some to spare. Otherwise it is one of the
+        /// opener's.
+        #[serde(default, rename = "lent")]
+        is_lent: bool,
     },
     /// The gateway's proof; the connection to the server is open.
     Opened(Proof),
--- a/crates/fireflywheel/tests/fleet/gateway.rs
+++ b/crates/fireflywheel/tests/fleet/gateway.rs
@@ -14,6 +14,7 @@
         address: format!("10.0.0.{number}:1").into(),
         failure_domain: format!("z{}", number % 4).into(),
         unreached_groups: unreached.iter().copied().map(SmolStr::new).collect(),
+        lends: true,
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/gateway.rs
+++ b/crates/fireflywheel_daemon/src/fleet/gateway.rs
@@ -63,7 +63,12 @@
 {
     let nonce = tunnel::generate_nonce();
     tunnel::send(socket, tunnel::encode(&Message::Challenge(nonce))).await?;
-    let Message::Open { process, proof } = tunnel::receive(socket).await? else {
+    let Message::Open {
+        process,
+        proof,
+        is_lent,
+    } = tunnel::receive(socket).await?
+    else {
         anyhow::bail!("unexpected message");
     };
     let Some(secret) = node.tunnel_secret() else {
@@ -80,7 +85,10 @@
         node.request_secret();
         return Ok(Err(Refusal::Unauthenticated));
     }
-    let served = match node.serve_tunnel(&process, MAX_SERVED_TUNNELS).await {
+    let served = match node
+        .serve_tunnel(&process, MAX_SERVED_TUNNELS, is_lent)
+        .await
+    {
         Ok(served) => served,
         Err(refusal) => return Ok(Err(refusal)),
     };
--- a/crates/fireflywheel_daemon/src/fleet/node/path.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/path.rs
@@ -31,6 +31,8 @@
 const TUNNEL_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of paths that are probed at once.
 const MAX_PROBES: usize = 16;
+/// The share of its connections to a server up to which an instance lends some of them, those in use included.
+const LENDABLE_RATIO: f64 = 0.75;
 /// Maximum number of gateways that are tried for one connection.
 const MAX_GATEWAYS: usize = 2;
 
@@ -51,6 +53,8 @@
     /// The connection.
     pub stream: TcpStream,
     _guard: pool::OpenGuard,
+    /// Counts it as one of this instance's connections to the server, if it is lent.
+    _lent: Option<Arc<pool::OpenGuard>>,
 }
 
 /// What an instance needs to know of the paths to servers.
@@ -159,7 +163,12 @@
         if let Some(connection) = idle {
             return Ok(connection);
         }
-        let reservation = self.pool.reserve(target.address, target.connections)?;
+        let reservation = match self.pool.reserve(target.address, target.connections) {
+            Err(pool::Error::NoConnectionFree) if via == pool::Via::Any => {
+                return self.borrow_connection(target).await;
+            }
+            reserved => reserved?,
+        };
         if via == pool::Via::Direct {
             return self.open_direct(target, reservation).await;
         }
@@ -254,24 +263,50 @@
         self: &Arc<Self>,
         target: &Target,
         reservation: Arc<pool::OpenGuard>,
+    ) -> Result<pool::Connection, pool::Error> {
+        self.open_through_gateway(target, reservation, false).await
+    }
+
+    /// Opens a connection that another instance has to spare. All connections of all instances together stay as many as
+    /// they are: it is one of that instance's.
+    async fn borrow_connection(
+        self: &Arc<Self>,
+        target: &Target,
+    ) -> Result<pool::Connection, pool::Error> {
+        let reservation = Arc::new(pool::OpenGuard::new(Arc::default()));
+        let opened = self.open_through_gateway(target, reservation, true).await;
+        opened.map_err(|error| match error {
+            pool::Error::Unreachable => pool::Error::NoConnectionFree,
+            other => other,
+        })
+    }
+
+    async fn open_through_gateway(
+        self: &Arc<Self>,
+        target: &Target,
+        reservation: Arc<pool::OpenGuard>,
+        is_lent: bool,
     ) -> Result<pool::Connection, pool::Error> {
         let mut tried = Vec::new();
         let mut outcome = pool::Error::Unreachable;
         while tried.len() < MAX_GATEWAYS {
-            let (gateway, open_count) = match self.pick_gateway(&target.process, &tried) {
+            let (gateway, open_count) = match self.pick_gateway(&target.process, &tried, is_lent) {
                 Ok(picked) => picked,
                 Err(error) if tried.is_empty() => return Err(error),
                 Err(_) => break,
             };
             let guard = pool::OpenGuard::new(open_count);
-            let opened = tunnel::open(&gateway, self.tunnel_secret(), &target.process).await;
+            let opened =
+                tunnel::open(&gateway, self.tunnel_secret(), &target.process, is_lent).await;
             self.metrics.count_tunnel(match &opened {
                 Ok(_) => "opened",
                 Err(error) => error.as_str(),
             });
             match opened {
                 Ok(tunnel) => {
-                    self.record_detour(target);
+                    if !is_lent {
+                        self.record_detour(target);
+                    }
                     let address = target.address;
                     return pool::Connection::tunnel(tunnel, address, reservation, guard).await;
                 }
@@ -322,6 +357,7 @@
         &self,
         process: &Process,
         tried: &[SmolStr],
+        lends: bool,
     ) -> Result<(gateway::Gateway, Arc<AtomicUsize>), pool::Error> {
         let now = self.now();
         let mut state = self.lock();
@@ -334,9 +370,14 @@
             count.map_or(0, |count| count.load(Ordering::Relaxed))
         };
         let domain = &self.settings.failure_domain;
-        let picked = paths
-            .gateways
-            .pick(now, &group, domain, tried, rand::random(), open_count);
+        let mut excluded = tried.to_vec();
+        if lends {
+            excluded.extend(paths.gateways.non_lending().cloned());
+        }
+        let picked =
+            paths
+                .gateways
+                .pick(now, &group, domain, &excluded, rand::random(), open_count);
         let Some(gateway) = picked.cloned() else {
             return Err(match paths.gateways.reaches(&group) {
                 true => pool::Error::NoConnectionFree,
@@ -347,8 +388,8 @@
         Ok((gateway, Arc::clone(count)))
     }
 
-    /// Opens a connection to a server for another instance. It is one of that instance's connections to the server, so all
-    /// instances together have no more of them than without tunnels.
+    /// Opens a connection to a server for another instance. It is one of that instance's connections to the server, or one of
+    /// this instance's if it is lent, so all instances together have no more of them than without tunnels.
     ///
     /// # Errors
     ///
@@ -357,6 +398,7 @@
         self: &Arc<Self>,
         process: &Process,
         max_tunnels: usize,
+        is_lent: bool,
     ) -> Result<ServedTunnel, Refusal> {
         if self.is_draining() {
             return Err(Refusal::Stopping);
@@ -372,11 +414,20 @@
         if served.load(Ordering::Relaxed) >= max_tunnels {
             return Err(Refusal::Busy);
         }
+        let lent = match is_lent {
+            true => {
+                let lendable = (target.connections as f64 * LENDABLE_RATIO) as usize;
+                let reserved = self.pool.reserve(target.address, lendable);
+                Some(reserved.map_err(|_| Refusal::Busy)?)
+            }
+            false => None,
+        };
         let guard = pool::OpenGuard::new(served);
         let stream = self.dial(&target).await;
         Ok(ServedTunnel {
             stream: stream.map_err(|_| Refusal::Unreachable)?,
             _guard: guard,
+            _lent: lent,
         })
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -609,6 +609,7 @@
             address: SmolStr::new(settings.peers_advertised.to_string()),
             failure_domain: settings.failure_domain.clone(),
             unreached_groups: self.node.unreached_groups(),
+            lends: true,
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -96,6 +96,8 @@
             address: self.peer.address.clone(),
             failure_domain: self.failure_domain.clone(),
             unreached_groups,
+            // The same release brought both.
+            lends: self.shares_facts,
         })
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/tunnel.rs
+++ b/crates/fireflywheel_daemon/src/fleet/tunnel.rs
@@ -134,6 +134,7 @@
     gateway: &gateway::Gateway,
     secret: Option<Secret>,
     process: &Process,
+    is_lent: bool,
 ) -> Result<Tunnel, Error> {
     let secret = secret.ok_or(Error::NoSecret)?;
     let opening = async {
@@ -157,6 +158,7 @@
         let open = Message::Open {
             process: process.clone(),
             proof: handshake.prove(Role::Opener),
+            is_lent,
         };
         send(&mut socket, encode(&open)).await?;
         match receive(&mut socket).await? {
