--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -25,7 +25,7 @@
 use super::frame;
 use crate::clock;
 
-pub use fact::{Clearance, Crash, Facts, Part, Report, Verdict};
+pub use fact::{Clearance, Crash, Facts, Part, Report, Survivor, Verdict};
 
 /// Number of crashes, without a whole answer since, after which a part is quarantined.
 const MIN_CRASHES: u32 = 3;
@@ -151,8 +151,8 @@
         }
     }
 
-    /// Records that an instance, or the directory, has found that a process has ended. `instances` is the number of instances
-    /// that can find that. Returns whether that is new.
+    /// Records that `witness`, the process of an instance, has found that a process has ended. `instances` is the number of
+    /// instances that can find that. Returns whether it is new.
     pub fn record_end(
         &mut self,
         now: clock::Instant,
@@ -160,10 +160,10 @@
         witness: u64,
         instances: usize,
     ) -> bool {
-        if self.survivors.contains_key(process) {
+        let at = self.breaks.get(process).map_or(now, |breaks| breaks.at);
+        if self.is_refuted(process, at) {
             return false;
         }
-        let at = self.breaks.get(process).map_or(now, |breaks| breaks.at);
         let known = self.crashes.entry(process.clone()).or_insert(Known {
             at,
             witnesses: BTreeSet::new(),
@@ -195,7 +195,7 @@
         if sent < known.at {
             return false;
         }
-        self.refute(now, process);
+        self.refute(process, now);
         true
     }
 
@@ -211,7 +211,7 @@
     }
 
     /// Merges facts that another instance has told. With `passes_on`, what is new is told in turn. Returns the crashed
-    /// processes whose end has too few witnesses.
+    /// processes whose end has too few witnesses; `own` is this instance as a witness.
     pub fn merge(
         &mut self,
         now: clock::Instant,
@@ -219,12 +219,11 @@
         passes_on: bool,
         own: u64,
     ) -> Vec<Process> {
+        // What is told isn't passed on, but what this instance adds to it is: suspects, and answers that clear them.
         let before = (!passes_on).then(|| self.news.clone());
         let ago = |age_ms: u32| now.before(Duration::from_millis(age_ms.into()));
-        for process in &facts.survivors {
-            if !self.survivors.contains_key(process) {
-                self.refute(now, process);
-            }
+        for survivor in &facts.survivors {
+            self.refute(&survivor.process, ago(survivor.age_ms));
         }
         for clearance in &facts.clearances {
             self.clear(clearance.part, ago(clearance.age_ms));
@@ -256,7 +255,11 @@
         let parts = news.parts.iter();
         Facts {
             crashes: crashes.collect(),
-            survivors: news.survivors.into_iter().collect(),
+            survivors: news
+                .survivors
+                .iter()
+                .filter_map(|process| self.survivor(now, process))
+                .collect(),
             clearances: parts
                 .clone()
                 .filter_map(|part| self.clearance(now, *part))
@@ -280,7 +283,11 @@
             crashes: crashes
                 .filter_map(|process| self.crash(now, process))
                 .collect(),
-            survivors: self.survivors.keys().cloned().collect(),
+            survivors: self
+                .survivors
+                .keys()
+                .filter_map(|process| self.survivor(now, process))
+                .collect(),
             clearances: cleared
                 .filter_map(|part| self.clearance(now, *part))
                 .collect(),
@@ -437,11 +444,27 @@
         true
     }
 
-    fn refute(&mut self, now: clock::Instant, process: &Process) {
-        self.breaks.remove(process);
-        self.survivors.insert(process.clone(), now);
+    /// Whether a process has answered after it was thought to have crashed, or so shortly before that it hasn't.
+    fn is_refuted(&self, process: &Process, crash: clock::Instant) -> bool {
+        let survivor = self.survivors.get(process);
+        survivor.is_some_and(|at| at.after(TIME_TOLERANCE) >= crash)
+    }
+
+    /// Records that a process lives, and takes back that it has crashed.
+    fn refute(&mut self, process: &Process, at: clock::Instant) {
+        if self
+            .survivors
+            .get(process)
+            .is_some_and(|known| at <= *known)
+        {
+            return;
+        }
+        self.survivors.insert(process.clone(), at);
         self.news.survivors.insert(process.clone());
-        if self.crashes.remove(process).is_some() {
+        let crash = self.crashes.get(process);
+        if crash.is_some_and(|known| self.is_refuted(process, known.at)) {
+            self.breaks.remove(process);
+            self.crashes.remove(process);
             log::info!(server = process.server.as_str(); "backend server has not crashed");
         }
         while self.survivors.len() > MAX_CRASHES {
@@ -475,7 +498,7 @@
 
     /// Merges a crash, and returns whether it tells anything new.
     fn merge_crash(&mut self, crash: &Crash, at: clock::Instant, passes_on: bool) -> bool {
-        if self.survivors.contains_key(&crash.process) {
+        if self.is_refuted(&crash.process, at) {
             return false;
         }
         let mut is_new = !self.crashes.contains_key(&crash.process);
@@ -608,6 +631,14 @@
         })
     }
 
+    fn survivor(&self, now: clock::Instant, process: &Process) -> Option<Survivor> {
+        let at = self.survivors.get(process)?;
+        Some(Survivor {
+            process: process.clone(),
+            age_ms: frame::millis(now.since(*at)),
+        })
+    }
+
     fn clearance(&self, now: clock::Instant, part: Part) -> Option<Clearance> {
         let at = self.cleared.get(&part)?;
         Some(Clearance {
--- a/crates/fireflywheel/src/fleet/quarantine/fact.rs
+++ b/crates/fireflywheel/src/fleet/quarantine/fact.rs
@@ -54,6 +54,15 @@
     pub suspects: Vec<(Part, u32)>,
 }
 
+/// A process that has answered after it was thought to have crashed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Survivor {
+    /// The process.
+    pub process: Process,
+    /// The time since it has answered.
+    pub age_ms: u32,
+}
+
 /// A part that was answered to the end.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Clearance {
@@ -82,7 +91,7 @@
     /// Processes that have crashed.
     pub crashes: Vec<Crash>,
     /// Processes that have answered after they were thought to have crashed.
-    pub survivors: Vec<Process>,
+    pub survivors: Vec<Survivor>,
     /// Parts that were answered to the end since a crash.
     pub clearances: Vec<Clearance>,
     /// Quarantined parts.
--- a/crates/fireflywheel/tests/fleet/quarantine.rs
+++ b/crates/fireflywheel/tests/fleet/quarantine.rs
@@ -174,6 +174,26 @@
     assert!(!fleet.refuses("sound"));
 }
 
+/// Guards against a crash that isn't counted since the server was thought to have crashed before, and had not.
+#[test]
+fn server_that_had_not_crashed_may_crash_later() {
+    let mut fleet = Fleet::new();
+    let process = fleet.crash(&[parts(["sound"])]);
+    fleet.registries[2].record_life(fleet.now, &process, fleet.now);
+    fleet.exchange();
+    fleet.now = fleet.now.after(INTERVAL);
+    for witness in 0..2 {
+        let registry = &mut fleet.registries[witness];
+        registry.record_break(fleet.now, &process, &parts(["bad"]));
+        registry.record_end(fleet.now, &process, witness as u64, INSTANCES);
+    }
+    fleet.exchange();
+    for _ in 0..2 {
+        fleet.crash(&[parts(["bad"])]);
+    }
+    assert!(fleet.refuses("bad"));
+}
+
 /// Guards against a part that is blamed wrongly and refused for good.
 #[test]
 fn trial_that_is_answered_ends_the_quarantine() {
