--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -29,7 +29,7 @@
 /// How long after its start an instance waits to be told what is quarantined.
 const START_TIMEOUT: Duration = Duration::from_secs(1);
 /// Mean number of instances that verify a crash which a single instance has seen.
-const MEAN_VERIFIERS: f64 = 3.0;
+const MEAN_VERIFIERS: f64 = 6.0;
 
 /// What an instance knows of crashes, and what it finds out.
 #[derive(Debug, Default)]
