The next server at an address refutes no crash

Found by reading: an instance that heard late of a crash with a single witness verified it by a connection, which the next process at that address accepts. Connections count for 0.4 s after a crash, as the constant had said.

--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -40,7 +40,7 @@
 /// The same for times that were kept in the store with the lease, which is renewed within this time.
 const STORED_TIME_TOLERANCE: Duration = Duration::from_secs(5);
 /// How long after a crash another connection to its address tells about the same process.
-pub const VERIFICATION_TIME: Duration = Duration::from_millis(400);
+const VERIFICATION_TIME: Duration = Duration::from_millis(400);
 /// How long broken runs are kept until it is known whether their process has crashed.
 const BREAK_TTL: Duration = Duration::from_secs(3);
 /// How long crashes, clearances and refutations are kept.
@@ -181,8 +181,17 @@
         true
     }
 
-    /// Records that a process has answered a request, or accepted a connection, that was sent at `sent`. Returns whether that
-    /// refutes a crash.
+    /// Records that a connection to the address of a process has opened. Returns whether that refutes a crash: a while after
+    /// it, another process may listen there.
+    pub fn record_connection(&mut self, now: clock::Instant, process: &Process) -> bool {
+        let crash = self.crashes.get(process);
+        if crash.is_some_and(|known| now.since(known.at) >= VERIFICATION_TIME) {
+            return false;
+        }
+        self.record_life(now, process, now)
+    }
+
+    /// Records that a process has answered a request that was sent at `sent`. Returns whether that refutes a crash.
     pub fn record_life(
         &mut self,
         now: clock::Instant,
--- a/crates/fireflywheel/tests/fleet/quarantine.rs
+++ b/crates/fireflywheel/tests/fleet/quarantine.rs
@@ -174,6 +174,19 @@
     assert!(!fleet.refuses("sound"));
 }
 
+/// Guards against a crash that is taken back since the next server listens at its address.
+#[test]
+fn next_server_at_an_address_refutes_no_crash() {
+    let mut fleet = Fleet::new();
+    for _ in 0..3 {
+        let process = fleet.crash(&[parts(["bad"])]);
+        let now = fleet.now.after(Duration::from_secs(1));
+        fleet.registries[2].record_connection(now, &process);
+        fleet.exchange();
+    }
+    assert!(fleet.refuses("bad"));
+}
+
 /// Guards against a crash that isn't counted since the server was thought to have crashed before, and had not.
 #[test]
 fn server_that_had_not_crashed_may_crash_later() {
--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -7,7 +7,7 @@
 
 use fireflywheel::clock;
 use fireflywheel::fleet::announcement::Process;
-use fireflywheel::fleet::quarantine::{Facts, Part, Registry, Report, VERIFICATION_TIME, Verdict};
+use fireflywheel::fleet::quarantine::{Facts, Part, Registry, Report, Verdict};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 use tokio::time;
@@ -206,11 +206,8 @@
     fn verify(self: &Arc<Self>, target: Target) {
         let node = Arc::clone(self);
         tokio::spawn(async move {
-            let started = node.now();
             let has_ended = node.has_ended(&target).await;
-            if node.now().since(started) < VERIFICATION_TIME {
-                node.record_examination(&target.process, has_ended);
-            }
+            node.record_examination(&target.process, has_ended);
         });
     }
 
@@ -225,7 +222,7 @@
             Some(true) => registry.record_end(now, process, self.incarnation, instances),
             Some(false) => {
                 registry.forget_breaks(process);
-                registry.record_life(now, process, now)
+                registry.record_connection(now, process)
             }
             None => false,
         };
