--- a/crates/fireflywheel_daemon/src/fleet/gossip.rs
+++ b/crates/fireflywheel_daemon/src/fleet/gossip.rs
@@ -53,7 +53,8 @@
 {
     let node = &steward.node;
     let frame = frame::Frame::Facts(node.facts());
-    let exchanged = time::timeout(EXCHANGE_TIMEOUT, links::ask(&peer.address, &frame)).await;
+    let asked = links::ask(node.platform.network(), &peer.address, &frame);
+    let exchanged = time::timeout(EXCHANGE_TIMEOUT, asked).await;
     match exchanged {
         Ok(Ok(frame::Frame::Facts(facts))) => node.merge_facts(&facts, false),
         Ok(Ok(_)) => {}
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -264,14 +264,24 @@
 /// # Errors
 ///
 /// Returns an error if there is none.
-pub async fn ask(address: &str, frame: &frame::Frame) -> anyhow::Result<frame::Frame> {
-    let mut socket = open(address).await?;
+pub async fn ask<N>(
+    network: &N,
+    address: &str,
+    frame: &frame::Frame,
+) -> anyhow::Result<frame::Frame>
+where
+    N: net::Network,
+{
+    let mut socket = open(network, address).await?;
     send(&mut socket, frame).await?;
     receive(&mut socket).await
 }
 
-async fn open(address: &str) -> anyhow::Result<Socket> {
-    let stream = TcpStream::connect(address).await?;
+async fn open<N>(network: &N, address: &str) -> anyhow::Result<Socket>
+where
+    N: net::Network,
+{
+    let stream = network.connect_peer(address.parse()?).await?;
     net::configure(&stream);
     let url = format!("ws://{address}/");
     let opened = client_async_with_config(url, stream, Some(websocket_config())).await?;
@@ -287,7 +297,8 @@
 where
     P: platform::Platform,
 {
-    let mut socket = time::timeout(open_timeout, open(&holder.address))
+    let network = steward.node.platform.network();
+    let mut socket = time::timeout(open_timeout, open(network, &holder.address))
         .await
         .context("link did not open in time")??;
     let hello = frame::Frame::Hello {
--- a/crates/fireflywheel_daemon/src/fleet/net.rs
+++ b/crates/fireflywheel_daemon/src/fleet/net.rs
@@ -1,4 +1,4 @@
-//! Opens TCP connections to backend servers, and sets the socket options that end a connection whose peer is gone.
+//! Opens TCP connections to backend servers and other instances, and sets the socket options that end a connection whose peer is gone.
 
 use std::fmt::Debug;
 use std::io;
@@ -14,7 +14,7 @@
 /// keep-alive probes give up. It outlasts a server that pauses for a second.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// Opens connections to backend servers.
+/// Opens connections to backend servers and to other instances.
 pub trait Network: Debug + Send + Sync + 'static {
     /// Opens a connection to a server.
     ///
@@ -25,6 +25,18 @@
         &self,
         server: SocketAddr,
     ) -> impl Future<Output = io::Result<TcpStream>> + Send + '_;
+
+    /// Opens a connection to another instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if the connection can't be opened.
+    fn connect_peer(
+        &self,
+        peer: SocketAddr,
+    ) -> impl Future<Output = io::Result<TcpStream>> + Send + '_ {
+        TcpStream::connect(peer)
+    }
 }
 
 /// The network of the operating system.
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -206,6 +206,11 @@
         self.lock().push_back(delivery);
     }
 
+    /// Removes how answers are to be delivered that have not begun.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+
     fn take(&self) -> Delivery {
         self.lock().pop_front().unwrap_or_default()
     }
