--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -115,8 +115,12 @@
     Gateways(Vec<gateway::Gateway>),
     /// The versions of groups' servers that the steward has seen.
     Versions(origin::Versions),
-    /// Replies to questions about streams, from the steward.
+    /// Replies to questions about streams, from the steward or from an instance that keeps streams for it.
     Origins(Vec<origin::Reply>),
+    /// Streams that the receiver keeps for the steward, which may end.
+    Streams(Vec<origin::Record>),
+    /// Questions about streams to an instance that may keep them, from one that has no link to a steward.
+    OriginQueries(Vec<origin::Query>),
     /// Crashes of servers, and parts of prompts that may have caused them; from the steward, or from an instance that isn't
     /// steward to one that looks for it.
     Facts(quarantine::Facts),
--- a/crates/fireflywheel/src/fleet/origin.rs
+++ b/crates/fireflywheel/src/fleet/origin.rs
@@ -4,8 +4,11 @@
 //! stream goes on only at the version that began it, also when its caller comes back to another instance.
 //!
 //! While a group has had a single version for as long as callers come back, that version began the stream
-//! ([`History::sole`]). Otherwise the instance at which a stream begins reports it to the steward, and the instance that the
-//! caller comes back to asks the steward ([`Registry`]). Where neither tells, the stream does not go on.
+//! ([`History::sole`]), and an instance only remembers its streams for itself. Once there is a second version (a
+//! [`Release`]), instances report their streams to the steward, and the instance that a caller comes back to asks the steward
+//! ([`Registry`]). Until all streams from before are over, one that was not reported began at the version that was alone
+//! before: at any other version, the first event leaves an instance only once the steward has recorded the stream. Where
+//! nothing tells, the stream does not go on.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
@@ -29,11 +32,19 @@
 /// The same if the steward doesn't say so. It is less than [`YOUNG_TIME`].
 const MAX_AGE_ALONE: Duration = Duration::from_secs(2);
 
-/// How long streams begin at other versions, if they can, after a version was first seen: until all instances know it.
-const YOUNG_TIME: Duration = Duration::from_secs(3);
+/// How long streams begin at other versions, if they can, after a version was first seen: until all instances know it, and a
+/// steward that has ended as the version appeared has a successor.
+const YOUNG_TIME: Duration = Duration::from_secs(5);
+
+/// How long after a second version was first seen there may be callers of streams that nobody reported, since their
+/// instances knew a single version.
+pub const RELEASE_TIME: Duration = RETURN_TIME.saturating_add(MAX_AGE);
+
+/// Maximum number of streams in one frame, which makes some 50 KB.
+pub const MAX_RECORDS_PER_FRAME: usize = 512;
 
 /// Maximum length of the id of an attempt that is remembered, in bytes.
-pub const MAX_ID_BYTES: usize = 64;
+const MAX_ID_BYTES: usize = 64;
 
 /// A stream that began at a version of a group's servers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -82,6 +93,9 @@
     pub begun: Vec<Record>,
     /// Questions.
     pub queries: Vec<Query>,
+    /// Whether the instance's release keeps streams for the steward. A frame that it can't read would end the link.
+    #[serde(default)]
+    pub keeps: bool,
 }
 
 /// The versions of groups that the steward has seen, with the time since it last saw each, in milliseconds.
@@ -91,6 +105,10 @@
     pub seen: Vec<(SmolStr, SmolStr, u32)>,
     /// For how long the steward has seen all versions, in milliseconds.
     pub covered_ms: u32,
+    /// The groups in which streams that nobody reported may still go on, with the version that was alone before; `None` if
+    /// the sender doesn't know it.
+    #[serde(default)]
+    pub releases: Vec<(SmolStr, Option<SmolStr>)>,
 }
 
 /// The versions of groups, and for how long they are known.
@@ -101,6 +119,28 @@
     coverage: Option<Coverage>,
     /// When they were last read.
     read_at: Option<clock::Instant>,
+    /// When they were read before that.
+    previous_read_at: Option<clock::Instant>,
+    /// Whether the whole system started for the first time when this instance did.
+    is_first_start: bool,
+    releases: BTreeMap<SmolStr, Release>,
+}
+
+/// The time after a second version of a group has appeared in which streams from before may go on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Release {
+    /// The version that was alone before; `None` if that isn't known.
+    base: Option<SmolStr>,
+    /// When the second version was first seen.
+    seen_at: clock::Instant,
+    /// A time at which it was not there yet; `None` if that isn't known.
+    absent_at: Option<clock::Instant>,
+}
+
+impl Release {
+    fn is_over(&self, now: clock::Instant) -> bool {
+        now.since(self.seen_at) >= RELEASE_TIME
+    }
 }
 
 /// When a version was seen.
@@ -131,11 +171,13 @@
             since: now,
             before: RETURN_TIME,
         });
+        self.is_first_start = true;
         self
     }
 
     /// Records a version of a group that serves or has just left.
     pub fn observe(&mut self, now: clock::Instant, group: &SmolStr, version: &SmolStr) {
+        self.begin_release(now, group, version);
         let versions = match self.groups.get_mut(group) {
             Some(versions) => versions,
             None => self.groups.entry(group.clone()).or_default(),
@@ -152,6 +194,43 @@
         }
     }
 
+    /// Begins a release if this version is the second one of its group.
+    fn begin_release(&mut self, now: clock::Instant, group: &SmolStr, version: &SmolStr) {
+        let versions = self.groups.get(group);
+        if versions.is_none_or(|versions| versions.contains_key(version)) {
+            return;
+        }
+        // At the first start of the whole system, there are no streams from before.
+        if self.is_first_start && self.previous_read_at.is_none() {
+            return;
+        }
+        let mut others = self.recent(now, group);
+        let Some(other) = others.next() else {
+            return;
+        };
+        let is_sole = others.next().is_none();
+        drop(others);
+        match (self.is_known(now, MAX_AGE), is_sole) {
+            // All instances know that there are several versions.
+            (true, false) => return,
+            (false, _) if self.release(now, group).is_some() => return,
+            (true, true) | (false, _) => {}
+        }
+        let seen = versions.and_then(|versions| versions.get(other));
+        // If both versions are new, others may have seen this one alone.
+        let is_older = |absent_at: &clock::Instant| {
+            seen.is_some_and(|seen| seen.first.after(YOUNG_TIME) <= *absent_at)
+        };
+        let is_base = self.is_known(now, MAX_AGE);
+        let absent_at = self.previous_read_at.filter(|at| is_base && is_older(at));
+        let release = Release {
+            base: absent_at.map(|_| other.clone()),
+            seen_at: now,
+            absent_at,
+        };
+        self.releases.insert(group.clone(), release);
+    }
+
     /// Records that all versions that serve at `as_of` have been observed. After a gap in which versions may have come and
     /// gone, what is known begins anew.
     pub fn record_read(&mut self, as_of: clock::Instant) {
@@ -163,12 +242,15 @@
                 before: Duration::ZERO,
             });
         }
-        self.read_at = self.read_at.max(Some(as_of));
+        if self.read_at < Some(as_of) {
+            self.previous_read_at = self.read_at.replace(as_of);
+        }
     }
 
     /// Adds what the steward has seen.
     pub fn extend(&mut self, now: clock::Instant, versions: &Versions) {
         for (group, version, age_ms) in &versions.seen {
+            self.begin_release(now, group, version);
             let at = now.before(Duration::from_millis((*age_ms).into()));
             let known = self.groups.entry(group.clone()).or_default();
             let seen = known.entry(version.clone()).or_insert(Seen {
@@ -182,6 +264,34 @@
         let told = Coverage { since: now, before };
         let known = self.coverage.filter(|known| known.length(now) >= before);
         self.coverage = Some(known.unwrap_or(told));
+        self.extend_releases(now, versions);
+    }
+
+    /// Adds the releases that the steward has seen, and forgets those of groups whose versions have long been there.
+    fn extend_releases(&mut self, now: clock::Instant, versions: &Versions) {
+        let told = |group: &SmolStr| versions.releases.iter().find(|(told, _)| told == group);
+        let is_told = |group: &SmolStr, version: &SmolStr| {
+            let mut seen = versions.seen.iter();
+            seen.any(|(other, seen, _)| other == group && seen == version)
+        };
+        let groups = &self.groups;
+        self.releases.retain(|group, release| {
+            let recent = recent(groups, now, group);
+            let is_long_over =
+                || told(group).is_none() && recent.clone().all(|version| is_told(group, version));
+            release.base.is_some() || !is_long_over()
+        });
+        for (group, base) in &versions.releases {
+            let release = Release {
+                base: base.clone(),
+                seen_at: now,
+                absent_at: None,
+            };
+            let known = self.releases.entry(group.clone()).or_insert(release);
+            if known.base.is_none() {
+                known.base.clone_from(base);
+            }
+        }
     }
 
     /// What this instance tells others as steward.
@@ -203,6 +313,12 @@
         Versions {
             seen: seen.collect(),
             covered_ms: frame::millis(covered.min(RETURN_TIME)),
+            releases: self
+                .releases
+                .iter()
+                .filter(|(_, release)| !release.is_over(now))
+                .map(|(group, release)| (group.clone(), release.base.clone()))
+                .collect(),
         }
     }
 
@@ -221,10 +337,7 @@
         } else {
             MAX_AGE_ALONE
         };
-        if self.age(now)? > max_age {
-            return None;
-        }
-        if self.coverage?.length(now) < RETURN_TIME {
+        if !self.is_known(now, max_age) {
             return None;
         }
         let mut versions = self.recent(now, group);
@@ -232,6 +345,49 @@
         versions.next().is_none().then_some(version)
     }
 
+    /// Whether all versions are known that can have begun a stream whose caller may still come back, by a reading of at most
+    /// this age.
+    fn is_known(&self, now: clock::Instant, max_age: Duration) -> bool {
+        let is_covered = |coverage: Coverage| coverage.length(now) >= RETURN_TIME;
+        self.age(now).is_some_and(|age| age <= max_age) && self.coverage.is_some_and(is_covered)
+    }
+
+    /// Whether a group has had a second version for less than the time for which unreported streams may go on.
+    #[must_use]
+    pub fn is_releasing(&self, now: clock::Instant, group: &str) -> bool {
+        self.release(now, group).is_some()
+    }
+
+    /// Whether a stream that begins at a version must be recorded by the steward before its first event is forwarded: if it
+    /// weren't, it would be taken for one of the version that was alone before.
+    #[must_use]
+    pub fn needs_record(&self, now: clock::Instant, group: &str, version: &str) -> bool {
+        let release = self.release(now, group);
+        release.is_some_and(|release| release.base.as_deref() != Some(version))
+    }
+
+    /// The version at which a stream began that was not reported to a steward in office since `since`; `None` if that isn't
+    /// known. A stream of another version can have been reported only to an earlier steward, and none was before that version
+    /// had ceased to be young.
+    #[must_use]
+    pub fn unreported(
+        &self,
+        now: clock::Instant,
+        group: &str,
+        since: clock::Instant,
+    ) -> Option<&SmolStr> {
+        let release = self.release(now, group)?;
+        let absent_at = release.absent_at?;
+        let is_in_time = now.since(absent_at) < RELEASE_TIME;
+        let is_complete = since <= absent_at.after(YOUNG_TIME);
+        release.base.as_ref().filter(|_| is_in_time && is_complete)
+    }
+
+    fn release(&self, now: clock::Instant, group: &str) -> Option<&Release> {
+        let release = self.releases.get(group);
+        release.filter(|release| !release.is_over(now))
+    }
+
     /// The time since the versions were last read.
     #[must_use]
     pub fn age(&self, now: clock::Instant) -> Option<Duration> {
@@ -240,19 +396,19 @@
 
     /// The versions of a group that can have begun a stream whose caller may still come back, as far as they are known.
     pub fn recent(&self, now: clock::Instant, group: &str) -> impl Iterator<Item = &SmolStr> {
-        let versions = self.groups.get(group).into_iter().flatten();
-        let recent = versions.filter(move |(_, seen)| is_recent(now, seen));
-        recent.map(|(version, _)| version)
+        recent(&self.groups, now, group)
     }
 
-    /// Whether other instances may not know yet that a version serves a group.
+    /// How long other instances may not know yet that a version serves a group; zero if they know.
     #[must_use]
-    pub fn is_young(&self, now: clock::Instant, group: &str, version: &str) -> bool {
+    pub fn youth(&self, now: clock::Instant, group: &str, version: &str) -> Duration {
         let seen = self
             .groups
             .get(group)
             .and_then(|versions| versions.get(version));
-        seen.is_none_or(|seen| now.since(seen.first) < YOUNG_TIME)
+        seen.map_or(YOUNG_TIME, |seen| {
+            YOUNG_TIME.saturating_sub(now.since(seen.first))
+        })
     }
 
     /// Forgets versions that can't have begun a stream whose caller may still come back.
@@ -261,13 +417,30 @@
             versions.retain(|_, seen| is_recent(now, seen));
         }
         self.groups.retain(|_, versions| !versions.is_empty());
+        self.releases.retain(|_, release| !release.is_over(now));
     }
 }
 
+fn recent<'a>(
+    groups: &'a BTreeMap<SmolStr, BTreeMap<SmolStr, Seen>>,
+    now: clock::Instant,
+    group: &str,
+) -> impl Iterator<Item = &'a SmolStr> + Clone {
+    let versions = groups.get(group).into_iter().flatten();
+    let recent = versions.filter(move |(_, seen)| is_recent(now, seen));
+    recent.map(|(version, _)| version)
+}
+
 fn is_recent(now: clock::Instant, seen: &Seen) -> bool {
     now.since(seen.last) < RETURN_TIME
 }
 
+/// Whether the id of an attempt is one under which a stream is remembered.
+#[must_use]
+pub fn is_identifying(attempt: &str) -> bool {
+    !attempt.is_empty() && attempt.len() <= MAX_ID_BYTES
+}
+
 /// Streams and the versions at which they began, for as long as their callers may come back.
 #[derive(Clone, Debug)]
 pub struct Registry {
@@ -291,10 +464,11 @@
         }
     }
 
-    /// Records where a stream began, and returns whether that is new. An id that is known keeps its first version.
+    /// Records where a stream began, and returns whether that is new. An id that is known keeps its first version; an empty
+    /// one identifies no stream.
     pub fn insert(&mut self, now: clock::Instant, record: Record) -> bool {
         self.prune(now);
-        if record.attempt.len() > MAX_ID_BYTES || self.records.contains_key(&record.attempt) {
+        if !is_identifying(&record.attempt) || self.records.contains_key(&record.attempt) {
             return false;
         }
         if self.records.len() >= self.max_records
--- a/crates/fireflywheel/tests/fleet/origin.rs
+++ b/crates/fireflywheel/tests/fleet/origin.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use fireflywheel::clock::Instant;
-use fireflywheel::fleet::origin::{Answer, History, Query, RETURN_TIME, Record, Registry};
+use fireflywheel::fleet::origin::{
+    Answer, History, Query, RELEASE_TIME, RETURN_TIME, Record, Registry, Versions,
+};
 use smol_str::SmolStr;
 
 use crate::cases;
@@ -82,6 +84,111 @@
     assert_eq!(sole(&history, START.after(RETURN_TIME)), None);
 }
 
+/// How long a version is there before a second one appears.
+const STEADY_TIME: Duration = Duration::from_secs(10);
+/// Longer than a version is young.
+const GROWN_UP_TIME: Duration = Duration::from_secs(8);
+
+/// An instance that has seen one version alone and then a second one, and the time at which that appeared.
+fn releasing() -> (History, Instant) {
+    let mut history = settled(&["v1"]);
+    let before = read_for(&mut history, START, STEADY_TIME, &["v1"]);
+    let now = read_for(&mut history, before, Duration::from_secs(1), &["v1", "v2"]);
+    (history, now)
+}
+
+fn unreported(history: &History, now: Instant, since: Instant) -> Option<&str> {
+    history.unreported(now, GROUP, since).map(SmolStr::as_str)
+}
+
+fn unreported_streams_began_at_the_earlier_version() {
+    let (mut history, now) = releasing();
+    assert_eq!(unreported(&history, now, START), Some("v1"));
+    assert!(history.needs_record(now, GROUP, "v2"));
+    assert!(!history.needs_record(now, GROUP, "v1"));
+    // A third version changes nothing.
+    let now = read_for(
+        &mut history,
+        now,
+        Duration::from_secs(2),
+        &["v1", "v2", "v3"],
+    );
+    assert_eq!(unreported(&history, now, START), Some("v1"));
+    assert!(history.needs_record(now, GROUP, "v3"));
+    let later = read_for(&mut history, now, RELEASE_TIME, &["v1", "v2", "v3"]);
+    assert_eq!(unreported(&history, later, START), None);
+    assert!(!history.needs_record(later, GROUP, "v2"));
+}
+
+fn records_are_needed_for_longer_than_conclusions_are_drawn() {
+    let (mut history, began) = releasing();
+    let mut now = began;
+    while unreported(&history, now, START).is_some() {
+        assert!(history.needs_record(now, GROUP, "v2"));
+        now = read_for(&mut history, now, Duration::from_secs(1), &["v1", "v2"]);
+    }
+    assert!(history.needs_record(now, GROUP, "v2"));
+}
+
+fn late_steward_concludes_nothing() {
+    let (mut history, now) = releasing();
+    let in_time = now.after(Duration::from_secs(3));
+    let late = read_for(&mut history, now, GROWN_UP_TIME, &["v1", "v2"]);
+    assert_eq!(unreported(&history, late, in_time), Some("v1"));
+    assert_eq!(unreported(&history, late, late), None);
+}
+
+fn nothing_is_concluded_from_versions_that_came_together() {
+    let mut history = settled(&["v1"]);
+    let second = Duration::from_secs(1);
+    let before = read_for(&mut history, START, 2 * second, &["v1"]);
+    let now = read_for(&mut history, before, second, &["v1", "v2"]);
+    assert_eq!(unreported(&history, now, START), None);
+    assert!(history.needs_record(now, GROUP, "v1"));
+}
+
+fn first_start_is_no_release() {
+    let mut history = settled(&["v1", "v2"]);
+    let now = read_for(&mut history, START, Duration::from_secs(2), &["v1", "v2"]);
+    assert!(!history.needs_record(now, GROUP, "v1"));
+    assert_eq!(unreported(&history, now, START), None);
+}
+
+/// An instance that has just started and doesn't know what was before.
+fn started() -> History {
+    let mut history = History::default();
+    observe(&mut history, START, &["v1", "v2"]);
+    history
+}
+
+fn steward_tells_a_new_instance_of_a_release() {
+    let mut history = started();
+    assert!(history.needs_record(START, GROUP, "v1"));
+    let (steward, now) = releasing();
+    history.extend(START, &steward.versions(now));
+    assert!(!history.needs_record(START, GROUP, "v1"));
+    assert!(history.needs_record(START, GROUP, "v2"));
+    assert_eq!(unreported(&history, START, START), None);
+}
+
+fn steward_tells_a_new_instance_of_none() {
+    let (mut steward, now) = releasing();
+    let later = read_for(&mut steward, now, RELEASE_TIME, &["v1", "v2"]);
+    let versions = steward.versions(later);
+    let mut history = started();
+    history.extend(START, &versions);
+    assert!(!history.needs_record(START, GROUP, "v2"));
+    // The steward doesn't know one of the versions yet.
+    let mut history = started();
+    observe(&mut history, START, &["v3"]);
+    history.extend(START, &versions);
+    assert!(history.needs_record(START, GROUP, "v1"));
+    // The sender knows nothing.
+    let mut history = started();
+    history.extend(START, &Versions::default());
+    assert!(history.needs_record(START, GROUP, "v1"));
+}
+
 fn record(attempt: &str) -> Record {
     Record {
         attempt: attempt.into(),
@@ -127,6 +234,7 @@
         Answer::NotReported
     );
     assert!(!registry.insert(START, record(&"x".repeat(1000))));
+    assert!(!registry.insert(START, record("")));
 }
 
 cases! {
@@ -140,6 +248,20 @@
     gap_is_not_known => versions_are_not_known_after_a_gap();
     /// A version comes after the last reading, and nobody can be asked.
     reading_grows_old => old_reading_needs_the_steward();
+    /// A stream began before its instance knew a second version, and the instance has ended.
+    unreported_stream_has_the_earlier_version => unreported_streams_began_at_the_earlier_version();
+    /// A stream of a new version isn't recorded any more while the steward still takes such ones for the earlier one.
+    conclusions_end_before_records => records_are_needed_for_longer_than_conclusions_are_drawn();
+    /// What was reported to an earlier steward has ended with it.
+    late_steward_does_not_conclude => late_steward_concludes_nothing();
+    /// Two versions appear within moments, and instances have seen either of them alone.
+    versions_that_come_together_tell_nothing => nothing_is_concluded_from_versions_that_came_together();
+    /// Streams wait for records as the whole system starts with two versions.
+    first_start_needs_no_records => first_start_is_no_release();
+    /// An instance starts during a release, and its streams are taken for those of the earlier version.
+    new_instance_learns_of_a_release => steward_tells_a_new_instance_of_a_release();
+    /// An instance starts while two versions have long been there, and its streams wait for records.
+    new_instance_learns_that_there_is_no_release => steward_tells_a_new_instance_of_none();
     /// A caller names a stream of another group, or none.
     unknown_streams_are_told_from_known_ones => registry_answers();
     /// More streams begin than are remembered.
--- a/crates/fireflywheel_daemon/src/fleet/daemon.rs
+++ b/crates/fireflywheel_daemon/src/fleet/daemon.rs
@@ -109,6 +109,7 @@
         tasks.spawn(store_watch::sweep_connections(Arc::clone(&node)));
         tasks.spawn(links::accept(Arc::clone(&steward), peers_listener));
         tasks.spawn(gossip::run(Arc::clone(&steward)));
+        tasks.spawn(gossip::ask_origins(Arc::clone(&steward)));
         tasks.spawn(links::follow_steward(Arc::clone(&steward)));
         tasks.spawn(Arc::clone(&steward).keep_lease());
         tasks.spawn(Arc::clone(&steward).run());
--- a/crates/fireflywheel_daemon/src/fleet/gossip.rs
+++ b/crates/fireflywheel_daemon/src/fleet/gossip.rs
@@ -1,10 +1,11 @@
-//! Exchange of facts of crashes with standbys, for instances without a link to a steward.
+//! Exchange of facts of crashes with standbys, and questions about streams to them, for instances without a link to a steward.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::lease;
+use fireflywheel::fleet::origin;
 use tokio::time;
 
 use super::links;
@@ -47,6 +48,55 @@
     }
 }
 
+/// Asks the standbys, some of which keep the steward's streams, where streams began, while this instance has no link to a
+/// steward. Never returns.
+pub async fn ask_origins<P>(steward: Arc<steward::Steward<P>>)
+where
+    P: platform::Platform,
+{
+    let node = &steward.node;
+    loop {
+        node.queries_changed.notified().await;
+        if steward.is_linked() || steward.is_active() {
+            continue;
+        }
+        let queries = node.take_queries();
+        if queries.is_empty() {
+            continue;
+        }
+        node.handle_kept_replies(steward.answer_by_kept(queries.clone()));
+        for standby in steward.other_standbys() {
+            tokio::spawn(ask_origins_of(
+                Arc::clone(&steward),
+                standby,
+                queries.clone(),
+            ));
+        }
+        time::sleep(MIN_INTERVAL).await;
+    }
+}
+
+async fn ask_origins_of<P>(
+    steward: Arc<steward::Steward<P>>,
+    peer: lease::Record,
+    queries: Vec<origin::Query>,
+) where
+    P: platform::Platform,
+{
+    let node = &steward.node;
+    let frame = frame::Frame::OriginQueries(queries);
+    let asked = links::ask(node.platform.network(), &peer.address, &frame);
+    match time::timeout(EXCHANGE_TIMEOUT, asked).await {
+        Ok(Ok(frame::Frame::Origins(replies))) => node.handle_kept_replies(replies),
+        Ok(Ok(_)) => {}
+        Ok(Err(error)) => {
+            let why = error.to_string();
+            log::debug!(instance = peer.instance.as_str(), why = why.as_str(); "no answer about streams");
+        }
+        Err(_) => log::debug!(instance = peer.instance.as_str(); "no answer about streams in time"),
+    }
+}
+
 async fn exchange<P>(steward: Arc<steward::Steward<P>>, peer: lease::Record)
 where
     P: platform::Platform,
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -204,6 +204,13 @@
             }
             return;
         }
+        Ok(Ok(frame::Frame::OriginQueries(queries))) => {
+            let answer = frame::Frame::Origins(steward.answer_by_kept(queries));
+            if let Err(error) = send(&mut socket, &answer).await {
+                log::debug!(why = error.to_string().as_str(); "origins not sent");
+            }
+            return;
+        }
         _ => return,
     };
     let link_id = NEXT_LINK_ID.fetch_add(1, Ordering::Relaxed);
@@ -311,6 +318,7 @@
     };
     send(&mut socket, &hello).await?;
     steward.node.link_opened();
+    steward.node.report_kept(steward.kept_streams());
     send(
         &mut socket,
         &frame::Frame::Demand(steward.take_own_demand()),
@@ -480,11 +488,13 @@
         frame::Frame::Gateways(gateways) => steward.node.set_gateways(gateways),
         frame::Frame::Versions(versions) => steward.node.extend_versions(&versions),
         frame::Frame::Origins(replies) => steward.node.handle_origin_replies(replies),
+        frame::Frame::Streams(records) => steward.keep_streams(records),
         frame::Frame::Facts(facts) => steward.node.merge_facts(&facts, false),
         frame::Frame::Trials(replies) => steward.node.handle_trials(&replies),
         frame::Frame::Hello { .. }
         | frame::Frame::Demand(_)
         | frame::Frame::ConfigUpdate(_)
+        | frame::Frame::OriginQueries(_)
         | frame::Frame::Tunnel(_) => {}
     }
     Ok(())
--- a/crates/fireflywheel_daemon/src/fleet/mod.rs
+++ b/crates/fireflywheel_daemon/src/fleet/mod.rs
@@ -18,7 +18,7 @@
 //! | [`net`] | opens connections to backend servers and sets their socket options |
 //! | [`store_watch`] | keeps the configuration and the directory up to date |
 //! | [`steward`] | holds the lease, plans and sends orders |
-//! | `gossip` | exchanges facts of crashes with standbys while there is no steward |
+//! | `gossip` | exchanges facts of crashes with standbys, and asks them where streams began, while there is no steward |
 //! | [`links`] | opens and serves links between instances and the steward |
 //! | [`health`] | serves readiness probes and metrics |
 //! | [`metrics`] | records Prometheus metrics |
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -61,6 +61,8 @@
     pub usage_changed: Notify,
     /// Notified when there are new facts of crashes.
     pub facts_changed: Notify,
+    /// Notified when there are new questions about streams.
+    pub queries_changed: Notify,
     /// Notified when the store answers again after failed calls.
     pub store_recovered: Notify,
     /// The steward's reads of the store, as it reports them.
@@ -154,6 +156,7 @@
             demand_changed: Notify::new(),
             usage_changed: Notify::new(),
             facts_changed: Notify::new(),
+            queries_changed: Notify::new(),
             store_recovered: Notify::new(),
             steward_reads: watch::Sender::new(StewardReads::default()),
             state: Mutex::new(state),
@@ -283,7 +286,7 @@
         state.announced_config = reads.version;
         state.update_config_lag(now);
         if let Some(read) = reads.read {
-            state.origins.history.record_read(read);
+            state.origins.record_read(read);
         }
         drop(state);
         self.steward_reads.send_replace(reads);
@@ -317,7 +320,7 @@
         let mut state = self.lock();
         state.directory_read_at = Some(requested_at);
         state.era = era;
-        state.origins.history.record_read(requested_at);
+        state.origins.record_read(requested_at);
     }
 
     /// Time since the older of the last reads of configuration and directory.
@@ -371,12 +374,13 @@
 
     /// Sets whether this instance is the active steward.
     pub fn set_acting_steward(&self, is_acting: bool) {
+        let now = self.now();
         let mut state = self.lock();
         state.is_acting_steward = is_acting;
         if is_acting {
             state.subscriptions = None;
             state.pending_subscriptions.clear();
-            state.tell_steward_again();
+            state.tell_steward_again(now);
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -182,7 +182,9 @@
             }
         }
         if query.version.is_none() && query.route.kind == config::Kind::Resumable {
-            state.origins.retain_settled(now, &mut servers);
+            state
+                .origins
+                .retain_settled(now, state.has_steward, &mut servers);
         }
         let rests_until = |known: &state::ServerState| state.rests_until(now, known);
         let first_rest_end = servers.iter().filter_map(|known| rests_until(known)).min();
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -66,6 +66,9 @@
         }
         let leaving_servers = state.announcements.take_leaving_notices();
         let origins = state.origins.take_report();
+        if state.origins.has_news() {
+            self.demand_changed.notify_one();
+        }
         let quarantine = Box::new(state.quarantine.take_report(now));
         let gates = state.quota_gates.iter_mut();
         let usage = gates
--- a/crates/fireflywheel_daemon/src/fleet/node/origin.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/origin.rs
@@ -1,6 +1,6 @@
 //! At which versions of servers' software streams began, as far as this instance knows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,19 +14,25 @@
 
 /// Maximum number of streams that an instance remembers of those that began there.
 const MAX_OWN_STREAMS: usize = 4096;
+/// Maximum number of streams that are to be reported to the steward: own ones, and those kept for it.
+const MAX_UNREPORTED: usize = 50_000;
 /// Maximum number of questions that wait for the steward's answers at once.
-const MAX_QUERIES: usize = 256;
+const MAX_QUERIES: usize = 1024;
 /// How long to wait for the steward's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Delay until the steward is asked again, or another one.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// What an instance knows of streams and versions.
 #[derive(Debug)]
 pub(super) struct Origins {
-    pub(super) history: History,
+    history: History,
     /// Streams that began at this instance.
     own: Registry,
-    /// Those of them that the steward hasn't been told.
-    unreported: Vec<Record>,
+    /// Streams that the steward is to be told and hasn't been.
+    unreported: VecDeque<Record>,
+    /// Groups with a release as whose streams from before were added to `unreported`.
+    releasing: BTreeSet<SmolStr>,
     /// Questions to the steward, with its answers.
     queries: BTreeMap<Query, Pending>,
 }
@@ -45,7 +51,8 @@
         Self {
             history: History::default(),
             own: Registry::new(MAX_OWN_STREAMS),
-            unreported: Vec::new(),
+            unreported: VecDeque::new(),
+            releasing: BTreeSet::new(),
             queries: BTreeMap::new(),
         }
     }
@@ -58,38 +65,89 @@
         self.history = history.with_first_start(now);
     }
 
-    /// Handles a new link to the steward, which may be another one: it is told everything again.
-    pub(super) fn link_opened(&mut self) {
-        self.unreported = self.own.records().cloned().collect();
+    /// Records a version of a group that serves or has just left.
+    pub(super) fn observe(&mut self, now: clock::Instant, group: &SmolStr, version: &SmolStr) {
+        self.history.observe(now, group, version);
+        if self.history.is_releasing(now, group) && self.releasing.insert(group.clone()) {
+            self.report_group(group);
+        }
+    }
+
+    /// Records a reading of all versions.
+    pub(super) fn record_read(&mut self, as_of: clock::Instant) {
+        self.history.record_read(as_of);
+    }
+
+    /// Adds the versions that the steward has seen.
+    fn extend(&mut self, now: clock::Instant, versions: &origin::Versions) {
+        self.history.extend(now, versions);
+        let groups: BTreeSet<&SmolStr> = versions.seen.iter().map(|(group, ..)| group).collect();
+        for group in groups {
+            if self.history.is_releasing(now, group) && self.releasing.insert(group.clone()) {
+                self.report_group(group);
+            }
+        }
+    }
+
+    /// Reports the streams of a group that began while it had a single version.
+    fn report_group(&mut self, group: &SmolStr) {
+        let records = self.own.records();
+        let records = records.filter(|record| record.group == *group);
+        self.unreported.extend(records.cloned());
+    }
+
+    /// Handles a new link to the steward, which may be another one: it is told everything again, but for streams whose
+    /// version every instance can tell.
+    pub(super) fn link_opened(&mut self, now: clock::Instant) {
+        let records = self.own.records();
+        let records =
+            records.filter(|record| self.history.sole(now, &record.group, true).is_none());
+        self.unreported = records.cloned().collect();
         for pending in self.queries.values_mut() {
             pending.is_sent = false;
         }
     }
 
-    /// Takes what the steward has to be told.
+    /// Whether there is something to tell the steward.
+    pub(super) fn has_news(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
+    /// Takes what the steward has to be told next.
     pub(super) fn take_report(&mut self) -> origin::Report {
+        let count = self.unreported.len().min(origin::MAX_RECORDS_PER_FRAME);
+        origin::Report {
+            queries: self.take_queries(),
+            begun: self.unreported.drain(..count).collect(),
+            keeps: true,
+        }
+    }
+
+    /// Takes the questions that have not been asked.
+    fn take_queries(&mut self) -> Vec<Query> {
         let queries = self.queries.iter_mut();
         let unsent = queries.filter(|(_, pending)| !pending.is_sent);
         let queries = unsent.map(|(query, pending)| {
             pending.is_sent = true;
             query.clone()
         });
-        origin::Report {
-            queries: queries.collect(),
-            begun: std::mem::take(&mut self.unreported),
-        }
+        queries.collect()
     }
 
-    /// Leaves out servers of a version that other instances may not know yet, if there are others.
+    /// Leaves out servers at which a stream could not begin at once, if there are others: those of a version that other
+    /// instances may not know yet, and without a steward those whose streams it would have to record.
     pub(super) fn retain_settled(
         &self,
         now: clock::Instant,
+        has_steward: bool,
         servers: &mut Vec<&state::ServerState>,
     ) {
         let is_settled = |known: &&state::ServerState| {
-            let server = &known.server;
-            let version = server.version.as_ref();
-            version.is_some_and(|version| !self.history.is_young(now, &server.group, version))
+            let group = &known.server.group;
+            known.server.version.as_ref().is_some_and(|version| {
+                let is_recorded = || has_steward || !self.history.needs_record(now, group, version);
+                self.history.youth(now, group, version).is_zero() && is_recorded()
+            })
         };
         if servers.iter().any(is_settled) {
             servers.retain(is_settled);
@@ -142,26 +200,80 @@
     P: platform::Platform,
 {
     /// Finds the version at which the stream began that a caller takes up again. What the caller says of it selects a
-    /// version at most: the request runs as the caller's own in any case.
-    pub async fn find_origin(self: &Arc<Self>, call: &platform::Call, group: &SmolStr) -> Found {
-        let answer = match &call.resumes {
-            // A longer id is nowhere recorded, and many of them would not fit into a frame.
-            Some(attempt) if attempt.len() <= origin::MAX_ID_BYTES => {
-                let query = Query {
-                    attempt: attempt.clone(),
-                    group: group.clone(),
-                };
-                if let Some(version) = self.own_origin(&query) {
-                    return self.found(group, "own", Ok(version));
+    /// version at most: the request runs as the caller's own in any case. Until `until`, waits for a steward that can tell.
+    pub async fn find_origin(
+        self: &Arc<Self>,
+        call: &platform::Call,
+        group: &SmolStr,
+        until: clock::Instant,
+    ) -> Found {
+        let attempt = call.resumes.as_ref();
+        // Others are nowhere recorded, and many long ones would not fit into a frame.
+        let Some(attempt) = attempt.filter(|attempt| origin::is_identifying(attempt)) else {
+            return self.sole_version(group, false);
+        };
+        let query = Query {
+            attempt: attempt.clone(),
+            group: group.clone(),
+        };
+        if let Some(version) = self.own_origin(&query) {
+            return self.found(group, "own", Ok(version));
+        }
+        loop {
+            match self.ask(query.clone()).await {
+                Some(Answer::Version(version)) => return self.found(group, "steward", Ok(version)),
+                Some(Answer::NotReported) => return self.sole_version(group, true),
+                Some(Answer::Unknown) | None => {}
+            }
+            let found = self.sole_version(group, false);
+            if found.result.is_ok() || self.now() >= until || self.is_draining() {
+                return found;
+            }
+            time::sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Waits until the first event of a stream of this version may be forwarded, whose origin was recorded: while a release
+    /// goes on, the steward must have recorded it if it would be taken for one of another version otherwise. Returns whether
+    /// that is so by `until`.
+    #[must_use]
+    pub async fn confirm_origin(
+        self: &Arc<Self>,
+        attempt: &SmolStr,
+        group: &SmolStr,
+        version: &SmolStr,
+        until: clock::Instant,
+    ) -> bool {
+        if !origin::is_identifying(attempt) {
+            // No caller gets an answer about it.
+            return true;
+        }
+        loop {
+            let now = self.now();
+            let youth = {
+                let state = self.lock();
+                let history = &state.origins.history;
+                if !history.needs_record(now, group, version) {
+                    return true;
                 }
-                self.ask_steward(query).await
+                history.youth(now, group, version)
+            };
+            if now.after(youth) > until || now >= until {
+                return false;
             }
-            Some(_) | None => None,
-        };
-        match answer {
-            Some(Answer::Version(version)) => self.found(group, "steward", Ok(version)),
-            Some(Answer::NotReported) => self.sole_version(group, true),
-            Some(Answer::Unknown) | None => self.sole_version(group, false),
+            if !youth.is_zero() {
+                time::sleep(youth).await;
+                continue;
+            }
+            let query = Query {
+                attempt: attempt.clone(),
+                group: group.clone(),
+            };
+            match self.ask(query).await {
+                Some(Answer::Version(recorded)) => return recorded == *version,
+                Some(Answer::NotReported | Answer::Unknown) | None => {}
+            }
+            time::sleep(RETRY_DELAY).await;
         }
     }
 
@@ -174,8 +286,9 @@
             .cloned()
     }
 
-    /// Asks the steward. Returns its answer, or nothing if there is none in time.
-    async fn ask_steward(&self, query: Query) -> Option<Answer> {
+    /// Asks the steward, or without one the instances that keep streams for it. Returns the answer, or nothing if there is
+    /// none in time.
+    async fn ask(&self, query: Query) -> Option<Answer> {
         let waiter = {
             let mut state = self.lock();
             let origins = &mut state.origins;
@@ -192,6 +305,7 @@
         };
         let mut changed = self.changed.subscribe();
         self.demand_changed.notify_one();
+        self.queries_changed.notify_one();
         let answered = async {
             loop {
                 let answer = {
@@ -242,24 +356,22 @@
 where
     P: Send + Sync,
 {
-    /// Records that a caller's attempt brings the first event of a stream that began at a version, unless every instance
-    /// can tell from the versions of the group.
+    /// Records that a caller's attempt brings the first event of a stream that began at a version. The steward is told, unless
+    /// every instance can tell from the versions of the group.
     pub fn record_origin(&self, attempt: &SmolStr, group: &SmolStr, version: &SmolStr) {
         let now = self.now();
         let mut state = self.lock();
         let origins = &mut state.origins;
-        if origins.history.sole(now, group, true) == Some(version) {
-            return;
-        }
         let record = Record {
             attempt: attempt.clone(),
             group: group.clone(),
             version: version.clone(),
         };
-        if !origins.own.insert(now, record.clone()) {
+        let is_sole = origins.history.sole(now, group, true) == Some(version);
+        if !origins.own.insert(now, record.clone()) || is_sole {
             return;
         }
-        origins.unreported.push(record);
+        origins.unreported.push_back(record);
         drop(state);
         self.demand_changed.notify_one();
     }
@@ -279,10 +391,35 @@
         self.wake();
     }
 
+    /// Stores the answers of an instance that keeps streams for the steward. Only the steward can tell that a stream was not
+    /// reported.
+    pub fn handle_kept_replies(&self, replies: Vec<origin::Reply>) {
+        let is_version = |reply: &origin::Reply| matches!(reply.answer, Answer::Version(_));
+        self.handle_origin_replies(replies.into_iter().filter(is_version).collect());
+    }
+
+    /// Takes the questions that nobody has been asked.
+    #[must_use]
+    pub fn take_queries(&self) -> Vec<Query> {
+        self.lock().origins.take_queries()
+    }
+
+    /// Tells a new steward the streams that were kept for an earlier one.
+    pub fn report_kept(&self, records: Vec<Record>) {
+        self.lock().origins.unreported.extend(records);
+        self.demand_changed.notify_one();
+    }
+
     /// Adds the versions that the steward has seen.
     pub fn extend_versions(&self, versions: &origin::Versions) {
         let now = self.now();
-        self.lock().origins.history.extend(now, versions);
+        let mut state = self.lock();
+        state.origins.extend(now, versions);
+        let has_news = state.origins.has_news();
+        drop(state);
+        if has_news {
+            self.demand_changed.notify_one();
+        }
     }
 
     /// The versions that this instance has seen, for other instances.
@@ -292,20 +429,30 @@
         self.lock().origins.history.versions(now)
     }
 
+    /// The version at which a stream of a group began that was not reported to this instance as steward since `since`;
+    /// `None` if that isn't known.
+    #[must_use]
+    pub fn unreported_origin(&self, group: &str, since: clock::Instant) -> Option<SmolStr> {
+        let now = self.now();
+        let state = self.lock();
+        state.origins.history.unreported(now, group, since).cloned()
+    }
+
     /// Records the versions of the servers that are there, and forgets what no caller comes back for.
     pub fn sweep_origins(&self) {
         let now = self.now();
         let mut state = self.lock();
         state.observe_versions(now);
-        state.origins.history.prune(now);
-        state.origins.own.prune(now);
+        let origins = &mut state.origins;
+        origins.history.prune(now);
+        origins.own.prune(now);
+        let history = &origins.history;
+        origins
+            .releasing
+            .retain(|group| history.is_releasing(now, group));
         // Without a steward, nobody takes the reports.
-        let excess = state
-            .origins
-            .unreported
-            .len()
-            .saturating_sub(MAX_OWN_STREAMS);
-        state.origins.unreported.drain(..excess);
-        self.metrics.set_remembered_streams(state.origins.own.len());
+        let excess = origins.unreported.len().saturating_sub(MAX_UNREPORTED);
+        origins.unreported.drain(..excess);
+        self.metrics.set_remembered_streams(origins.own.len());
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -449,7 +449,7 @@
     }
 
     /// Makes the next demand contain all that an earlier steward was told, for another one, be it this instance.
-    pub(super) fn tell_steward_again(&mut self) {
+    pub(super) fn tell_steward_again(&mut self, now: clock::Instant) {
         for gate in self.quota_gates.values_mut() {
             gate.link_opened();
         }
@@ -457,7 +457,7 @@
             known.limit.link_opened();
         }
         self.announcements.link_opened();
-        self.origins.link_opened();
+        self.origins.link_opened(now);
         self.quarantine.link_opened();
     }
 
@@ -466,7 +466,7 @@
         for known in self.servers.values() {
             if let Some(version) = &known.server.version {
                 let group = &known.server.group;
-                self.origins.history.observe(now, group, version);
+                self.origins.observe(now, group, version);
             }
         }
     }
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -44,7 +44,11 @@
             }
         }
         state.remove_missing(now, missing_timeout);
+        let has_news = state.origins.has_news();
         drop(state);
+        if has_news {
+            self.demand_changed.notify_one();
+        }
         self.wake();
     }
 
@@ -131,13 +135,14 @@
 
     /// Handles a new link to the steward. What the steward was asked over an earlier link is asked again.
     pub fn link_opened(&self) {
+        let now = self.now();
         let mut state = self.lock();
         state.all_engines = false;
         for pending in state.pending_subscriptions.values_mut() {
             pending.is_sent = false;
         }
         state.paths.link_opened();
-        state.tell_steward_again();
+        state.tell_steward_again(now);
     }
 
     /// Sets whether the steward sends all engines, or only those that hold the models this instance
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -128,7 +128,7 @@
             }
         };
         let version = match route.kind.is_stream() && call.last_event.is_some() {
-            true => Some(self.find_origin(call, &queue.group).await?),
+            true => Some(self.find_origin(arrived, call, route, &queue.group).await?),
             false => None,
         };
         if let Some(model) = &queue.model {
@@ -177,10 +177,16 @@
     /// Finds the version at which the stream began that a caller takes up again.
     async fn find_origin(
         &self,
+        arrived: clock::Instant,
         call: &platform::Call,
+        route: &config::Route,
         group: &SmolStr,
     ) -> Result<SmolStr, errors::Problem> {
-        let found = self.node.find_origin(call, group).await;
+        let total = call
+            .deadline
+            .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+        let until = arrived.after(queue_timeout(route, total));
+        let found = self.node.find_origin(call, group, until).await;
         let (result, age_ms) = (found.result, found.age.map_or(u64::MAX, clock::millis));
         self.node.metrics.count_resumption(match &result {
             Ok(_) => found.source,
@@ -406,7 +412,7 @@
     P: platform::Platform,
 {
     let total = job.deadline.since(job.arrived);
-    let queue_timeout = timeout::first_byte(&job.route, total).mul_f64(QUEUE_TIMEOUT_RATIO);
+    let queue_timeout = queue_timeout(&job.route, total);
     let queue_deadline = job.deadline.min(job.arrived.after(queue_timeout));
     let mut changed = node.changed.subscribe();
     let mut waiter = None;
@@ -515,6 +521,11 @@
     }
 }
 
+/// How long a request that has `total` for its response may wait for a server, or for what has to be known before.
+fn queue_timeout(route: &config::Route, total: Duration) -> Duration {
+    timeout::first_byte(route, total).mul_f64(QUEUE_TIMEOUT_RATIO)
+}
+
 /// The refusal of a request with a part on which servers crash. Its caller has no reason to come back before the next trial
 /// of the part.
 fn quarantined(wait: Duration) -> errors::Problem {
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -122,6 +122,7 @@
             entries: None,
             own_gateway: None,
             origins: origin::Registry::new(origins::MAX_STREAMS),
+            keepers: Vec::new(),
             versions: origin::Versions::default(),
             versions_sent_at: clock::Instant::default(),
             gateways_changed: false,
@@ -258,6 +259,7 @@
             requested_update: None,
             has_directory: heartbeat.active && state.entries.is_some(),
             knows_versions: false,
+            keeps_streams: false,
             shares_facts,
             has_waiting: false,
             all_engines,
@@ -274,7 +276,9 @@
         let mut state = self.lock();
         state.meter.record_usage(now, instance, &demand.usage);
         let origins = demand.origins.as_ref();
-        let origins = origins.map_or_else(Vec::new, |report| state.handle_origins(now, report));
+        let origins = origins.map_or_else(Vec::new, |report| {
+            self.handle_origins(now, &mut state, report)
+        });
         state.record_limits(now, &demand.limit_notices);
         let replies =
             state.answer_permit_requests(now, pacer::Requester::Own, &demand.permit_requests);
@@ -335,6 +339,7 @@
                 link.unreached_groups.clone_from(&demand.unreached_groups);
                 *gateways_changed = true;
             }
+            link.keeps_streams = demand.origins.as_ref().is_some_and(|report| report.keeps);
             link.stamp_ms = demand.stamp_ms;
             link.read_age = Duration::from_millis(demand.read_age_ms.into());
             link.has_waiting = !demand.queues.is_empty();
@@ -349,7 +354,7 @@
             self.count_permits(&replies);
             state.send_permits(number, replies);
             if let Some(report) = &demand.origins {
-                let replies = state.handle_origins(now, report);
+                let replies = self.handle_origins(now, &mut state, report);
                 state.send_origins(number, replies);
             }
             let is_settled = now.since(state.role_changed_at) >= origin::SETTLING_TIME;
@@ -499,6 +504,7 @@
             return;
         };
         let mut state = self.lock();
+        state.origins.prune(now);
         self.update_era(now, &mut state);
         let active_fencing = state.lease.fencing(now);
         if active_fencing != state.active_fencing {
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -52,6 +52,8 @@
     pub(super) has_directory: bool,
     /// Whether its release distinguishes versions of servers. A frame that it can't read would end the link.
     pub(super) knows_versions: bool,
+    /// Whether its release keeps streams for the steward. A frame that it can't read would end the link.
+    pub(super) keeps_streams: bool,
     /// Whether its release shares facts of crashes. A frame that it can't read would end the link.
     pub(super) shares_facts: bool,
     /// Whether requests wait there, so that each change of an engine may matter to it at once.
--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -1,38 +1,154 @@
 //! Versions of servers' software, and at which of them streams began, as collected and sent by the steward.
+//!
+//! What only the steward knows would end with it, above all where its own streams began, so some instances keep a copy.
 
 use std::time::Duration;
 
 use fireflywheel::clock;
 use fireflywheel::fleet::frame;
-use fireflywheel::fleet::origin;
+use fireflywheel::fleet::origin::{self, Answer, Query, Record};
 
+use super::super::platform;
+use super::Steward;
 use super::state::State;
 
 /// Maximum number of streams that the steward remembers, which bounds its memory.
 pub(super) const MAX_STREAMS: usize = 50_000;
 
+/// Number of instances that keep the steward's streams.
+const MAX_KEEPERS: usize = 2;
+
 /// Interval at which unchanged versions are sent again. It shortens the time for which a version is remembered.
 const RESEND_INTERVAL: Duration = Duration::from_secs(3);
 
-impl State {
+impl<P> Steward<P>
+where
+    P: platform::Platform,
+{
     /// Records the streams that an instance reports, and answers its questions.
     pub(super) fn handle_origins(
-        &mut self,
+        &self,
         now: clock::Instant,
+        state: &mut State,
         report: &origin::Report,
     ) -> Vec<origin::Reply> {
-        for record in &report.begun {
-            self.origins.insert(now, record.clone());
-        }
-        let is_settled = now.since(self.role_changed_at) >= origin::SETTLING_TIME;
+        state.record_streams(now, &report.begun);
+        let since = state.role_changed_at;
+        let is_settled = now.since(since) >= origin::SETTLING_TIME;
+        let answer = |query: &Query| match state.origins.answer(now, query, is_settled) {
+            Answer::NotReported => self
+                .node
+                .unreported_origin(&query.group, since)
+                .map_or(Answer::NotReported, Answer::Version),
+            other => other,
+        };
         let queries = report.queries.iter();
         queries
             .map(|query| origin::Reply {
                 query: query.clone(),
-                answer: self.origins.answer(now, query, is_settled),
+                answer: answer(query),
+            })
+            .collect()
+    }
+
+    /// Keeps streams for the steward.
+    pub fn keep_streams(&self, records: Vec<Record>) {
+        let now = self.node.now();
+        let mut state = self.lock();
+        for record in records {
+            state.origins.insert(now, record);
+        }
+    }
+
+    /// The streams that this instance keeps for the steward.
+    #[must_use]
+    pub fn kept_streams(&self) -> Vec<Record> {
+        let now = self.node.now();
+        let mut state = self.lock();
+        state.origins.prune(now);
+        state.origins.records().cloned().collect()
+    }
+
+    /// Answers another instance's questions by the streams that this one keeps.
+    #[must_use]
+    pub fn answer_by_kept(&self, queries: Vec<Query>) -> Vec<origin::Reply> {
+        let now = self.node.now();
+        let state = self.lock();
+        let queries = queries.into_iter();
+        queries
+            .map(|query| origin::Reply {
+                answer: state.origins.answer(now, &query, false),
+                query,
             })
             .collect()
     }
+}
+
+impl State {
+    /// Records streams, and has other instances keep them as well.
+    fn record_streams(&mut self, now: clock::Instant, records: &[Record]) {
+        let origins = &mut self.origins;
+        let is_new = |record: &&Record| origins.insert(now, (*record).clone());
+        let new: Vec<Record> = records.iter().filter(is_new).cloned().collect();
+        if new.is_empty() {
+            return;
+        }
+        let known = self.keepers.clone();
+        self.select_keepers(now);
+        let frame = frame::Frame::Streams(new).encode();
+        for number in &self.keepers {
+            let is_known = known.contains(number);
+            // A new keeper has received all streams.
+            if let Some(link) = self.links.get(number).filter(|_| is_known)
+                && link.sender.try_send(frame.clone()).is_err()
+            {
+                self.links.remove(number);
+            }
+        }
+    }
+
+    /// Selects the instances that keep streams, which are standbys and not in one failure domain, if possible. New ones are
+    /// sent all streams.
+    fn select_keepers(&mut self, now: clock::Instant) {
+        let links = &self.links;
+        self.keepers.retain(|number| links.contains_key(number));
+        while self.keepers.len() < MAX_KEEPERS {
+            let Some(number) = self.next_keeper() else {
+                return;
+            };
+            self.keepers.push(number);
+            self.origins.prune(now);
+            let records: Vec<Record> = self.origins.records().cloned().collect();
+            let frames = records.chunks(origin::MAX_RECORDS_PER_FRAME);
+            let mut frames = frames.map(|records| frame::Frame::Streams(records.to_vec()));
+            if let Some(link) = self.links.get(&number)
+                && !frames.all(|frame| link.send(&frame))
+            {
+                self.links.remove(&number);
+                self.keepers.pop();
+                return;
+            }
+        }
+    }
+
+    /// The link of the next instance to keep streams.
+    fn next_keeper(&self) -> Option<u64> {
+        let kept_in = |domain: &str| {
+            let links = self.keepers.iter().filter_map(|kept| self.links.get(kept));
+            links.into_iter().any(|link| link.failure_domain == domain)
+        };
+        let candidates = self.links.iter().filter(|(number, link)| {
+            link.keeps_streams && !link.leaving && !self.keepers.contains(number)
+        });
+        let (number, _) = candidates.min_by_key(|(_, link)| {
+            let position = self.standbys.iter().position(|standby| {
+                let peer = &link.peer;
+                (&standby.instance, standby.incarnation) == (&peer.instance, peer.incarnation)
+            });
+            (position.is_none(), kept_in(&link.failure_domain), position)
+        })?;
+        Some(*number)
+    }
 
     /// Sends an instance the replies to its questions.
     pub(super) fn send_origins(&mut self, number: u64, replies: Vec<origin::Reply>) {
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -86,6 +86,8 @@
     pub(super) entries: Option<BTreeMap<SmolStr, frame::Entry>>,
     /// The streams that instances have reported.
     pub(super) origins: origin::Registry,
+    /// The links of instances that keep these streams as well.
+    pub(super) keepers: Vec<u64>,
     /// The versions of groups' servers as they were last sent.
     pub(super) versions: origin::Versions,
     /// When they were last sent.
@@ -137,6 +139,7 @@
         self.subscriptions = subscription::Registry::default();
         self.tracked_versions = (0, 0);
         self.versions = origin::Versions::default();
+        self.keepers.clear();
         self.entries = None;
         for link in self.links.values_mut() {
             link.all_engines = false;
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -193,6 +193,8 @@
     CallerGone,
     /// The route's timeout has passed.
     TimedOut,
+    /// The steward has not recorded the stream in time, so that no event may be forwarded.
+    Unrecorded,
 }
 
 impl<P> Source<P>
@@ -229,7 +231,7 @@
                         self.node.examine(&self.source.target, &self.job.parts);
                     }
                 }
-                End::CallerGone | End::TimedOut => break self.abort(end),
+                End::CallerGone | End::TimedOut | End::Unrecorded => break self.abort(end),
             }
             let source = if end == End::Idle {
                 // Without another server, the run is kept: ending it would lose a stream that may still continue.
@@ -279,6 +281,7 @@
             End::Idle => "silent",
             End::CallerGone => "the caller left",
             End::TimedOut => "out of time",
+            End::Unrecorded => "origin not recorded",
         };
         log::info!(
             request = self.job.call.id.as_str(), server = self.source.server.as_str(), why = why,
@@ -331,19 +334,34 @@
     }
 
     /// Notes that an event is about to be forwarded. From the first on, the stream goes on only at the version that sent it;
-    /// callers that come back to another instance rely on what is reported here.
-    fn begin(&mut self) {
+    /// callers that come back to another instance rely on what is reported here. Returns an error if the event must not be
+    /// forwarded.
+    async fn begin(&mut self) -> Result<(), End> {
         if std::mem::replace(&mut self.has_begun, true) {
-            return;
+            return Ok(());
         }
-        if self.origin == Origin::Open {
+        let is_new = self.origin == Origin::Open;
+        if is_new {
             let version = self.source.version.clone();
             self.origin = version.map_or(Origin::Unknown, Origin::Version);
         }
-        if let Origin::Version(version) = &self.origin {
-            self.node
-                .record_origin(&self.job.call.id, &self.job.queue.group, version);
+        let Origin::Version(version) = &self.origin else {
+            return Ok(());
+        };
+        let (call, group) = (&self.job.call, &self.job.queue.group);
+        self.node.record_origin(&call.id, group, version);
+        if let Some(first) = call.resumes.as_ref().filter(|_| !is_new) {
+            self.node.record_origin(first, group, version);
+        }
+        if !is_new {
+            return Ok(());
         }
+        let until = self.cutoff();
+        let confirmed = tokio::select! {
+            confirmed = self.node.confirm_origin(&call.id, group, version, until) => confirmed,
+            () = self.sender.closed() => return Err(End::CallerGone),
+        };
+        confirmed.then_some(()).ok_or(End::Unrecorded)
     }
 
     /// Decides what the end of a run means for the caller's stream.
@@ -391,7 +409,7 @@
         }
         let events: Vec<Bytes> = std::iter::from_fn(|| splitter.pop()).collect();
         for event in events {
-            self.begin();
+            self.begin().await?;
             self.send_part(event).await?;
         }
         Ok(())
