--- a/crates/fireflywheel/src/fleet/origin.rs
+++ b/crates/fireflywheel/src/fleet/origin.rs
@@ -40,7 +40,7 @@
 /// instances knew a single version.
 pub const RELEASE_TIME: Duration = RETURN_TIME.saturating_add(MAX_AGE);
 
-/// Maximum number of streams in one frame, which makes some 50 KB.
+/// Maximum number of streams in one frame, which makes some 30 KB.
 pub const MAX_RECORDS_PER_FRAME: usize = 512;
 
 /// Maximum length of the id of an attempt that is remembered, in bytes.
