Metrics: streams by version, new and taken up again, refusals of those taken up, crashes found

Callers saw: streams that they took up again were refused while new ones began, and no metric told the share by version, or the reason: what was refused was counted without telling whether it takes up a stream, and what began wasn't counted. Change: `fleet_streams_begun_total{version,kind}` counts a stream as its first event is forwarded, `fleet_resumptions_refused_total{code}` the own answers to callers that take up a stream, `fleet_crashes_found_total` the servers that an instance found ended. Versions with a label are bounded in number, as organisations were, by the same code.

--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -7,7 +7,8 @@
 use fireflywheel::fleet::era::Era;
 use fireflywheel::fleet::limit;
 use prometheus::{
-    CounterVec, Encoder as _, Gauge, HistogramVec, IntCounterVec, IntGauge, Registry, TextEncoder,
+    CounterVec, Encoder as _, Gauge, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry,
+    TextEncoder,
 };
 use smol_str::SmolStr;
 
@@ -22,8 +23,42 @@
 /// Maximum number of organisations with a label value of their own. With thousands of them, each scrape would be
 /// megabytes large.
 const MAX_ORGANISATION_LABELS: usize = 64;
-/// The label value of all other organisations.
-const OTHER_ORGANISATIONS_LABEL: &str = "other";
+/// Maximum number of versions of servers' software with a label value of their own. More than a few serve side by side only
+/// by mistake.
+const MAX_VERSION_LABELS: usize = 32;
+/// The label value of all that have none of their own.
+const OTHER_LABEL: &str = "other";
+/// The label value of a version that the entry of its server doesn't tell.
+const UNKNOWN_VERSION_LABEL: &str = "unknown";
+
+/// The names that have label values of their own, which are bounded in number.
+#[derive(Clone, Debug)]
+struct Labels {
+    names: Arc<Mutex<BTreeSet<SmolStr>>>,
+    max_names: usize,
+}
+
+impl Labels {
+    fn new(max_names: usize) -> Self {
+        Self {
+            names: Arc::default(),
+            max_names,
+        }
+    }
+
+    /// The label value for a name.
+    fn value<'a>(&self, name: &'a str) -> &'a str {
+        let mut names = self.names.lock().expect("the lock is not poisoned");
+        if names.contains(name) {
+            return name;
+        }
+        if names.len() >= self.max_names {
+            return OTHER_LABEL;
+        }
+        names.insert(name.into());
+        name
+    }
+}
 
 /// The metrics of an instance.
 #[derive(Clone, Debug)]
@@ -35,8 +70,7 @@
     orders: IntCounterVec,
     store_calls: IntCounterVec,
     quota_charges: CounterVec,
-    /// Organisations with a label value of their own.
-    labelled_organisations: Arc<Mutex<BTreeSet<SmolStr>>>,
+    organisation_labels: Labels,
     config_version: IntGauge,
     config_age: Gauge,
     era: IntGauge,
@@ -46,9 +80,13 @@
     gateways: IntGauge,
     tunnels: IntCounterVec,
     resumptions: IntCounterVec,
+    refused_resumptions: IntCounterVec,
+    streams_begun: IntCounterVec,
+    version_labels: Labels,
     remembered_streams: IntGauge,
     served_tunnels: IntCounterVec,
     quarantined_parts: IntGauge,
+    crashes_found: IntCounter,
     steward: IntGauge,
     linked: IntGauge,
 }
@@ -93,7 +131,7 @@
                 "What requests count against quotas, by organisation and outcome",
                 &["organisation", "outcome"],
             )?,
-            labelled_organisations: Arc::default(),
+            organisation_labels: Labels::new(MAX_ORGANISATION_LABELS),
             config_version: builder.gauge("fleet_config_version", "The configuration in force")?,
             config_age: builder.float_gauge(
                 "fleet_config_age_seconds",
@@ -130,6 +168,17 @@
                 "Streams that callers take up again, by what tells the version at which each began",
                 &["told_by"],
             )?,
+            refused_resumptions: builder.counter(
+                "fleet_resumptions_refused_total",
+                "Own answers to callers that take up a stream, by reason",
+                &["code"],
+            )?,
+            streams_begun: builder.counter(
+                "fleet_streams_begun_total",
+                "Streams of which an event was forwarded, by the version of the servers' software and by whether it is new",
+                &["version", "kind"],
+            )?,
+            version_labels: Labels::new(MAX_VERSION_LABELS),
             remembered_streams: builder.gauge(
                 "fleet_remembered_streams",
                 "Streams that began at this instance and whose callers may come back to another",
@@ -143,6 +192,10 @@
                 "fleet_quarantined_parts",
                 "Parts of prompts with which requests are refused, since servers crash on them",
             )?,
+            crashes_found: builder.plain_counter(
+                "fleet_crashes_found_total",
+                "Backend servers that this instance has found to have ended while they ran requests",
+            )?,
             steward: builder.gauge("fleet_steward", "1 while this instance orders engines")?,
             linked: builder.gauge(
                 "fleet_steward_linked",
@@ -188,19 +241,7 @@
 
     /// Adds the cost of a request that its organisation's quota admitted or refused.
     pub fn count_charge(&self, organisation: &str, admitted: bool, cost: f64) {
-        let mut labelled = self
-            .labelled_organisations
-            .lock()
-            .expect("the lock is not poisoned");
-        let known = labelled.contains(organisation);
-        if !known && labelled.len() < MAX_ORGANISATION_LABELS {
-            labelled.insert(organisation.into());
-        }
-        let label = if known || labelled.contains(organisation) {
-            organisation
-        } else {
-            OTHER_ORGANISATIONS_LABEL
-        };
+        let label = self.organisation_labels.value(organisation);
         let outcome = if admitted { "admitted" } else { "refused" };
         self.quota_charges
             .with_label_values(&[label, outcome])
@@ -252,11 +293,31 @@
             .set(i64::try_from(gateways).unwrap_or(i64::MAX));
     }
 
-    /// Counts a connection to a backend server through another instance, by its result.
+    /// Counts a stream that a caller takes up again, by what tells the version at which it began.
     pub fn count_resumption(&self, told_by: &str) {
         self.resumptions.with_label_values(&[told_by]).inc();
     }
 
+    /// Counts an own answer to a caller that takes up a stream.
+    pub fn count_refused_resumption(&self, code: &str) {
+        self.refused_resumptions.with_label_values(&[code]).inc();
+    }
+
+    /// Counts a stream whose first event is forwarded to its caller, by the version that sent it.
+    pub fn count_begun_stream(&self, version: Option<&str>, is_taken_up: bool) {
+        let version = match version {
+            Some(version) => self.version_labels.value(version),
+            None => UNKNOWN_VERSION_LABEL,
+        };
+        let kind = if is_taken_up { "taken_up" } else { "new" };
+        self.streams_begun.with_label_values(&[version, kind]).inc();
+    }
+
+    /// Counts a backend server that has ended while it ran requests.
+    pub fn count_crash(&self) {
+        self.crashes_found.inc();
+    }
+
     /// Sets the number of quarantined parts of prompts.
     pub fn set_quarantined_parts(&self, count: usize) {
         self.quarantined_parts.set(count as i64);
--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -228,6 +228,7 @@
         };
         drop(state);
         if has_ended == Some(true) && is_news {
+            self.metrics.count_crash();
             log::info!(server = process.server.as_str(); "backend server has ended while it ran requests");
         }
         if is_news {
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -367,6 +367,9 @@
         self.node
             .metrics
             .count_refusal(problem.code, problem.status.as_u16());
+        if call.last_event.is_some() {
+            self.node.metrics.count_refused_resumption(problem.code);
+        }
         let config_status = self.node.config_status();
         log::info!(
             request = call.id.as_str(), status = u64::from(problem.status.as_u16()), code = problem.code,
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -333,7 +333,7 @@
     /// Notes that an event is about to be forwarded. From the first on, the stream goes on only at the version that sent it;
     /// callers that come back to another instance rely on what is reported here.
     fn begin(&mut self) {
-        if std::mem::replace(&mut self.has_begun, true) {
+        if !self.count_begun() {
             return;
         }
         if self.origin == Origin::Open {
@@ -346,6 +346,18 @@
         }
     }
 
+    /// Counts the caller's stream once it gets its first event. Returns whether this is that event.
+    fn count_begun(&mut self) -> bool {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return false;
+        }
+        let is_taken_up = self.job.version.is_some();
+        self.node
+            .metrics
+            .count_begun_stream(self.source.version.as_deref(), is_taken_up);
+        true
+    }
+
     /// Decides what the end of a run means for the caller's stream.
     async fn end_of(&mut self, ending: Ending) -> End {
         let ending = match self.content {
@@ -381,6 +393,9 @@
             Content::Resumable(splitter) => splitter,
             Content::Events(scanner) => {
                 scanner.push_all(&bytes);
+                if !bytes.is_empty() {
+                    self.count_begun();
+                }
                 return self.send_part(bytes).await;
             }
             Content::Opaque => return self.send_part(bytes).await,
--- a/crates/fireflywheel_daemon/src/metrics/builder.rs
+++ b/crates/fireflywheel_daemon/src/metrics/builder.rs
@@ -1,8 +1,8 @@
 //! Registration of metrics, and the names and help texts of the daemon's metrics.
 
 use prometheus::{
-    CounterVec, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, exponential_buckets,
+    CounterVec, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, exponential_buckets,
 };
 
 use super::Metrics;
@@ -50,6 +50,13 @@
         Ok(metric)
     }
 
+    /// Registers a counter without labels.
+    pub(crate) fn plain_counter(&self, name: &str, help: &str) -> prometheus::Result<IntCounter> {
+        let metric = IntCounter::new(name, help)?;
+        self.registry.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+
     /// Registers a counter of fractional amounts.
     pub(crate) fn float_counter(
         &self,
