--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -36,10 +36,7 @@
         let since = state.role_changed_at;
         let is_settled = now.since(since) >= origin::SETTLING_TIME;
         let answer = |query: &Query| match state.origins.answer(now, query, is_settled) {
-            Answer::NotReported => self
-                .node
-                .unreported_origin(&query.group, since)
-                .map_or(Answer::NotReported, Answer::Version),
+            Answer::NotReported => self.conclude_origin(query, since),
             other => other,
         };
         let queries = report.queries.iter();
@@ -51,6 +48,18 @@
             .collect()
     }
 
+    /// The answer about a stream that was not reported to this instance, which is steward since `since`.
+    fn conclude_origin(&self, query: &Query, since: clock::Instant) -> Answer {
+        let Some(version) = self.node.unreported_origin(&query.group, since) else {
+            return Answer::NotReported;
+        };
+        log::info!(
+            resumes = query.attempt.as_str(), group = query.group.as_str(), version = version.as_str();
+            "stream from before the release was not reported"
+        );
+        Answer::Version(version)
+    }
+
     /// Keeps streams for the steward.
     pub fn keep_streams(&self, records: Vec<Record>) {
         let now = self.node.now();
