A software version is a condition on what provides servers, not on the choice alone

Cause: the version of a stream was known to the choice of a server only. Demand, plan, evictions, forecasts and waits knew the group, the model and the adapter. The steward saw a loaded model and nothing to do, and the instance refused at once, so it never asked either.

Change: the version is a part of the queue that a request waits in, and so of the demand, its aggregation, the plan and the forecasts. There is no second plan: a waiting entry with a version counts and uses engines of that version only. - The plan loads a model (or an adapter) at the version if no usable engine of it holds the model with a free slot or loads it, from a disk of the version if there is one, else from the weight store within its limit. One load serves new requests too, unless it comes from the store while another version has the model on a disk. The last copy at a version that streams wait for isn't evicted. Streams that wait don't make other versions hot. - Forecasts are made for each version that is waited for. One of them says that no engine of the version is there, upon which the request is refused with no_server_of_version and its Retry-After as before. Instances that know only some engines have it from the steward: origin's history isn't used for this, as a server that drains still counts as seen there. A belief that is wrong lasts until the next forecast (half a second at most beside an unchanged list), and ends with the link to the steward. - A forecast for a version goes only to instances that have reported demand with one. Others, and releases that would take it for one of the whole model, get what they got. With one version, demand and forecasts have the same bytes and the same entries. - A request refused with a Retry-After for want of a copy or of room leaves its demand for as long, in a bounded list that expires by itself, so that its caller finds what it was told. A taken-up stream waits like any other cold request. - For a stream whose first event has been forwarded, resumption within one response waits in the queue of its version.

Known limit: a steward of an earlier release ignores the version in demand; a stream whose model only another version holds then waits for its time-out where it was refused at once.

--- a/crates/fireflywheel/benches/plan.rs
+++ b/crates/fireflywheel/benches/plan.rs
@@ -70,6 +70,7 @@
         .map(|model| Pending {
             model: name(model),
             adapter: None,
+            version: None,
             waiting: 2,
             since: NOW.before(Duration::from_millis(model as u64)),
             until: NOW.after(Duration::from_secs(5)),
--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -106,6 +106,9 @@
     pub model: SmolStr,
     /// The adapter of the model, if any.
     pub adapter: Option<SmolStr>,
+    /// The version of the servers' software that the requests need; `None` if they take up no streams.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SmolStr>,
     /// The number of waiting requests.
     pub waiting: u32,
     /// The time that the most urgent request has waited, in milliseconds.
@@ -141,13 +144,15 @@
     pub count: u32,
 }
 
-/// The combined demand of all instances for one model or one of its adapters.
+/// The combined demand of all instances for one model or one of its adapters, at one version or any.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pending {
     /// The model.
     pub model: SmolStr,
     /// The adapter of the model, if any.
     pub adapter: Option<SmolStr>,
+    /// The version of the servers' software that the requests need; `None` if any will do.
+    pub version: Option<SmolStr>,
     /// The number of waiting requests.
     pub waiting: u32,
     /// The time since which the most urgent request waits.
@@ -204,15 +209,16 @@
     /// Returns the demand for the models of a group, the longest waiting first.
     #[must_use]
     pub fn pending(&self, group: &str) -> Vec<Pending> {
-        let mut combined: BTreeMap<(SmolStr, Option<SmolStr>), Pending> = BTreeMap::new();
+        let mut combined: BTreeMap<_, Pending> = BTreeMap::new();
         for (received_at, queue) in self.queues(group) {
             let since = received_at.before(Duration::from_millis(queue.waited_ms.into()));
             let until = received_at.after(Duration::from_millis(queue.left_ms.into()));
             let pending = combined
-                .entry((queue.model.clone(), queue.adapter.clone()))
+                .entry((&queue.model, &queue.adapter, &queue.version))
                 .or_insert_with(|| Pending {
                     model: queue.model.clone(),
                     adapter: queue.adapter.clone(),
+                    version: queue.version.clone(),
                     waiting: 0,
                     since,
                     until,
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -314,6 +314,9 @@
     }
 }
 
+/// The wait of a forecast for a version of which no server is there, in milliseconds.
+pub const NEVER_MS: u32 = u32::MAX;
+
 /// When a model becomes available.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Forecast {
@@ -321,6 +324,18 @@
     pub group: SmolStr,
     /// The model's name.
     pub model: SmolStr,
-    /// The time until the model can be used, in milliseconds.
+    /// The version of the servers' software for which this holds; `None` for requests that any version can run.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SmolStr>,
+    /// The time until the model can be used, in milliseconds; [`NEVER_MS`] if no server of the version is there.
     pub wait_ms: u32,
 }
+
+impl Forecast {
+    /// The time until the model can be used; `None` if no server of the version is there.
+    #[must_use]
+    pub fn wait(&self) -> Option<Duration> {
+        let is_never = self.version.is_some() && self.wait_ms == NEVER_MS;
+        (!is_never).then(|| Duration::from_millis(self.wait_ms.into()))
+    }
+}
--- a/crates/fireflywheel/src/fleet/plan.rs
+++ b/crates/fireflywheel/src/fleet/plan.rs
@@ -42,6 +42,8 @@
     pub prefill_wait: Duration,
     /// The requests per second that the engine accepts, if it reports a limit.
     pub limit: Option<f64>,
+    /// The version of the engine's software, if it is known.
+    pub version: Option<SmolStr>,
     /// The times from which the engine has held each model and adapter.
     pub held_since: BTreeMap<(SmolStr, Option<SmolStr>), clock::Instant>,
 }
@@ -54,6 +56,11 @@
         self.limit.is_some_and(|limit| demand() > limit)
     }
 
+    /// Whether the engine can serve requests that need this version, if they need one.
+    fn is_of_version(&self, version: Option<&SmolStr>) -> bool {
+        version.is_none() || self.version.as_ref() == version
+    }
+
     /// Whether the engine loads from the weight store, or makes room for such a load.
     fn occupies_weight_store(&self) -> bool {
         let next = self.making_room_for.as_ref();
@@ -184,6 +191,7 @@
         survey: survey::Survey::new(view),
         planned_engines: BTreeSet::new(),
         active_fetches,
+        planned_versions: BTreeSet::new(),
         steps: Vec::new(),
     };
     planner.finish_swaps();
@@ -204,7 +212,10 @@
     let active_fetches = view.engines.iter().filter(|engine| engine.fetching).count();
     let mut ahead = active_fetches;
     let mut waits: Vec<(SmolStr, Duration)> = Vec::new();
-    let is_pending = |model: &SmolStr| view.pending.iter().any(|pending| pending.model == *model);
+    let is_pending = |model: &SmolStr| {
+        let mut pending = view.pending.iter();
+        pending.any(|pending| pending.model == *model && pending.version.is_none())
+    };
     for engine in view.engines.iter().filter(|engine| engine.fetching) {
         let loading = engine.loading.as_ref().filter(|model| is_pending(model));
         let known = loading.and_then(|name| Some((name, view.config.models.get(name)?)));
@@ -221,18 +232,96 @@
         .iter()
         .filter(|pending| pending.adapter.is_none())
         .filter(|pending| !survey.has_copy(&pending.model) && !survey.is_loading(&pending.model));
+    let mut counted = BTreeSet::new();
     for pending in unstored {
         let Some(model) = view.config.models.get(&pending.model) else {
             continue;
         };
-        ahead += 1;
-        let rounds = ahead.div_ceil(view.max_fetches.max(1)) as f64;
-        waits.push((pending.model.clone(), model.store_load_time.mul_f64(rounds)));
+        ahead += usize::from(counted.insert(&pending.model));
+        if pending.version.is_none() {
+            waits.push((pending.model.clone(), store_wait(view, model, ahead)));
+        }
     }
     waits.extend(queue_waits(view, &survey));
     waits
 }
 
+/// The time until a model has been loaded from the weight store, if this many loads are before it or run beside it, itself
+/// included.
+fn store_wait(view: &View<'_>, model: &config::Model, loads: usize) -> Duration {
+    let rounds = loads.div_ceil(view.max_fetches.max(1)) as f64;
+    model.store_load_time.mul_f64(rounds)
+}
+
+/// When a model becomes available at a version of the engines' software.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VersionForecast {
+    /// The model.
+    pub model: SmolStr,
+    /// The version.
+    pub version: SmolStr,
+    /// The time until then; `None` if no engine of the version is there.
+    pub wait: Option<Duration>,
+}
+
+/// Estimates the wait for models that requests need at a certain version, under the same conditions as [`forecast`] but for
+/// the engines of that version alone.
+#[must_use]
+pub fn version_forecasts(view: &View<'_>) -> Vec<VersionForecast> {
+    let mut seen = BTreeSet::new();
+    let versioned = view.pending.iter().filter_map(|pending| {
+        let version = pending.version.as_ref()?;
+        seen.insert((&pending.model, version))
+            .then_some((&pending.model, version))
+    });
+    let versioned: Vec<(&SmolStr, &SmolStr)> = versioned.collect();
+    if versioned.is_empty() {
+        return Vec::new();
+    }
+    let survey = survey::Survey::new(view);
+    let active_fetches = view.engines.iter().filter(|engine| engine.fetching).count();
+    let mut ahead = active_fetches;
+    let mut forecasts = Vec::new();
+    for (model, version) in versioned {
+        let forecast = |wait| VersionForecast {
+            model: model.clone(),
+            version: version.clone(),
+            wait,
+        };
+        let Some(copies) = survey.copies(model, version) else {
+            forecasts.push(forecast(None));
+            continue;
+        };
+        let Some(known) = view.config.models.get(model) else {
+            continue;
+        };
+        let is_local = copies.is_loading_locally || copies.has_unloaded;
+        let wait = if copies.replicas > 0 {
+            let drain = view.drain_rates.get(model).copied().unwrap_or_default();
+            let share = copies.replicas as f64 / survey.replicas(model).max(1) as f64;
+            let queued = f64::from(copies.waiting + copies.excess);
+            let is_full = !copies.has_free_slot && !copies.is_loading_locally;
+            is_full
+                .then(|| Duration::try_from_secs_f64(queued / (drain * share)).ok())
+                .flatten()
+        } else if is_local {
+            None
+        } else if let Some(since) = copies.fetching_since {
+            let time = view
+                .concurrency
+                .load_time(known.store_load_time, active_fetches);
+            Some(time.saturating_sub(view.now.since(since)))
+        } else if copies.is_loading {
+            None
+        } else {
+            ahead += 1;
+            Some(store_wait(view, known, ahead))
+        };
+        forecasts.extend(wait.map(|wait| forecast(Some(wait))));
+    }
+    forecasts
+}
+
 /// Estimates how long the queues take to drain, for models whose engines are all full and of which no further
 /// copy is being loaded from a disk or host memory. A request that waits at an engine beyond its slots is
 /// ahead of a new request just like a request that waits at an instance, so both are counted.
@@ -250,8 +339,16 @@
 
 /// Returns the reason why a pending model is not available yet, for the log.
 #[must_use]
-pub fn blocked_reason(view: &View<'_>, model: &SmolStr) -> &'static str {
+pub fn blocked_reason(view: &View<'_>, pending: &demand::Pending) -> &'static str {
     let survey = survey::Survey::new(view);
+    let model = &pending.model;
+    if let Some(version) = &pending.version {
+        return survey
+            .copies(model, version)
+            .map_or("no engine of the version is there", |copies| {
+                copies.blocked_reason()
+            });
+    }
     if survey.replicas(model) > 0 {
         return "the model is in memory";
     }
--- a/crates/fireflywheel/src/fleet/plan/planner.rs
+++ b/crates/fireflywheel/src/fleet/plan/planner.rs
@@ -5,7 +5,7 @@
 
 use smol_str::SmolStr;
 
-use super::survey::Survey;
+use super::survey::{Copies, Survey};
 use super::{EngineState, Step, Tier, View, nearest_tier};
 
 /// The number of requests in progress on one replica above which another replica is loaded: beyond it, each
@@ -70,6 +70,8 @@
     /// The engines that this plan already has a step for.
     pub(super) planned_engines: BTreeSet<usize>,
     pub(super) active_fetches: usize,
+    /// The models that this plan loads, or makes room for, at versions that requests wait for.
+    pub(super) planned_versions: BTreeSet<(SmolStr, SmolStr)>,
     pub(super) steps: Vec<Step>,
 }
 
@@ -95,26 +97,84 @@
         let view = self.view;
         let mut seen = BTreeSet::new();
         for pending in view.pending {
-            if !seen.insert(&pending.model)
-                || self.survey.replicas(&pending.model) > 0
-                || self.survey.is_loading(&pending.model)
+            let model = &pending.model;
+            if !seen.insert(model) {
+                continue;
+            }
+            let is_served = self.load_versions(model);
+            let mut others = view.pending.iter();
+            let is_needed = pending.version.is_none()
+                || others.any(|other| other.model == *model && other.version.is_none());
+            if !is_needed
+                || is_served
+                || self.survey.replicas(model) > 0
+                || self.is_loading_for_all(model)
             {
                 continue;
             }
             let waited = view.now.since(pending.since).as_secs_f64();
-            if let Some(placement) = self.best_placement(&pending.model, waited, true) {
-                self.add_placement(&pending.model, placement);
+            if let Some(placement) = self.best_placement(model, None, waited, true) {
+                self.add_placement(model, placement);
             }
         }
     }
 
+    /// Loads a model at each version at which requests wait for a copy. Returns whether that serves requests that any
+    /// version can run as well as a load for these would: a copy that comes from the weight store is later than one that
+    /// another version has on a disk.
+    fn load_versions(&mut self, model: &SmolStr) -> bool {
+        let view = self.view;
+        let mut is_served = false;
+        if !self.survey.has_versions() {
+            return is_served;
+        }
+        for pending in view.pending.iter().filter(|other| other.model == *model) {
+            let Some(version) = &pending.version else {
+                continue;
+            };
+            let copies = self.survey.copies(model, version);
+            let key = (model.clone(), version.clone());
+            if !copies.is_some_and(Copies::is_short) || self.planned_versions.contains(&key) {
+                continue;
+            }
+            let waited = view.now.since(pending.since).as_secs_f64();
+            if let Some(placement) = self.best_placement(model, Some(version), waited, true) {
+                is_served |=
+                    placement.tier != Tier::WeightStore || !self.survey.has_unloaded_copy(model);
+                self.planned_versions.insert(key);
+                self.add_placement(model, placement);
+            }
+        }
+        is_served
+    }
+
+    /// Whether a load in progress serves the requests for a model that any version can run. One from the weight store, for
+    /// streams of one version, doesn't if another version has the model on a disk.
+    fn is_loading_for_all(&self, model: &SmolStr) -> bool {
+        let mut pending = self.view.pending.iter();
+        self.survey.is_loading(model)
+            && (self.survey.is_loading_locally(model)
+                || !self.survey.has_unloaded_copy(model)
+                || !pending.any(|other| other.model == *model && other.version.is_some()))
+    }
+
+    /// Whether this plan loads the model for streams of a version.
+    fn is_planned(&self, model: &SmolStr) -> bool {
+        let mut planned = self.planned_versions.iter();
+        planned.any(|(planned, _)| planned == model)
+    }
+
     /// Loads adapters that requests wait for on an engine that holds their model.
     pub(super) fn load_adapters(&mut self) {
         let view = self.view;
-        for pending in view.pending {
+        // One load serves requests of all versions if it is made where streams need it.
+        let versioned = view.pending.iter().filter(|one| one.version.is_some());
+        let others = view.pending.iter().filter(|one| one.version.is_none());
+        for pending in versioned.chain(others) {
             let Some(adapter) = &pending.adapter else {
                 continue;
             };
+            let version = pending.version.as_ref();
             let has_adapter = |engine: &EngineState| {
                 engine.held.holds(&pending.model, Some(adapter))
                     || engine
@@ -125,21 +185,29 @@
             if view
                 .engines
                 .iter()
-                .any(|engine| engine.usable && has_adapter(engine))
+                .any(|engine| engine.usable && engine.is_of_version(version) && has_adapter(engine))
             {
                 continue;
             }
-            self.load_adapter(&pending.model, adapter);
+            let is_planned = self.steps.iter().any(|step| {
+                matches!(step, Step::LoadAdapter { model, adapter: planned, .. }
+                    if *model == pending.model && planned == adapter)
+            });
+            if is_planned && version.is_none() {
+                continue;
+            }
+            self.load_adapter(&pending.model, adapter, version);
         }
     }
 
-    fn load_adapter(&mut self, model: &SmolStr, adapter: &SmolStr) {
+    fn load_adapter(&mut self, model: &SmolStr, adapter: &SmolStr, version: Option<&SmolStr>) {
         let view = self.view;
         let target = (0..view.engines.len())
             .filter(|index| !self.planned_engines.contains(index))
             .filter(|index| {
                 let engine = &view.engines[*index];
                 engine.usable
+                    && engine.is_of_version(version)
                     && !engine.order_pending
                     && !engine.held.busy
                     && engine.held.holds(model, None)
@@ -210,9 +278,10 @@
     /// callers would be refused meanwhile.
     pub(super) fn replicate_saturated(&mut self) {
         for model in self.hot_models() {
-            if self.is_saturated(model)
-                && let Some(placement) = self.best_placement(model, 0.0, true)
-            {
+            if !self.is_saturated(model) || self.load_versions(model) {
+                continue;
+            }
+            if let Some(placement) = self.best_placement(model, None, 0.0, true) {
                 self.add_placement(model, placement);
             }
         }
@@ -223,7 +292,8 @@
         let may_fetch = self.unstored_models().next().is_none();
         for model in self.hot_models() {
             if !self.is_saturated(model)
-                && let Some(placement) = self.best_placement(model, 0.0, may_fetch)
+                && !self.is_planned(model)
+                && let Some(placement) = self.best_placement(model, None, 0.0, may_fetch)
             {
                 self.add_placement(model, placement);
             }
@@ -266,7 +336,10 @@
             if self.active_fetches >= view.max_fetches {
                 return;
             }
-            if let Some(placement) = self.best_placement(&model, 0.0, true) {
+            if self.is_planned(&model) {
+                continue;
+            }
+            if let Some(placement) = self.best_placement(&model, None, 0.0, true) {
                 self.add_placement(&model, placement);
             }
         }
@@ -290,14 +363,25 @@
         self.steps.push(step);
     }
 
-    /// Returns the cheapest placement of a model among the engines that can take an order now.
-    fn best_placement(&self, model: &SmolStr, waited: f64, may_fetch: bool) -> Option<Placement> {
-        let may_fetch = may_fetch
-            && self.active_fetches < self.view.max_fetches
-            && !self.survey.has_unloaded_copy(model)
-            && !self.survey.is_loading(model);
+    /// Returns the cheapest placement of a model among the engines, of a version if one is given, that can take an order now.
+    fn best_placement(
+        &self,
+        model: &SmolStr,
+        version: Option<&SmolStr>,
+        waited: f64,
+        may_fetch: bool,
+    ) -> Option<Placement> {
+        let has_better = match version {
+            Some(version) => {
+                let copies = self.survey.copies(model, version);
+                copies.is_none_or(|copies| copies.has_unloaded || copies.is_loading)
+            }
+            None => self.survey.has_unloaded_copy(model) || self.survey.is_loading(model),
+        };
+        let may_fetch = may_fetch && self.active_fetches < self.view.max_fetches && !has_better;
         (0..self.view.engines.len())
             .filter(|index| !self.planned_engines.contains(index))
+            .filter(|index| self.view.engines[*index].is_of_version(version))
             .filter_map(|index| self.placement(index, model))
             // A model that another engine stores is loaded there, even if that engine is busy and has to be
             // waited for.
@@ -390,12 +474,15 @@
             .copied()
             .unwrap_or_default();
         let replicas = u32::try_from(self.survey.replicas(model)).unwrap_or(u32::MAX);
-        let is_pending = self
-            .view
-            .pending
-            .iter()
-            .any(|pending| pending.model == *model);
-        let needed = replicas <= 1 && is_pending;
+        let mut pending = self.view.pending.iter();
+        let is_pending =
+            pending.any(|pending| pending.model == *model && pending.version.is_none());
+        let is_last_at_version = || {
+            let version = engine.version.as_ref();
+            let copies = version.and_then(|version| self.survey.copies(model, version));
+            copies.is_some_and(|copies| copies.replicas <= 1)
+        };
+        let needed = (replicas <= 1 && is_pending) || is_last_at_version();
         let many_requests =
             self.survey.requests(model) > replicas.saturating_sub(1) * HOT_REQUESTS_PER_REPLICA;
         let is_hot =
--- a/crates/fireflywheel/src/fleet/plan/survey.rs
+++ b/crates/fireflywheel/src/fleet/plan/survey.rs
@@ -7,7 +7,8 @@
 
 use smol_str::SmolStr;
 
-use super::View;
+use super::{EngineState, Tier, View, nearest_tier};
+use crate::clock;
 
 /// The totals of one view, by model.
 #[derive(Clone, Debug)]
@@ -29,6 +30,77 @@
     loading: BTreeSet<&'a SmolStr>,
     /// The models in `loading` that don't come from the weight store.
     loading_locally: BTreeSet<&'a SmolStr>,
+    /// The copies of models at versions that requests wait for, by version and model; only versions of usable engines.
+    versions: BTreeMap<&'a SmolStr, BTreeMap<&'a SmolStr, Copies>>,
+}
+
+/// The copies of a model at the usable engines of one version.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Copies {
+    /// The engines that hold the model, without those whose request limit the demand exceeds.
+    pub(super) replicas: usize,
+    /// Whether one of these has a free slot.
+    pub(super) has_free_slot: bool,
+    /// Whether an engine loads the model or makes room for it.
+    pub(super) is_loading: bool,
+    /// Whether one does so that doesn't need the weight store.
+    pub(super) is_loading_locally: bool,
+    /// The time since which an engine loads the model from the weight store.
+    pub(super) fetching_since: Option<clock::Instant>,
+    /// Whether an engine that doesn't hold the model in memory has it on disk or in host memory.
+    pub(super) has_unloaded: bool,
+    /// The requests that wait for the model at the version.
+    pub(super) waiting: u32,
+    /// The requests at engines that hold the model, beyond those that the engines run at once.
+    pub(super) excess: u32,
+}
+
+impl Copies {
+    /// Whether the requests that wait need another copy at the version.
+    pub(super) fn is_short(&self) -> bool {
+        !self.has_free_slot && !self.is_loading
+    }
+
+    /// The reason why the model is not available at the version yet, for the log.
+    pub(super) fn blocked_reason(&self) -> &'static str {
+        if self.has_free_slot {
+            "the model is in memory at the version"
+        } else if self.is_loading {
+            "the model is being loaded at the version"
+        } else if self.replicas > 0 {
+            "the engines of the version that hold the model are full"
+        } else if self.has_unloaded {
+            "the engines of the version that store the model can't load it now"
+        } else {
+            "no engine of the version stores the model, and none can fetch it now"
+        }
+    }
+
+    fn add(&mut self, view: &View<'_>, engine: &EngineState, model: &SmolStr) {
+        let is_held = engine.held.models.contains_key(model);
+        if is_held {
+            let requests: u32 = engine.running.values().sum();
+            if !engine.is_overloaded(view.arrival_rates) {
+                self.replicas += 1;
+                self.has_free_slot |= requests < view.config.slots;
+            }
+            self.excess += requests.saturating_sub(view.config.slots);
+        } else {
+            self.has_unloaded |= nearest_tier(engine, model) != Tier::WeightStore;
+        }
+        let is_loading = engine.loading.as_ref() == Some(model);
+        if is_loading || engine.making_room_for.as_ref() == Some(model) {
+            self.is_loading = true;
+            self.is_loading_locally |= !engine.occupies_weight_store();
+        }
+        if is_loading && engine.fetching {
+            let since = engine.loading_since;
+            self.fetching_since = match self.fetching_since {
+                Some(known) => Some(since.map_or(known, |since| known.min(since))),
+                None => since,
+            };
+        }
+    }
 }
 
 impl<'a> Survey<'a> {
@@ -45,6 +117,7 @@
             stored_unloaded: BTreeSet::new(),
             loading: BTreeSet::new(),
             loading_locally: BTreeSet::new(),
+            versions: versions(view),
         };
         for engine in view.engines.iter().filter(|engine| engine.usable) {
             // An engine that accepts fewer requests than its models receive doesn't count as a replica: these
@@ -86,19 +159,31 @@
         }
         let running = view.engines.iter().flat_map(|engine| &engine.running);
         let running = running.map(|((model, _), count)| (model, *count));
-        for pending in view.pending {
-            *survey.waiting.entry(&pending.model).or_default() += pending.waiting;
-        }
-        let waiting = view
+        // Requests that need a certain version are no reason for a copy at another.
+        let pending = view
             .pending
             .iter()
-            .map(|pending| (&pending.model, pending.waiting));
+            .filter(|pending| pending.version.is_none());
+        for pending in pending.clone() {
+            *survey.waiting.entry(&pending.model).or_default() += pending.waiting;
+        }
+        let waiting = pending.map(|pending| (&pending.model, pending.waiting));
         for (model, count) in running.chain(waiting) {
             *survey.requests.entry(model).or_default() += count;
         }
         survey
     }
 
+    /// Whether requests wait for models at certain versions.
+    pub(super) fn has_versions(&self) -> bool {
+        !self.versions.is_empty()
+    }
+
+    /// The copies of a model that requests need at a version; `None` if no usable engine has this version.
+    pub(super) fn copies(&self, model: &SmolStr, version: &SmolStr) -> Option<&Copies> {
+        self.versions.get(version)?.get(model)
+    }
+
     /// Whether the model has replicas and none of them has a free slot.
     pub(super) fn is_full(&self, model: &SmolStr) -> bool {
         self.replicas(model) > 0 && !self.with_free_slot.contains(model)
@@ -150,3 +235,29 @@
         self.loading.contains(model)
     }
 }
+
+/// Counts the copies that requests of certain versions wait for.
+fn versions<'a>(view: &View<'a>) -> BTreeMap<&'a SmolStr, BTreeMap<&'a SmolStr, Copies>> {
+    let mut versions: BTreeMap<&SmolStr, BTreeMap<&SmolStr, Copies>> = BTreeMap::new();
+    for pending in view.pending {
+        if let Some(version) = &pending.version {
+            let models = versions.entry(version).or_default();
+            models.entry(&pending.model).or_default().waiting += pending.waiting;
+        }
+    }
+    if versions.is_empty() {
+        return versions;
+    }
+    let mut served = BTreeSet::new();
+    for engine in view.engines.iter().filter(|engine| engine.usable) {
+        let Some(version) = &engine.version else {
+            continue;
+        };
+        for (model, copies) in versions.get_mut(version).into_iter().flatten() {
+            copies.add(view, engine, model);
+            served.insert(version);
+        }
+    }
+    versions.retain(|version, _| served.contains(version));
+    versions
+}
--- a/crates/fireflywheel/src/fleet/tracker.rs
+++ b/crates/fireflywheel/src/fleet/tracker.rs
@@ -165,6 +165,7 @@
             running,
             prefill_wait: self.prefill_wait.update(now, prefill_tokens),
             limit: None,
+            version: self.server.version.clone(),
             held_since: self.held_since.clone(),
         }
     }
--- a/crates/fireflywheel/tests/fleet/demand.rs
+++ b/crates/fireflywheel/tests/fleet/demand.rs
@@ -2,6 +2,7 @@
 
 use fireflywheel::clock::Instant;
 use fireflywheel::fleet::demand::{Aggregator, Count, Demand, Queue, Running};
+use fireflywheel::fleet::frame::Forecast;
 use smol_str::SmolStr;
 
 use crate::cases;
@@ -11,12 +12,20 @@
         group: "g".into(),
         model: model.into(),
         adapter: None,
+        version: None,
         waiting,
         waited_ms,
         left_ms,
     }
 }
 
+fn queue_at(version: &str) -> Queue {
+    Queue {
+        version: Some(version.into()),
+        ..queue("m", 1, 100, 1000)
+    }
+}
+
 fn with_queues(queues: Vec<Queue>) -> Demand {
     Demand {
         queues,
@@ -151,7 +160,55 @@
     assert!(aggregator.arrival_rate(Instant(20_500), "g", "m").abs() < f64::EPSILON);
 }
 
+fn queues_of_versions_are_separate() {
+    let mut aggregator = Aggregator::default();
+    for instance in ["a", "b"] {
+        let queues = vec![queue("m", 2, 100, 1000), queue_at("v1"), queue_at("v2")];
+        aggregator.update(Instant(1000), instance.into(), with_queues(queues));
+    }
+    let pending = aggregator.pending("g").into_iter();
+    let pending: Vec<_> = pending.map(|one| (one.version, one.waiting)).collect();
+    let expected = [(None, 4), (Some("v1".into()), 2), (Some("v2".into()), 2)];
+    assert_eq!(pending, expected);
+}
+
+fn encode(value: &impl serde::Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).expect("writing to a buffer cannot fail");
+    bytes
+}
+
+fn releases_read_each_other() {
+    let plain = serde_json::json!({
+        "group": "g", "model": "m", "adapter": null, "waiting": 1, "waited_ms": 100, "left_ms": 1000,
+    });
+    let without_version = queue("m", 1, 100, 1000);
+    assert_eq!(encode(&without_version).len(), encode(&plain).len());
+    let read: Queue = ciborium::from_reader(encode(&plain).as_slice()).expect("it can be read");
+    assert_eq!(read, without_version);
+    let versioned = encode(&queue_at("v1"));
+    let read: Queue = ciborium::from_reader(versioned.as_slice()).expect("it can be read");
+    assert_eq!(read, queue_at("v1"));
+    let forecast = serde_json::json!({"group": "g", "model": "m", "wait_ms": u32::MAX});
+    let read: Forecast =
+        ciborium::from_reader(encode(&forecast).as_slice()).expect("it can be read");
+    assert_eq!(encode(&read).len(), encode(&forecast).len());
+    assert!(
+        read.wait().is_some(),
+        "only servers of a version can be missing"
+    );
+    let never = Forecast {
+        version: Some("v1".into()),
+        ..read
+    };
+    assert_eq!(never.wait(), None);
+}
+
 cases! {
+    /// Guards against demand at one version that is lost in that at others.
+    demand_of_versions_is_separate => queues_of_versions_are_separate();
+    /// Guards against demand and forecasts without a version that grow, and that other releases can't read.
+    demand_without_version_is_unchanged => releases_read_each_other();
     /// Callers are told the wait of a queue from the rate at which its engines complete requests, not from
     /// the arrival rate.
     drain_rate_ignores_arrivals => drain_rate_is_completion_rate();
--- a/crates/fireflywheel/tests/fleet/overload.rs
+++ b/crates/fireflywheel/tests/fleet/overload.rs
@@ -205,6 +205,7 @@
             group: "g".into(),
             model: "m".into(),
             adapter: None,
+            version: None,
             waiting,
             waited_ms: 0,
             left_ms: 1000,
--- a/crates/fireflywheel/tests/fleet/plan/world.rs
+++ b/crates/fireflywheel/tests/fleet/plan/world.rs
@@ -110,10 +110,20 @@
         self.pending_adapter(model, None)
     }
 
-    pub fn pending_adapter(mut self, model: &str, adapter: Option<&str>) -> Self {
+    pub fn pending_adapter(self, model: &str, adapter: Option<&str>) -> Self {
+        self.pending_version(model, adapter, None)
+    }
+
+    pub fn pending_version(
+        mut self,
+        model: &str,
+        adapter: Option<&str>,
+        version: Option<&str>,
+    ) -> Self {
         self.pending.push(Pending {
             model: model.into(),
             adapter: adapter.map(SmolStr::new),
+            version: version.map(SmolStr::new),
             waiting: 1,
             since: Instant(NOW.0 - 100),
             until: Instant(NOW.0 + 5000),
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -40,8 +40,6 @@
     pub route: config::Route,
     /// The queue in which the request waits for a server.
     pub queue: node::QueueKey,
-    /// The version at which the stream began that the caller takes up again.
-    pub version: Option<SmolStr>,
     /// The parts of the prompt that other requests may have as well.
     pub parts: Vec<Part>,
     /// Whether the request is let through to find out whether servers still crash on its quarantined part.
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -20,6 +20,7 @@
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::config::{history, update};
 use fireflywheel::fleet::era::{Era, Position};
+use fireflywheel::fleet::server;
 use fireflywheel::fleet::settings;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
@@ -127,6 +128,22 @@
     pub model: Option<SmolStr>,
     /// The adapter of that model.
     pub adapter: Option<SmolStr>,
+    /// The version of the servers' software at which the requests' streams began; `None` if they take up no streams.
+    pub version: Option<SmolStr>,
+}
+
+impl QueueKey {
+    /// Sets the version of the servers' software at which the requests' streams began.
+    #[must_use]
+    pub fn with_version(mut self, version: Option<SmolStr>) -> Self {
+        self.version = version;
+        self
+    }
+
+    /// Whether a server can run the requests as far as its version is concerned.
+    fn allows(&self, server: &server::Server) -> bool {
+        self.version.is_none() || self.version == server.version
+    }
 }
 
 impl<P> Node<P>
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -77,8 +77,6 @@
     pub tried: &'a [SmolStr],
     /// How long it can still wait for a server.
     pub remaining: Duration,
-    /// The version at which its stream began; `None` if it takes up no stream.
-    pub version: Option<&'a SmolStr>,
 }
 
 /// A server that was picked.
@@ -151,37 +149,33 @@
             return Choice::Subscribing;
         }
         let mut servers: Vec<&state::ServerState> = state.usable_servers(now, queue).collect();
+        // With subscriptions, an instance knows only the engines that hold the models it was asked for, and the steward tells
+        // whether there are others.
+        let is_subscribed = state.subscriptions.is_some() && queue.model.is_some();
         if servers.is_empty() {
-            // With subscriptions, an instance knows only the engines that hold the models it was asked for.
-            let is_subscribed = state.subscriptions.is_some() && queue.model.is_some();
             return match is_subscribed {
-                true => Choice::NotLoaded(forecast_wait(&state, queue, now)),
+                true => not_loaded(&state, queue, now),
                 false => Choice::NoServer,
             };
         }
-        let usable = servers.len();
-        if query.version.is_some() {
-            servers.retain(|known| known.server.version.as_ref() == query.version);
-            if servers.is_empty() {
-                return Choice::NoServerOfVersion;
-            }
+        servers.retain(|known| queue.allows(&known.server));
+        if servers.is_empty() {
+            return match is_subscribed {
+                true => not_loaded(&state, queue, now),
+                false => Choice::NoServerOfVersion,
+            };
         }
-        let has_other_versions = servers.len() < usable;
         if let (Some(_), Some(model)) = (&group.engine, &queue.model) {
             let prefer_steward = state.steward_data_valid(now);
             servers.retain(|known| {
                 let held = known.held(prefer_steward);
                 held.holds(model, queue.adapter.as_deref())
             });
-            // The model may become available at another version only.
-            if servers.is_empty() && has_other_versions {
-                return Choice::NoServerOfVersion;
-            }
             if servers.is_empty() {
-                return Choice::NotLoaded(forecast_wait(&state, queue, now));
+                return not_loaded(&state, queue, now);
             }
         }
-        if query.version.is_none() && query.route.kind == config::Kind::Resumable {
+        if queue.version.is_none() && query.route.kind == config::Kind::Resumable {
             state.origins.retain_settled(now, &mut servers);
         }
         let rests_until = |known: &state::ServerState| state.rests_until(now, known);
@@ -353,6 +347,13 @@
         }
     }
 
+    /// Keeps the demand of a request that was refused for now, until its caller has come back.
+    pub fn keep_demand(&self, queue: &QueueKey, until: clock::Instant) {
+        let since = self.now();
+        self.lock().keep_demand(since, queue, until);
+        self.demand_changed.notify_one();
+    }
+
     /// Records the first attempt of a request in the group's retry budget.
     pub fn record_first_attempt(&self, group: &SmolStr) {
         let now = self.now();
@@ -379,9 +380,27 @@
     servers.iter().map(|known| &known.server.id)
 }
 
+/// The steward's forecast for a queue; `None` if there is none, and a time of `None` if no server of the version is there.
+fn forecast(state: &state::State, queue: &QueueKey) -> Option<Option<clock::Instant>> {
+    let key = (
+        queue.group.clone(),
+        queue.model.clone()?,
+        queue.version.clone(),
+    );
+    state.forecasts.get(&key).copied()
+}
+
 fn forecast_wait(state: &state::State, queue: &QueueKey, now: clock::Instant) -> Option<Duration> {
-    let key = (queue.group.clone(), queue.model.clone()?);
-    Some(state.forecasts.get(&key)?.since(now))
+    Some(forecast(state, queue)??.since(now))
+}
+
+/// The choice if no known server that the queue allows holds the model.
+fn not_loaded(state: &state::State, queue: &QueueKey, now: clock::Instant) -> Choice {
+    match forecast(state, queue) {
+        Some(None) => Choice::NoServerOfVersion,
+        Some(Some(at)) => Choice::NotLoaded(Some(at.since(now))),
+        None => Choice::NotLoaded(None),
+    }
 }
 
 fn prompt(call: &platform::Call) -> load::Prompt {
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -67,16 +67,19 @@
         let leaving_servers = state.announcements.take_leaving_notices();
         let origins = state.origins.take_report();
         let quarantine = Box::new(state.quarantine.take_report(now));
+        state.kept_queues.retain(|_, kept| now < kept.until);
+        let kept = state.kept_queues.iter();
+        let kept = kept.filter(|(key, _)| !state.queues.contains_key(*key));
+        let kept = kept.filter_map(|(key, waiting)| queue_demand(now, key, [waiting]));
+        let queues = state.queues.iter();
+        let queues = queues.filter_map(|(key, queue)| queue_demand(now, key, queue.values()));
+        let queues = queues.chain(kept).collect();
         let gates = state.quota_gates.iter_mut();
         let usage = gates
             .filter_map(|(organisation, gate)| gate.take_usage(now, organisation))
             .collect();
         demand::Demand {
-            queues: state
-                .queues
-                .iter()
-                .filter_map(|(key, queue)| queue_demand(now, key, queue))
-                .collect(),
+            queues,
             running: state
                 .servers
                 .values_mut()
@@ -126,18 +129,19 @@
         .collect()
 }
 
-fn queue_demand(
-    now: clock::Instant,
-    key: &QueueKey,
-    queue: &BTreeMap<u64, state::Waiting>,
-) -> Option<demand::Queue> {
+fn queue_demand<'a, I>(now: clock::Instant, key: &QueueKey, queue: I) -> Option<demand::Queue>
+where
+    I: IntoIterator<Item = &'a state::Waiting, IntoIter: Clone + ExactSizeIterator>,
+{
+    let queue = queue.into_iter();
     let model = key.model.clone()?;
-    let since = queue.values().map(|waiting| waiting.since).min()?;
-    let until = queue.values().map(|waiting| waiting.until).max()?;
+    let since = queue.clone().map(|waiting| waiting.since).min()?;
+    let until = queue.clone().map(|waiting| waiting.until).max()?;
     Some(demand::Queue {
         group: key.group.clone(),
         model,
         adapter: key.adapter.clone(),
+        version: key.version.clone(),
         waiting: u32::try_from(queue.len()).unwrap_or(u32::MAX),
         waited_ms: frame::millis(now.since(since)),
         left_ms: frame::millis(until.since(now)),
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -46,6 +46,9 @@
 /// A server that announces when it will be gone receives no requests for this long before that.
 pub(super) const LEAVING_MARGIN: Duration = Duration::from_millis(300);
 
+/// Maximum number of queues whose demand is kept for callers that were told to come back.
+const MAX_KEPT_QUEUES: usize = 64;
+
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) configs: history::History,
@@ -63,6 +66,9 @@
     pub(super) announcements: announcement::Registry,
     /// Requests that wait for a server, by number in each queue.
     pub(super) queues: BTreeMap<QueueKey, BTreeMap<u64, Waiting>>,
+    /// Requests that were refused for now, whose callers have been told when to come back: until then what they need is
+    /// still provided.
+    pub(super) kept_queues: BTreeMap<QueueKey, Waiting>,
     /// Requests that arrived since the last demand, by group and model.
     pub(super) arrived: BTreeMap<(SmolStr, SmolStr), u32>,
     /// Requests that an engine has run and that ended since the last demand, by group and model.
@@ -70,8 +76,9 @@
     /// Servers that were unreachable or lacked a model which they were thought to hold, since the last
     /// demand.
     pub(super) servers_to_check: BTreeSet<SmolStr>,
-    /// When models become available, by group and model, as forecast by the steward.
-    pub(super) forecasts: BTreeMap<(SmolStr, SmolStr), clock::Instant>,
+    /// When models become available, by group, model and version, as forecast by the steward; `None` if no server of the
+    /// version is there.
+    pub(super) forecasts: BTreeMap<(SmolStr, SmolStr, Option<SmolStr>), Option<clock::Instant>>,
     pub(super) retry_budgets: BTreeMap<SmolStr, retry_budget::Budget>,
     /// Number of instances that share limits.
     pub(super) instances: size::Size,
@@ -206,6 +213,7 @@
             gone_servers: BTreeMap::new(),
             announcements: announcement::Registry::default(),
             queues: BTreeMap::new(),
+            kept_queues: BTreeMap::new(),
             arrived: BTreeMap::new(),
             finished: BTreeMap::new(),
             servers_to_check: BTreeSet::new(),
@@ -448,6 +456,27 @@
         now.since(pending.since) >= SUBSCRIBE_TIMEOUT
     }
 
+    /// Keeps the demand of a request that was refused for now. Beyond [`MAX_KEPT_QUEUES`], what ends first is forgotten.
+    pub(super) fn keep_demand(
+        &mut self,
+        since: clock::Instant,
+        queue: &QueueKey,
+        until: clock::Instant,
+    ) {
+        let kept = self
+            .kept_queues
+            .entry(queue.clone())
+            .or_insert(Waiting { since, until });
+        kept.until = kept.until.max(until);
+        if self.kept_queues.len() > MAX_KEPT_QUEUES {
+            let ends = self.kept_queues.iter().map(|(key, kept)| (kept.until, key));
+            if let Some((_, first)) = ends.min() {
+                let first = first.clone();
+                self.kept_queues.remove(&first);
+            }
+        }
+    }
+
     /// Makes the next demand contain all that an earlier steward was told, for another one, be it this instance.
     pub(super) fn tell_steward_again(&mut self) {
         for gate in self.quota_gates.values_mut() {
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -161,6 +161,8 @@
             state.subscriptions = None;
             state.all_engines = false;
             state.pending_subscriptions.clear();
+            // Nobody takes back that there is no server of a version.
+            state.forecasts.retain(|_, at| at.is_some());
         }
         match (has_steward, state.directory_catches_up_at) {
             (true, _) => {
@@ -182,8 +184,8 @@
         state.forecasts = forecasts
             .into_iter()
             .map(|forecast| {
-                let at = now.after(Duration::from_millis(forecast.wait_ms.into()));
-                ((forecast.group, forecast.model), at)
+                let at = forecast.wait().map(|wait| now.after(wait));
+                ((forecast.group, forecast.model, forecast.version), at)
             })
             .collect();
         drop(state);
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -41,6 +41,8 @@
 /// Maximum number of times that a request is sent, counting servers that refused it without running it. More would
 /// only add to an overload.
 const MAX_SENDS: usize = 5;
+/// How long after its retry delay a caller that was refused for now is expected at the latest.
+const RETURN_MARGIN: Duration = Duration::from_secs(1);
 /// The final response is sent this long before the caller's deadline, so that it arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 /// Waiting requests are refused this long before the end of a planned stop, so that none is cut off without a
@@ -131,6 +133,7 @@
             true => Some(self.find_origin(call, &queue.group).await?),
             false => None,
         };
+        let queue = queue.with_version(version);
         if let Some(model) = &queue.model {
             self.node.count_arrival(&queue.group, model);
         }
@@ -155,7 +158,6 @@
             body,
             route: route.clone(),
             queue,
-            version,
             parts,
             is_trial,
             organisation: organisation.map(|organisation| organisation.name.clone()),
@@ -214,7 +216,7 @@
         let mut may_have_run = 0;
         let mut failure = unavailable("not_sent", "no server took it");
         for send_index in 0..MAX_SENDS {
-            let found = wait_for_server(&self.node, &job, &tried, job.version.as_ref()).await;
+            let found = wait_for_server(&self.node, &job, &tried, &job.queue).await;
             let chosen = match found {
                 Ok(chosen) => chosen,
                 Err(problem) if may_have_run == 0 => return Err(problem),
@@ -391,7 +393,7 @@
     }
 }
 
-/// Waits for a server that can run a request.
+/// Waits in a queue for a server that can run a request.
 ///
 /// # Errors
 ///
@@ -400,11 +402,19 @@
     node: &Arc<node::Node<P>>,
     job: &attempt::Job,
     tried: &[SmolStr],
-    version: Option<&SmolStr>,
+    queue: &node::QueueKey,
 ) -> Result<node::Chosen, errors::Problem>
 where
     P: platform::Platform,
 {
+    // A caller whose stream goes on at one version only was told when it will find what it needs there.
+    let keep_demand = |problem: errors::Problem| {
+        if let (Some(_), Some(wait)) = (&queue.version, problem.retry_after) {
+            let until = node.now().after(wait + RETURN_MARGIN);
+            node.keep_demand(queue, until);
+        }
+        problem
+    };
     let total = job.deadline.since(job.arrived);
     let queue_timeout = timeout::first_byte(&job.route, total).mul_f64(QUEUE_TIMEOUT_RATIO);
     let queue_deadline = job.deadline.min(job.arrived.after(queue_timeout));
@@ -421,11 +431,10 @@
         });
         let query = node::Query {
             route: &job.route,
-            queue: &job.queue,
+            queue,
             call: &job.call,
             tried,
             remaining: give_up_at.since(now),
-            version,
         };
         let check_after = match node.choose(query) {
             node::Choice::Server(chosen) => return Ok(chosen),
@@ -443,8 +452,8 @@
                 return Err(unavailable("no_server_of_version", message)
                     .with_retry_after(retry_after(NO_SERVER_RETRY_DELAY, left)));
             }
-            node::Choice::NotLoaded(_) if node.load_trial_wait(&job.queue).is_some() => {
-                let wait = node.load_trial_wait(&job.queue).unwrap_or_default();
+            node::Choice::NotLoaded(_) if node.load_trial_wait(queue).is_some() => {
+                let wait = node.load_trial_wait(queue).unwrap_or_default();
                 return Err(unavailable(
                     "load_quarantined",
                     "engines crash as they load the model",
@@ -452,8 +461,9 @@
                 .with_retry_after(wait));
             }
             node::Choice::NotLoaded(Some(expected)) if now.after(expected) > give_up_at => {
-                return Err(unavailable("cold", "the model can't be loaded in time")
-                    .with_retry_after(retry_after(expected, left)));
+                let problem = unavailable("cold", "the model can't be loaded in time");
+                let delay = retry_after(expected, left);
+                return Err(keep_demand(problem.with_retry_after(delay)));
             }
             // Only a new arrival is refused: the forecast is for a request that arrives now, and requests that already
             // wait are ahead of it.
@@ -461,10 +471,9 @@
                 if waiter.is_none()
                     && expected > timeout::max_queue_wait(give_up_at.since(now)) =>
             {
-                return Err(
-                    unavailable("crowded", "too many wait for engines of the model")
-                        .with_retry_after(retry_after(expected, left)),
-                );
+                let problem = unavailable("crowded", "too many wait for engines of the model");
+                let delay = retry_after(expected, left);
+                return Err(keep_demand(problem.with_retry_after(delay)));
             }
             node::Choice::Limited(Some(expected))
                 if now.after(expected) > give_up_at && !may_load_elsewhere(job, now) =>
@@ -481,7 +490,7 @@
             }
             node::Choice::Resting(expected) => expected,
             // No other server will hold what these servers hold, so only a probe can end this.
-            node::Choice::Unreachable if job.queue.model.is_none() => {
+            node::Choice::Unreachable if queue.model.is_none() => {
                 return Err(unavailable("unreachable", "no server can be reached")
                     .with_retry_after(retry_after(routing::PROBE_INTERVAL, left)));
             }
@@ -499,11 +508,12 @@
             }
         };
         if now >= give_up_at {
-            return Err(unavailable("no_room", "no server had room in time")
-                .with_retry_after(retry_after(NO_ROOM_RETRY_DELAY, left)));
+            let problem = unavailable("no_room", "no server had room in time");
+            let delay = retry_after(NO_ROOM_RETRY_DELAY, left);
+            return Err(keep_demand(problem.with_retry_after(delay)));
         }
         if waiter.is_none() {
-            waiter = Some(node.register_waiting(&job.queue, job.arrived, give_up_at));
+            waiter = Some(node.register_waiting(queue, job.arrived, give_up_at));
         }
         let delay = check_after
             .min(give_up_at.since(now))
@@ -565,6 +575,7 @@
         group,
         model: call.model.clone().filter(|_| engine),
         adapter: call.adapter.clone().filter(|_| engine),
+        version: None,
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -258,6 +258,7 @@
             requested_update: None,
             has_directory: heartbeat.active && state.entries.is_some(),
             knows_versions: false,
+            needs_versions: false,
             shares_facts,
             has_waiting: false,
             all_engines,
@@ -338,6 +339,7 @@
             link.stamp_ms = demand.stamp_ms;
             link.read_age = Duration::from_millis(demand.read_age_ms.into());
             link.has_waiting = !demand.queues.is_empty();
+            link.needs_versions |= demand.queues.iter().any(|queue| queue.version.is_some());
         }
         if heartbeat.active {
             state.record_limits(now, &demand.limit_notices);
--- a/crates/fireflywheel_daemon/src/fleet/steward/broadcast.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/broadcast.rs
@@ -43,7 +43,7 @@
     pub(super) fn send_forecasts(&mut self, now: clock::Instant, forecasts: Vec<frame::Forecast>) {
         let models = |list: &[frame::Forecast]| {
             list.iter()
-                .map(|forecast| forecast.model.clone())
+                .map(|forecast| (forecast.model.clone(), forecast.version.clone()))
                 .collect::<Vec<_>>()
         };
         // Queues appear and disappear between two planning passes. Sending each change at once would cost as
@@ -60,10 +60,26 @@
         let empty = forecasts.is_empty() && self.forecasts.is_empty();
         self.forecasts = forecasts;
         self.forecasts_sent_at = now;
-        if !empty {
-            let frame = frame::Frame::Forecast(self.forecasts.clone());
-            self.broadcast(&frame);
+        if empty {
+            return;
         }
+        let has_versions = self.forecasts.iter().any(|one| one.version.is_some());
+        let all = frame::Frame::Forecast(self.forecasts.clone()).encode();
+        let others = match has_versions {
+            true => self.unversioned_forecasts().encode(),
+            false => all.clone(),
+        };
+        self.links.retain(|_, link| {
+            let frame = if link.needs_versions { &all } else { &others };
+            link.sender.try_send(frame.clone()).is_ok()
+        });
+    }
+
+    /// The forecasts for requests that any version can run.
+    fn unversioned_forecasts(&self) -> frame::Frame {
+        let forecasts = self.forecasts.iter();
+        let unversioned = forecasts.filter(|forecast| forecast.version.is_none());
+        frame::Frame::Forecast(unversioned.cloned().collect())
     }
 
     /// Broadcasts the loads of engines when that is due. Returns them for this instance itself.
@@ -132,7 +148,7 @@
         if all_engines {
             frames.extend(self.engine_frames(now));
         }
-        frames.push(frame::Frame::Forecast(self.forecasts.clone()));
+        frames.push(self.unversioned_forecasts());
         frames.push(frame::Frame::Standbys(self.standbys.clone()));
         if !self.shares.is_empty() {
             frames.push(frame::Frame::Shares(self.shares.clone()));
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -54,6 +54,9 @@
     pub(super) knows_versions: bool,
     /// Whether its release shares facts of crashes. A frame that it can't read would end the link.
     pub(super) shares_facts: bool,
+    /// Whether requests have waited there for servers of a certain version. An instance of a release that doesn't distinguish
+    /// versions would take forecasts for a version as those for all.
+    pub(super) needs_versions: bool,
     /// Whether requests wait there, so that each change of an engine may matter to it at once.
     pub(super) has_waiting: bool,
     /// Whether it receives all engines.
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -258,8 +258,16 @@
         forecasts.extend(forecast.map(|(model, wait)| frame::Forecast {
             group: group.clone(),
             model,
+            version: None,
             wait_ms: frame::millis(wait),
         }));
+        let versioned = plan::version_forecasts(&view).into_iter();
+        forecasts.extend(versioned.map(|forecast| frame::Forecast {
+            group: group.clone(),
+            model: forecast.model,
+            version: Some(forecast.version),
+            wait_ms: forecast.wait.map_or(frame::NEVER_MS, frame::millis),
+        }));
         log_delays(&view, &mut self.delays_logged_at);
         let mut steps = plan::steps(&view);
         steps.retain(|step| match step {
@@ -420,8 +428,8 @@
         logged_at.insert(pending.model.clone(), view.now);
         log::info!(
             model = pending.model.as_str(), waiting = pending.waiting,
-            waited_ms = clock::millis(waited),
-            why = plan::blocked_reason(view, &pending.model);
+            version = pending.version.as_deref().unwrap_or_default(), waited_ms = clock::millis(waited),
+            why = plan::blocked_reason(view, pending);
             "requests wait for model"
         );
     }
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -60,7 +60,7 @@
         framing,
         content: Content::new(&job.route, &upstream.head.headers),
         has_data: false,
-        origin: Origin::new(job.version.as_ref()),
+        origin: Origin::new(job.queue.version.as_ref()),
         has_begun: false,
         source: Source::new(upstream),
         tried: Vec::new(),
@@ -409,13 +409,13 @@
         let mut tried = self.tried.clone();
         tried.push(self.source.server.clone());
         let job = &self.job;
+        let queue = self.queue();
         let query = node::Query {
             route: &job.route,
-            queue: &job.queue,
+            queue: &queue,
             call: &job.call,
             tried: &tried,
             remaining: Duration::ZERO,
-            version: self.origin.version(),
         };
         match self.node.choose(query) {
             node::Choice::Server(chosen) if !tried.contains(&chosen.server) => {
@@ -467,10 +467,17 @@
         self.send(chosen).await
     }
 
+    /// The queue in which the stream waits for a server that can resume it.
+    fn queue(&self) -> node::QueueKey {
+        let queue = self.job.queue.clone();
+        queue.with_version(self.origin.version().cloned())
+    }
+
     /// Waits for a server that can resume the stream, and takes a retry from the group's budget.
     async fn wait_for_server(&self) -> Option<node::Chosen> {
+        let queue = self.queue();
         let chosen = tokio::select! {
-            found = relay::wait_for_server(&self.node, &self.job, &self.tried, self.origin.version()) => found.ok()?,
+            found = relay::wait_for_server(&self.node, &self.job, &self.tried, &queue) => found.ok()?,
             () = self.sender.closed() => return None,
         };
         self.node.try_retry(&self.job.queue.group).then_some(chosen)
