--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -260,6 +260,7 @@
             has_directory: heartbeat.active && state.entries.is_some(),
             knows_versions: false,
             keeps_streams: false,
+            needs_versions: false,
             shares_facts,
             has_waiting: false,
             all_engines,
@@ -343,6 +344,7 @@
             link.stamp_ms = demand.stamp_ms;
             link.read_age = Duration::from_millis(demand.read_age_ms.into());
             link.has_waiting = !demand.queues.is_empty();
+            link.needs_versions |= demand.queues.iter().any(|queue| queue.version.is_some());
         }
         if heartbeat.active {
             state.record_limits(now, &demand.limit_notices);
