New streams of a release wait for a record of the steward only, not for the version to be known for seconds

The soak saw: streams that begin where only the new version holds the model got a head and no event for 5 s, beyond their callers' patience. Cause: the first event of such a stream waited until the version had been known for 5 s, so that a steward that takes office in that time may conclude that streams which nobody reported are of the version before. Change: the lease's record says in which groups streams of other versions may have been recorded. A steward writes it before it confirms the first such stream of a group, and a later one concludes only if the record that it took the lease from says that there are none, or if it was in office before the second version appeared. Not known (a hand-over, an older copy of the store, earlier releases) means that there may be.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -395,17 +395,12 @@
     #[must_use]
     pub fn proposal(&self, now: clock::Instant) -> Option<(Position, Record)> {
         if let Some(held) = self.held {
-            let record = Record {
-                fencing: Some(held.fencing),
-                ..self.current_record()
-            };
-            let is_end_current = self.era == Some(held.end.era);
             let may_rewrite = held.rewrite_deadline.is_some_and(|deadline| now < deadline);
             if self.era != Some(held.era) && !may_rewrite && !self.fenced {
                 return None;
             }
-            return (is_end_current && held.is_renewal_due(now, self.options.renewal))
-                .then_some((held.end, record));
+            let is_due = held.is_renewal_due(now, self.options.renewal);
+            return self.renewal().filter(|_| is_due);
         }
         let observation = self.observation.as_ref()?;
         let end = observation.end.filter(|end| self.era == Some(end.era))?;
@@ -419,6 +414,24 @@
         (never_written || lapsed || (released && self.fenced)).then(|| (end, self.current_record()))
     }
 
+    /// The record to write and the end to write it at before a renewal is due; `None` if this instance doesn't hold the lease in
+    /// the current era.
+    #[must_use]
+    pub fn early_renewal(&self) -> Option<(Position, Record)> {
+        let is_current = self.held.is_some_and(|held| self.era == Some(held.era));
+        self.renewal().filter(|_| is_current)
+    }
+
+    /// The holder's record, if its end is in the current era.
+    fn renewal(&self) -> Option<(Position, Record)> {
+        let held = self.held?;
+        let record = Record {
+            fencing: Some(held.fencing),
+            ..self.current_record()
+        };
+        (self.era == Some(held.end.era)).then_some((held.end, record))
+    }
+
     /// This instance's record in the current era.
     fn current_record(&self) -> Record {
         Record {
--- a/crates/fireflywheel/src/fleet/lease/record.rs
+++ b/crates/fireflywheel/src/fleet/lease/record.rs
@@ -1,5 +1,7 @@
 //! What is written to the store for the lease, and what its holder tells a successor.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -67,6 +69,10 @@
     /// The quarantined parts of prompts.
     #[serde(default)]
     pub quarantined: Vec<quarantine::Verdict>,
+    /// The groups in which the writer or an earlier steward may have recorded streams that nobody would take for those from
+    /// before a release; `None` if that isn't known.
+    #[serde(default)]
+    pub recorded_groups: Option<BTreeSet<SmolStr>>,
 }
 
 impl Reading {
--- a/crates/fireflywheel/src/fleet/origin.rs
+++ b/crates/fireflywheel/src/fleet/origin.rs
@@ -32,9 +32,8 @@
 /// The same if the steward doesn't say so. It is less than [`YOUNG_TIME`].
 const MAX_AGE_ALONE: Duration = Duration::from_secs(2);
 
-/// How long streams begin at other versions, if they can, after a version was first seen: until all instances know it, and a
-/// steward that has ended as the version appeared has a successor.
-const YOUNG_TIME: Duration = Duration::from_secs(5);
+/// How long streams begin at other versions, if they can, after a version was first seen: until all instances know it.
+const YOUNG_TIME: Duration = Duration::from_secs(3);
 
 /// How long after a second version was first seen there may be callers of streams that nobody reported, since their
 /// instances knew a single version.
@@ -64,6 +63,9 @@
     pub attempt: SmolStr,
     /// The group.
     pub group: SmolStr,
+    /// Whether the stream is a new one that begins at the asking instance once the steward has recorded it.
+    #[serde(default)]
+    pub is_confirmation: bool,
 }
 
 /// The steward's answer to a [`Query`].
@@ -366,20 +368,28 @@
         release.is_some_and(|release| release.base.as_deref() != Some(version))
     }
 
+    /// Whether a stream of a group that nobody reported may be taken for one of this version, so that it needs no record.
+    #[must_use]
+    pub fn is_base(&self, now: clock::Instant, group: &str, version: &SmolStr) -> bool {
+        let release = self.release(now, group);
+        let base = release.and_then(|release| release.base.as_ref());
+        base == Some(version) || self.sole(now, group, true) == Some(version)
+    }
+
     /// The version at which a stream began that was not reported to a steward in office since `since`; `None` if that isn't
-    /// known. A stream of another version can have been reported only to an earlier steward, and none was before that version
-    /// had ceased to be young.
+    /// known. `recorded_before` says whether an earlier steward may have recorded streams of other versions.
     #[must_use]
     pub fn unreported(
         &self,
         now: clock::Instant,
         group: &str,
         since: clock::Instant,
+        recorded_before: bool,
     ) -> Option<&SmolStr> {
         let release = self.release(now, group)?;
         let absent_at = release.absent_at?;
         let is_in_time = now.since(absent_at) < RELEASE_TIME;
-        let is_complete = since <= absent_at.after(YOUNG_TIME);
+        let is_complete = since <= absent_at || !recorded_before;
         release.base.as_ref().filter(|_| is_in_time && is_complete)
     }
 
--- a/crates/fireflywheel/tests/fleet/origin.rs
+++ b/crates/fireflywheel/tests/fleet/origin.rs
@@ -86,8 +86,6 @@
 
 /// How long a version is there before a second one appears.
 const STEADY_TIME: Duration = Duration::from_secs(10);
-/// Longer than a version is young.
-const GROWN_UP_TIME: Duration = Duration::from_secs(8);
 
 /// An instance that has seen one version alone and then a second one, and the time at which that appeared.
 fn releasing() -> (History, Instant) {
@@ -98,7 +96,9 @@
 }
 
 fn unreported(history: &History, now: Instant, since: Instant) -> Option<&str> {
-    history.unreported(now, GROUP, since).map(SmolStr::as_str)
+    history
+        .unreported(now, GROUP, since, true)
+        .map(SmolStr::as_str)
 }
 
 fn unreported_streams_began_at_the_earlier_version() {
@@ -132,10 +132,12 @@
 
 fn late_steward_concludes_nothing() {
     let (mut history, now) = releasing();
-    let in_time = now.after(Duration::from_secs(3));
-    let late = read_for(&mut history, now, GROWN_UP_TIME, &["v1", "v2"]);
-    assert_eq!(unreported(&history, late, in_time), Some("v1"));
-    assert_eq!(unreported(&history, late, late), None);
+    let later = read_for(&mut history, now, STEADY_TIME, &["v1", "v2"]);
+    assert_eq!(unreported(&history, later, START), Some("v1"));
+    assert_eq!(unreported(&history, later, now), None);
+    // No earlier steward has recorded a stream of another version.
+    let concluded = history.unreported(later, GROUP, now, false);
+    assert_eq!(concluded.map(SmolStr::as_str), Some("v1"));
 }
 
 fn nothing_is_concluded_from_versions_that_came_together() {
@@ -201,6 +203,7 @@
     Query {
         attempt: attempt.into(),
         group: group.into(),
+        is_confirmation: false,
     }
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/origin.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/origin.rs
@@ -22,6 +22,10 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Delay until the steward is asked again, or another one.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Delay until the steward is asked again whether it has recorded a stream.
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(30);
+/// How long the report of a stream may take. A caller may come back sooner.
+const REPORT_TIME: Duration = Duration::from_millis(400);
 
 /// What an instance knows of streams and versions.
 #[derive(Debug)]
@@ -215,19 +219,27 @@
         let query = Query {
             attempt: attempt.clone(),
             group: group.clone(),
+            is_confirmation: false,
         };
         if let Some(version) = self.own_origin(&query) {
             return self.found(group, "own", Ok(version));
         }
+        let reported_at = self.now().after(REPORT_TIME);
         loop {
             match self.ask(query.clone()).await {
                 Some(Answer::Version(version)) => return self.found(group, "steward", Ok(version)),
-                Some(Answer::NotReported) => return self.sole_version(group, true),
-                Some(Answer::Unknown) | None => {}
-            }
-            let found = self.sole_version(group, false);
-            if found.result.is_ok() || self.now() >= until || self.is_draining() {
-                return found;
+                Some(Answer::NotReported) => {
+                    let found = self.sole_version(group, true);
+                    if found.result.is_ok() || self.now() >= reported_at {
+                        return found;
+                    }
+                }
+                Some(Answer::Unknown) | None => {
+                    let found = self.sole_version(group, false);
+                    if found.result.is_ok() || self.now() >= until || self.is_draining() {
+                        return found;
+                    }
+                }
             }
             time::sleep(RETRY_DELAY).await;
         }
@@ -248,32 +260,28 @@
             // No caller gets an answer about it.
             return true;
         }
+        let query = Query {
+            attempt: attempt.clone(),
+            group: group.clone(),
+            is_confirmation: true,
+        };
         loop {
             let now = self.now();
-            let youth = {
+            let is_needed = {
                 let state = self.lock();
-                let history = &state.origins.history;
-                if !history.needs_record(now, group, version) {
-                    return true;
-                }
-                history.youth(now, group, version)
+                state.origins.history.needs_record(now, group, version)
             };
-            if now.after(youth) > until || now >= until {
-                return false;
+            if !is_needed {
+                return true;
             }
-            if !youth.is_zero() {
-                time::sleep(youth).await;
-                continue;
+            if now >= until {
+                return false;
             }
-            let query = Query {
-                attempt: attempt.clone(),
-                group: group.clone(),
-            };
-            match self.ask(query).await {
+            match self.ask(query.clone()).await {
                 Some(Answer::Version(recorded)) => return recorded == *version,
                 Some(Answer::NotReported | Answer::Unknown) | None => {}
             }
-            time::sleep(RETRY_DELAY).await;
+            time::sleep(CONFIRMATION_DELAY).await;
         }
     }
 
@@ -430,12 +438,35 @@
     }
 
     /// The version at which a stream of a group began that was not reported to this instance as steward since `since`;
-    /// `None` if that isn't known.
+    /// `None` if that isn't known. `recorded_before` says whether an earlier steward may have recorded streams of other
+    /// versions.
     #[must_use]
-    pub fn unreported_origin(&self, group: &str, since: clock::Instant) -> Option<SmolStr> {
+    pub fn unreported_origin(
+        &self,
+        group: &str,
+        since: clock::Instant,
+        recorded_before: bool,
+    ) -> Option<SmolStr> {
         let now = self.now();
         let state = self.lock();
-        state.origins.history.unreported(now, group, since).cloned()
+        let history = &state.origins.history;
+        history
+            .unreported(now, group, since, recorded_before)
+            .cloned()
+    }
+
+    /// Whether a stream that nobody reported may be taken for one of this version.
+    #[must_use]
+    pub fn is_base_version(&self, group: &str, version: &SmolStr) -> bool {
+        let now = self.now();
+        self.lock().origins.history.is_base(now, group, version)
+    }
+
+    /// Whether a group has a single version, as far as it is known.
+    #[must_use]
+    pub fn has_sole_version(&self, group: &str) -> bool {
+        let now = self.now();
+        self.lock().origins.history.sole(now, group, true).is_some()
     }
 
     /// Records the versions of the servers that are there, and forgets what no caller comes back for.
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -122,6 +122,10 @@
             entries: None,
             own_gateway: None,
             origins: origin::Registry::new(origins::MAX_STREAMS),
+            recorded_groups: BTreeSet::new(),
+            written_groups: Some(BTreeSet::new()),
+            inherited_groups: None,
+            read_groups: None,
             keepers: Vec::new(),
             versions: origin::Versions::default(),
             versions_sent_at: clock::Instant::default(),
@@ -377,6 +381,7 @@
         let now = self.node.now();
         let mut state = self.lock();
         state.lease.accept_hand_over(now, hand_over);
+        state.read_groups = None;
         state.lease_known = true;
         drop(state);
         log::info!(fencing = hand_over.fencing; "lease received");
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -65,6 +65,17 @@
     true
 }
 
+/// The groups in which earlier stewards may have recorded streams of other versions; `None` if a reading doesn't tell.
+fn recorded_groups(reading: &lease::Reading, is_first_start: bool) -> Option<BTreeSet<SmolStr>> {
+    match &reading.record {
+        None if is_first_start && reading.end.offset == 0 => Some(BTreeSet::new()),
+        None => None,
+        // An older copy of the store may have lost a later record.
+        Some((_, record)) if record.era != Some(reading.end.era) => None,
+        Some(_) => reading.attachment.recorded_groups.clone(),
+    }
+}
+
 /// The next step for the lease.
 enum Task {
     Nothing,
@@ -189,7 +200,13 @@
         if self.node.needs_secret() && !holds {
             return Task::Read;
         }
-        match state.lease.proposal(now) {
+        let early = || {
+            state
+                .lease
+                .early_renewal()
+                .filter(|_| state.has_unwritten_groups())
+        };
+        match state.lease.proposal(now).or_else(early) {
             Some((end, record)) if known => Task::Write(end, record),
             _ if holds && known => Task::Nothing,
             _ => Task::Read,
@@ -240,6 +257,7 @@
                 self.node.merge_verdicts(&attachment.quarantined);
                 let mut state = self.lock();
                 self.update_era(self.node.now(), &mut state);
+                state.read_groups = recorded_groups(&reading, self.node.settings.first_start);
                 state.lease.record_reading(requested_at, reading);
                 state.lease_known = true;
             }
@@ -256,6 +274,7 @@
             secret: Some(self.node.ensure_tunnel_secret()),
             versions: Some(self.node.versions()),
             quarantined: self.node.verdicts(),
+            recorded_groups: self.recorded_groups(),
         }
     }
 
@@ -271,6 +290,7 @@
                 let mut state = self.lock();
                 self.update_era(self.node.now(), &mut state);
                 state.lease.record_accepted(sent_at, position, record);
+                state.written_groups = attachment.recorded_groups;
                 drop(state);
                 if is_takeover {
                     log::info!(offset = position.offset, era = position.era.0; "lease taken");
--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -2,11 +2,13 @@
 //!
 //! What only the steward knows would end with it, above all where its own streams began, so some instances keep a copy.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fireflywheel::clock;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::origin::{self, Answer, Query, Record};
+use smol_str::SmolStr;
 
 use super::super::platform;
 use super::Steward;
@@ -32,11 +34,29 @@
         state: &mut State,
         report: &origin::Report,
     ) -> Vec<origin::Reply> {
+        let others = report
+            .begun
+            .iter()
+            .filter(|record| !self.node.is_base_version(&record.group, &record.version));
+        for record in others {
+            state.recorded_groups.insert(record.group.clone());
+        }
+        if state.has_unwritten_groups() {
+            self.lease_wake.notify_one();
+        }
         state.record_streams(now, &report.begun);
         let since = state.role_changed_at;
         let is_settled = now.since(since) >= origin::SETTLING_TIME;
         let answer = |query: &Query| match state.origins.answer(now, query, is_settled) {
-            Answer::NotReported => self.conclude_origin(query, since),
+            Answer::NotReported => self.conclude_origin(state, query),
+            // A later steward has to know first that there are such streams.
+            Answer::Version(version)
+                if query.is_confirmation
+                    && !self.node.is_base_version(&query.group, &version)
+                    && !state.is_written(&query.group) =>
+            {
+                Answer::Unknown
+            }
             other => other,
         };
         let queries = report.queries.iter();
@@ -48,9 +68,15 @@
             .collect()
     }
 
-    /// The answer about a stream that was not reported to this instance, which is steward since `since`.
-    fn conclude_origin(&self, query: &Query, since: clock::Instant) -> Answer {
-        let Some(version) = self.node.unreported_origin(&query.group, since) else {
+    /// The answer about a stream that was not reported to this instance as steward.
+    fn conclude_origin(&self, state: &State, query: &Query) -> Answer {
+        let inherited = state.inherited_groups.as_ref();
+        let recorded_before = inherited.is_none_or(|groups| groups.contains(&query.group));
+        let since = state.role_changed_at;
+        let concluded = self
+            .node
+            .unreported_origin(&query.group, since, recorded_before);
+        let Some(version) = concluded else {
             return Answer::NotReported;
         };
         log::info!(
@@ -60,6 +86,31 @@
         Answer::Version(version)
     }
 
+    /// The groups in whose releases streams of other versions may have been recorded, for later stewards; `None` if that isn't
+    /// known.
+    pub(super) fn recorded_groups(&self) -> Option<BTreeSet<SmolStr>> {
+        let now = self.node.now();
+        let mut state = self.lock();
+        let State {
+            recorded_groups,
+            inherited_groups,
+            read_groups,
+            role_changed_at,
+            active_fencing,
+            ..
+        } = &mut *state;
+        if active_fencing.is_none() {
+            // A takeover hands on what it has read.
+            return read_groups.clone();
+        }
+        recorded_groups.retain(|group| !self.node.has_sole_version(group));
+        if now.since(*role_changed_at) >= origin::RELEASE_TIME {
+            return Some(recorded_groups.clone());
+        }
+        let inherited = inherited_groups.as_ref()?;
+        Some(recorded_groups.union(inherited).cloned().collect())
+    }
+
     /// Keeps streams for the steward.
     pub fn keep_streams(&self, records: Vec<Record>) {
         let now = self.node.now();
@@ -94,6 +145,18 @@
 }
 
 impl State {
+    /// Whether the lease's record lacks a group in which streams of other versions were recorded.
+    pub(super) fn has_unwritten_groups(&self) -> bool {
+        let mut groups = self.recorded_groups.iter();
+        groups.any(|group| !self.is_written(group))
+    }
+
+    /// Whether a later steward knows from the lease's record that streams of other versions may have been recorded in a group.
+    fn is_written(&self, group: &SmolStr) -> bool {
+        let written = self.written_groups.as_ref();
+        written.is_none_or(|written| written.contains(group))
+    }
+
     /// Records streams, and has other instances keep them as well.
     fn record_streams(&mut self, now: clock::Instant, records: &[Record]) {
         let origins = &mut self.origins;
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -86,6 +86,14 @@
     pub(super) entries: Option<BTreeMap<SmolStr, frame::Entry>>,
     /// The streams that instances have reported.
     pub(super) origins: origin::Registry,
+    /// Groups in which streams were recorded that nobody would take for those from before a release.
+    pub(super) recorded_groups: BTreeSet<SmolStr>,
+    /// Those that the lease's record has, as this instance has written it; `None` if it says that they aren't known.
+    pub(super) written_groups: Option<BTreeSet<SmolStr>>,
+    /// Those that an earlier steward's record of the lease had; `None` if this instance didn't take the lease after reading it.
+    pub(super) inherited_groups: Option<BTreeSet<SmolStr>>,
+    /// Those in the lease's record as it was last read; `None` if a hand-over came later.
+    pub(super) read_groups: Option<BTreeSet<SmolStr>>,
     /// The links of instances that keep these streams as well.
     pub(super) keepers: Vec<u64>,
     /// The versions of groups' servers as they were last sent.
@@ -140,6 +148,9 @@
         self.tracked_versions = (0, 0);
         self.versions = origin::Versions::default();
         self.keepers.clear();
+        self.recorded_groups.clear();
+        self.written_groups = Some(BTreeSet::new());
+        self.inherited_groups = self.read_groups.take();
         self.entries = None;
         for link in self.links.values_mut() {
             link.all_engines = false;
