New requests leave room for streams that only one version can go on with

Callers saw: with all engines full, streams that they took up again were refused with no_room and crowded, though servers of their version were there, while new ones began at the other version. Cause: a stream that is taken up again can go to engines of its version only; new requests go wherever there is room, and take the places of that version as well. All wait with equal chances for each place (`routing::Candidate::has_room` knew no difference). Change: while engines of several versions hold the model, requests that can go to any leave a quarter of the slots, or one request, of what an engine gets beyond its slots. Slots themselves are filled as before; groups with a single version and plain services are not touched. Limits and brittle servers: their tests are green. What it costs new requests under such load wasn't measured.

--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -31,6 +31,10 @@
 /// requests would only wait there, late and bound to that engine, while another replica of their model is
 /// loaded. With none, slots would stay empty until instances learn that they are free.
 const MAX_QUEUE_RATIO: f64 = 0.5;
+/// The share of an engine's slots that requests leave free for those that can't go to other servers, and the least number
+/// of requests. It is part of the requests beyond those that the engine runs at once, so that no slot stays empty.
+const RESERVED_RATIO: f64 = 0.25;
+const MIN_RESERVED: f64 = 1.0;
 /// The time for which a server isn't chosen after it refused a request because it was full.
 const FULL_HOLD_OFF: Duration = Duration::from_millis(40);
 
@@ -71,6 +75,8 @@
     pub same_domain: bool,
     /// Whether requests to the server go through another instance.
     pub is_detour: bool,
+    /// Whether the request leaves room at the server for those that can't go to other servers.
+    pub leaves_reserve: bool,
     /// The number of requests of other instances at the server, according to the steward. It only decides
     /// whether the server has room and doesn't rank servers: all instances receive the same numbers a moment
     /// late and would all turn to the server that was idle then.
@@ -191,7 +197,12 @@
         } else {
             MAX_QUEUE_RATIO
         };
-        let max_requests = f64::from(self.slots) * (1.0 + queue_ratio);
+        let slots = f64::from(self.slots);
+        let reserved = match self.leaves_reserve {
+            true => (slots * RESERVED_RATIO).max(MIN_RESERVED),
+            false => 0.0,
+        };
+        let max_requests = slots.max(slots * (1.0 + queue_ratio) - reserved);
         let known_requests = f64::from(self.stats.in_flight + self.other_requests);
         let is_full = self.other_requests > 0 && known_requests >= max_requests;
         now >= self.stats.full_until && !is_full
--- a/crates/fireflywheel/tests/fleet/load.rs
+++ b/crates/fireflywheel/tests/fleet/load.rs
@@ -156,6 +156,7 @@
     let candidates: Vec<Candidate<'_>> = (0..6)
         .map(|index| Candidate {
             is_detour: false,
+            leaves_reserve: false,
             stats: &stats,
             slots: 64,
             same_domain: true,
--- a/crates/fireflywheel/tests/fleet/overload.rs
+++ b/crates/fireflywheel/tests/fleet/overload.rs
@@ -256,6 +256,7 @@
         let candidates: Vec<Candidate<'_>> = (0..ENGINES)
             .map(|index| Candidate {
                 is_detour: false,
+                leaves_reserve: false,
                 stats: &self.stats[instance][index],
                 slots: SLOTS,
                 same_domain: true,
--- a/crates/fireflywheel/tests/fleet/routing.rs
+++ b/crates/fireflywheel/tests/fleet/routing.rs
@@ -10,6 +10,7 @@
 fn candidate(stats: &Stats) -> Candidate<'_> {
     Candidate {
         is_detour: false,
+        leaves_reserve: false,
         stats,
         slots: 8,
         same_domain: true,
@@ -129,6 +130,24 @@
     assert_eq!(routing::pick(NOW, &[others(12)], 0), None);
 }
 
+fn reserve_is_left() {
+    let stats = Stats::default();
+    let others = |slots, other_requests, leaves_reserve| Candidate {
+        slots,
+        other_requests,
+        leaves_reserve,
+        ..candidate(&stats)
+    };
+    // For each number of slots, the number of requests from which on an engine takes no more, with the reserve and without.
+    for (slots, reserving, all) in [(1, 1, 2), (2, 2, 3), (8, 10, 12)] {
+        for (leaves_reserve, full) in [(true, reserving), (false, all)] {
+            let pick = |count| routing::pick(NOW, &[others(slots, count, leaves_reserve)], 0);
+            assert!(pick(full - 1).is_some(), "{slots} slots");
+            assert_eq!(pick(full), None, "{slots} slots");
+        }
+    }
+}
+
 fn own_requests_do_not_fill_server() {
     let busy = loaded(20);
     assert!(routing::pick(NOW, &[candidate(&busy)], 0).is_some());
@@ -138,6 +157,8 @@
     /// Instances that each see only their own requests fill one engine. Requests queued there are late and
     /// can't move to the replica of their model that is loaded a moment later.
     requests_of_others_fill_engine => engine_filled_by_others_is_skipped();
+    /// Streams that can go on at servers of one version only find these full of requests that could go elsewhere.
+    requests_leave_room_for_those_without_a_choice => reserve_is_left();
     /// Without a steward's report, an engine has room until it refuses a request, as far as an instance
     /// knows.
     server_has_room_without_report => own_requests_do_not_fill_server();
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -247,6 +247,12 @@
         servers: &[&'a state::ServerState],
     ) -> Option<Picked<'a>> {
         let Query { route, call, .. } = query;
+        // Streams that callers take up again can go to servers of one version only.
+        let mut versions = servers.iter().map(|known| &known.server.version);
+        let first = versions.next();
+        let has_several_versions = versions.any(|version| Some(version) != first);
+        let is_for_any = query.version.is_none() && query.queue.model.is_some();
+        let leaves_reserve = is_for_any && has_several_versions;
         let prompt = prompt(call);
         let parts = call
             .shared_prefix
@@ -263,6 +269,7 @@
                 stats: &known.stats,
                 slots: known.server.slots,
                 is_detour: known.reach.is_lost(),
+                leaves_reserve,
                 same_domain: known.server.failure_domain == self.settings.failure_domain,
                 other_requests: known.backlog.other_requests(now),
                 prefill_ratio: prefill_ratio(now, route, known, prefill_tokens(known)),
