Rig: a link to another instance is one connection

Cause: since instances' links run over the platform's network, the rig opened each of them by `partition::Network::connect`, which connects to the target and closes that connection first, to learn whether it accepts any. A listener that counts its connections took it for the link. Change: links are opened by `connect_once`, without that connection; one to an instance that is gone ends at once in place of being refused.

--- a/crates/fireflywheel_standin/src/partition.rs
+++ b/crates/fireflywheel_standin/src/partition.rs
@@ -80,19 +80,37 @@
     ///
     /// Returns an error if the partition refuses or resets the connection, or if the server does.
     pub async fn connect(&self, server: SocketAddr) -> io::Result<TcpStream> {
+        self.wait_for_path(server).await?;
+        // The link accepts connections whether or not the server does.
+        TcpStream::connect(server).await?;
+        self.connect_link(server).await
+    }
+
+    /// Opens a connection to a server that counts its connections. If it accepts none, the connection ends at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the partition refuses or resets the connection.
+    pub async fn connect_once(&self, server: SocketAddr) -> io::Result<TcpStream> {
+        self.wait_for_path(server).await?;
+        self.connect_link(server).await
+    }
+
+    async fn wait_for_path(&self, server: SocketAddr) -> io::Result<()> {
         let mut faults = self.inner.faults.subscribe();
         loop {
             let fault = fault_of(&faults.borrow_and_update(), server);
             match fault.map(|fault| fault.new) {
-                None => break,
+                None => return Ok(()),
                 Some(New::Refuse) => return Err(io::ErrorKind::ConnectionRefused.into()),
                 Some(New::Reset) => return Err(io::ErrorKind::ConnectionReset.into()),
                 // The sender lives as long as `self`.
                 Some(New::Hang) => faults.changed().await.expect("the sender exists"),
             }
         }
-        // The link accepts connections whether or not the server does.
-        TcpStream::connect(server).await?;
+    }
+
+    async fn connect_link(&self, server: SocketAddr) -> io::Result<TcpStream> {
         let known = self.links().get(&server).map(|link| link.address());
         let address = match known {
             Some(address) => address,
