Soak: engines of several software versions, and releases

The soak let engines change between two versions whenever they restarted. It had no release, and thus no group whose versions change while every engine stays in service. A release starts an engine of a newer version beside each one in turn; the one that it replaces announces that it leaves and is ended after the leaving period. The other modes are unchanged.

--- a/crates/fireflywheel_standin/src/main.rs
+++ b/crates/fireflywheel_standin/src/main.rs
@@ -174,6 +174,8 @@
         trial::script::Faults::Planned
     } else if args.get_flag("drills") {
         trial::script::Faults::Drills
+    } else if args.get_flag("versions") {
+        trial::script::Faults::Versions
     } else {
         trial::script::Faults::Any
     }
@@ -203,6 +205,13 @@
                 .conflicts_with("planned")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("versions")
+                .long("versions")
+                .help("Also releases, and callers that return for their streams")
+                .conflicts_with_all(["planned", "drills"])
+                .action(ArgAction::SetTrue),
+        )
 }
 
 fn replay_command() -> Command {
--- a/crates/fireflywheel_standin/src/trial/deployment.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment.rs
@@ -4,6 +4,7 @@
 
 pub use launch::CRASH_PART;
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -12,7 +13,7 @@
 use std::{env, fs, process};
 
 use anyhow::Context as _;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use tokio::task::JoinSet;
 use tokio::time;
 
@@ -52,6 +53,8 @@
     pub models: usize,
     /// Additional arguments of the engines' program.
     pub engine_args: Vec<String>,
+    /// Software versions of the engines. Without them, each restart of an engine changes between two versions.
+    pub versions: Vec<u64>,
     /// Log level of the instances.
     pub log_level: &'static str,
     /// Folder for the instances' logs, one file each. Without it, the logs are discarded.
@@ -93,6 +96,8 @@
     folder: TempFolder,
     instances: Vec<Instance>,
     workers: Vec<Worker>,
+    /// Engines that releases have replaced and that still run.
+    replaced: Vec<Worker>,
     output_readers: JoinSet<()>,
     log_lines: Arc<AtomicU64>,
     log_bytes: Arc<AtomicU64>,
@@ -119,6 +124,8 @@
     child: Option<Child>,
     link: Proxy,
     is_engine: bool,
+    /// Number of the software version, if it doesn't change at each restart.
+    version: Option<u64>,
     incarnation: u64,
     id: SmolStr,
     /// When the worker announced that it leaves.
@@ -158,6 +165,7 @@
             folder,
             instances: Vec::new(),
             workers: Vec::new(),
+            replaced: Vec::new(),
             output_readers: JoinSet::new(),
             log_lines: Arc::default(),
             log_bytes: Arc::default(),
@@ -198,6 +206,19 @@
         self.instances[instance].incarnation
     }
 
+    /// Number of running engines of each software version that haven't announced that they leave.
+    #[must_use]
+    pub fn serving(&self) -> BTreeMap<SmolStr, usize> {
+        let mut serving = BTreeMap::new();
+        let is_serving =
+            |worker: &&Worker| worker.child.is_some() && worker.leaving_since.is_none();
+        for worker in self.workers.iter().filter(is_serving) {
+            let version = worker.version.unwrap_or_default();
+            *serving.entry(format_smolstr!("v{version}")).or_default() += 1;
+        }
+        serving
+    }
+
     /// The newest configuration version that the store has accepted.
     #[must_use]
     pub fn accepted_version(&self) -> u64 {
@@ -289,8 +310,10 @@
                     .leaving_since
                     .get_or_insert_with(time::Instant::now);
                 let change = fault::Change::new().with_leaving(true);
-                self.set_worker_faults(index, &change).await;
+                self.set_worker_faults(&self.workers[index], &change).await;
             }
+            Action::Upgrade(index, version) => self.upgrade_worker(index, version).await?,
+            Action::EndReplaced => self.end_replaced(LEAVING_PERIOD).await?,
             Action::ReplaceWorker(index) => {
                 let leaving_since = self.workers[index].leaving_since;
                 if leaving_since.is_some_and(|since| since.elapsed() >= LEAVING_PERIOD) {
@@ -300,11 +323,11 @@
             }
             Action::LoseWorkerAnswers(index, count) => {
                 let change = fault::Change::new().with_lose_answers(count);
-                self.set_worker_faults(index, &change).await;
+                self.set_worker_faults(&self.workers[index], &change).await;
             }
             Action::EndAnswersUnstated(index, count) => {
                 let change = fault::Change::new().with_end_unstated(count);
-                self.set_worker_faults(index, &change).await;
+                self.set_worker_faults(&self.workers[index], &change).await;
             }
             Action::BreakLink(link, fault) => self.proxy(link).inject(fault),
             Action::HealLink(link) => self.proxy(link).heal(),
@@ -337,6 +360,7 @@
     pub async fn heal(&mut self) -> anyhow::Result<()> {
         let change = fault::Change::new().with_outage(false).with_slow_ms(0);
         self.set_store_faults(&change.with_lose_answers(0)).await?;
+        self.end_replaced(Duration::ZERO).await?;
         for index in 0..self.workers.len() {
             if let Some(since) = self.workers[index].leaving_since {
                 // Requests may still be on their way to a worker that has just announced that it leaves.
@@ -397,6 +421,7 @@
         for index in 0..self.workers.len() {
             self.kill_worker(index).await?;
         }
+        self.end_replaced(Duration::ZERO).await?;
         self.store.kill().await?;
         while self.output_readers.join_next().await.is_some() {}
         Ok(())
--- a/crates/fireflywheel_standin/src/trial/deployment/launch.rs
+++ b/crates/fireflywheel_standin/src/trial/deployment/launch.rs
@@ -159,6 +159,7 @@
             link: new_worker_link().await?,
             crashed_at: None,
             is_engine: index < self.options.engines,
+            version: self.options.versions.get(index).copied(),
             incarnation: 0,
             id: SmolStr::default(),
             leaving_since: None,
@@ -184,8 +185,9 @@
             .with_args(["--reached-at", &worker.link.address().to_string()])
             .with_lines(sender);
         if worker.is_engine {
-            // Engines of both versions serve side by side, and each restart replaces one by the other.
-            let version = 1 + (index as u64 + worker.incarnation) % 2;
+            // Without given versions, engines of two serve side by side, and each restart replaces one by the other.
+            let alternating = 1 + (index as u64 + worker.incarnation) % 2;
+            let version = worker.version.unwrap_or(alternating);
             program = program.with_args(["--software-version", &format!("v{version}")]);
             program = program.with_args(&self.options.engine_args);
             program = program.with_args(["--crash-part", CRASH_PART]);
@@ -222,6 +224,50 @@
         Ok(())
     }
 
+    /// Starts an engine of a version beside the one at an index, unless that is newer, and has that one announce that it
+    /// leaves.
+    pub(super) async fn upgrade_worker(
+        &mut self,
+        index: usize,
+        version: u64,
+    ) -> anyhow::Result<()> {
+        let current = &self.workers[index];
+        if current.version >= Some(version) {
+            return Ok(());
+        }
+        let next = Worker {
+            child: None,
+            link: new_worker_link().await?,
+            crashed_at: None,
+            is_engine: true,
+            version: Some(version),
+            incarnation: current.incarnation,
+            id: SmolStr::default(),
+            leaving_since: None,
+        };
+        let mut previous = std::mem::replace(&mut self.workers[index], next);
+        self.start_worker(index, false).await?;
+        let change = fault::Change::new().with_leaving(true);
+        self.set_worker_faults(&previous, &change).await;
+        previous.leaving_since = Some(time::Instant::now());
+        self.replaced.push(previous);
+        Ok(())
+    }
+
+    /// Ends the replaced engines that announced this long ago that they leave.
+    pub(super) async fn end_replaced(&mut self, period: Duration) -> anyhow::Result<()> {
+        let is_due = |worker: &mut Worker| {
+            let since = worker.leaving_since;
+            since.is_some_and(|since| since.elapsed() >= period)
+        };
+        for mut worker in self.replaced.extract_if(.., is_due) {
+            if let Some(mut child) = worker.child.take() {
+                child.kill().await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Starts the workers that crashed at least [`CRASH_DOWNTIME`] ago, under new ids.
     ///
     /// # Errors
@@ -242,8 +288,8 @@
         Ok(())
     }
 
-    pub(super) async fn set_worker_faults(&self, index: usize, change: &fault::Change) {
-        if let Some(child) = &self.workers[index].child {
+    pub(super) async fn set_worker_faults(&self, worker: &Worker, change: &fault::Change) {
+        if let Some(child) = &worker.child {
             let base = child.base("listening");
             // A paused worker handles the request later or never.
             let call = self.client.set_faults(&base, change);
--- a/crates/fireflywheel_standin/src/trial/replay.rs
+++ b/crates/fireflywheel_standin/src/trial/replay.rs
@@ -234,6 +234,7 @@
         services: 2,
         models: options.models,
         engine_args: ENGINE_ARGS.map(str::to_owned).into(),
+        versions: Vec::new(),
         log_level: options.log_level,
         logs: None,
     };
--- a/crates/fireflywheel_standin/src/trial/script.rs
+++ b/crates/fireflywheel_standin/src/trial/script.rs
@@ -18,6 +18,14 @@
 const FAULTS_PER_RESTORE: u32 = 6;
 /// Age of the copy that the store is restored from, in milliseconds.
 const COPY_AGE_MS: std::ops::Range<u64> = 200..5000;
+/// Time between the starts of two releases, in milliseconds. A release may come before the previous one has ended.
+const RELEASE_INTERVAL_MS: std::ops::Range<u64> = 1000..5000;
+/// Time between the starts of two workers of a release, in milliseconds.
+const UPGRADE_INTERVAL_MS: std::ops::Range<u64> = 200..900;
+/// Time from the start of a worker of a release until the one that it replaces ends.
+const UPGRADE_TIME: Duration = LEAVING_PERIOD.saturating_add(Duration::from_millis(500));
+/// Time from the end of all faults to the release without faults.
+const QUIET_BEFORE_RELEASE: Duration = Duration::from_secs(2);
 /// Time that an instance gets to stop before it is killed, in milliseconds. It covers the whole grace period.
 const STOP_TIME_MS: std::ops::Range<u64> = 2300..3200;
 
@@ -32,6 +40,9 @@
     /// Planned operations only: stops, reloads, configuration changes and workers that leave. These must not lose any
     /// request.
     Planned,
+    /// Faults of every kind and releases, with engines of two or three software versions from the start and callers that
+    /// return for their streams.
+    Versions,
 }
 
 /// How long a worker continues to serve after it has announced that it leaves.
@@ -42,6 +53,8 @@
 pub struct Sizes {
     /// Number of instances.
     pub instances: usize,
+    /// Number of workers that are engines.
+    pub engines: usize,
     /// Number of workers; the engines come first.
     pub workers: usize,
 }
@@ -106,6 +119,11 @@
     /// Replaces a worker if it announced at least [`LEAVING_PERIOD`] ago that it leaves. Without this condition, the
     /// second of two overlapping departures would end the replacement that has just started.
     ReplaceWorker(usize),
+    /// Starts an engine of a version beside the one at this index, unless that is newer, and has that one announce that it
+    /// leaves.
+    Upgrade(usize, u64),
+    /// Ends the engines that were replaced and announced at least [`LEAVING_PERIOD`] ago that they leave.
+    EndReplaced,
     /// Drops the answers of a worker to this many of its next requests or orders, which it still carries out.
     LoseWorkerAnswers(usize, u64),
     /// Lets this many of a worker's next answers state neither a length nor chunks. Most of them end too early.
@@ -150,7 +168,7 @@
             1
         };
         let drawn = match faults {
-            Faults::Any => draw_fault(&mut rng, sizes),
+            Faults::Any | Faults::Versions => draw_fault(&mut rng, sizes),
             Faults::Drills if rng.random_ratio(1, FAULTS_PER_RESTORE) => draw_restore(&mut rng),
             Faults::Drills => draw_fault(&mut rng, sizes),
             Faults::Planned => draw_planned(&mut rng, sizes),
@@ -168,6 +186,9 @@
     if faults != Faults::Planned {
         steps.extend(unstated_endings(seed, time, sizes));
     }
+    if faults == Faults::Versions {
+        steps.extend(releases(seed, time, sizes).0);
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -187,6 +208,48 @@
     steps
 }
 
+/// Returns the software versions of the engines at the start. With one version, the only release is the one without
+/// faults, which is then the first time that the instances know two versions.
+#[must_use]
+pub fn versions(seed: u64, engines: usize) -> Vec<u64> {
+    let count = StdRng::seed_from_u64(seed.rotate_left(29)).random_range(1..=3);
+    let engines = 0..engines as u64;
+    engines.map(|engine| 1 + engine % count).collect()
+}
+
+/// Returns the steps of the releases among the faults, and of one to half of the engines after them, whose times count
+/// from the end of the faults. They are drawn apart like [`unstated_endings`].
+#[must_use]
+pub fn releases(seed: u64, time: Duration, sizes: Sizes) -> (Vec<Step>, Vec<Step>) {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(31));
+    let first = versions(seed, sizes.engines).into_iter().max();
+    let mut newest = first.unwrap_or(1);
+    let mut steps = Vec::new();
+    let mut at = draw_duration(&mut rng, RELEASE_INTERVAL_MS);
+    while at < time && first > Some(1) {
+        newest += 1;
+        steps.extend(release(&mut rng, newest, at, sizes.engines));
+        at += draw_duration(&mut rng, RELEASE_INTERVAL_MS);
+    }
+    let half = sizes.engines.div_ceil(2);
+    let mut last = release(&mut rng, newest + 1, QUIET_BEFORE_RELEASE, half);
+    last.sort_by_key(|step| step.at);
+    (steps, last)
+}
+
+/// Returns the steps of a release that replaces the first engines one after the other.
+fn release(rng: &mut StdRng, version: u64, mut at: Duration, engines: usize) -> Vec<Step> {
+    let mut steps = Vec::new();
+    for engine in 0..engines {
+        let action = Action::Upgrade(engine, version);
+        steps.push(Step { at, action });
+        let (at_end, action) = (at + UPGRADE_TIME, Action::EndReplaced);
+        steps.push(Step { at: at_end, action });
+        at += draw_duration(rng, UPGRADE_INTERVAL_MS);
+    }
+    steps
+}
+
 fn draw_duration(rng: &mut StdRng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
 }
--- a/crates/fireflywheel_standin/src/trial/soak.rs
+++ b/crates/fireflywheel_standin/src/trial/soak.rs
@@ -115,11 +115,16 @@
         services: 2,
         models: model_count(options),
         engine_args: Vec::new(),
+        versions: match options.faults {
+            Faults::Versions => script::versions(options.seed, options.engines),
+            _ => Vec::new(),
+        },
         log_level: "info",
         logs: options.logs.clone(),
     };
     let sizes = Sizes {
         instances: deployment_options.instances,
+        engines: deployment_options.engines,
         workers: deployment_options.engines + deployment_options.services,
     };
     let models = deployment_options.models;
--- a/crates/fireflywheel_standin/tests/trial.rs
+++ b/crates/fireflywheel_standin/tests/trial.rs
@@ -8,7 +8,7 @@
 use fireflywheel_standin::trial::caller::{self, Answer, Call, Kind, Outcome, Seen};
 use fireflywheel_standin::trial::proxy::{Flow, Proxy};
 use fireflywheel_standin::trial::replay::{Options, Pattern, arrivals};
-use fireflywheel_standin::trial::script::{Action, Faults, Sizes, steps};
+use fireflywheel_standin::trial::script::{Action, Faults, Sizes, releases, steps, versions};
 use hyper::StatusCode;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -16,6 +16,7 @@
 
 const SIZES: Sizes = Sizes {
     instances: 3,
+    engines: 3,
     workers: 5,
 };
 
@@ -113,11 +114,7 @@
 /// fails is started, resumed or healed later.
 fn check_any_script() {
     arbtest(|u| {
-        let faults = if u.arbitrary()? {
-            Faults::Any
-        } else {
-            Faults::Planned
-        };
+        let faults = *u.choose(&[Faults::Any, Faults::Planned, Faults::Versions])?;
         let steps = steps(u.arbitrary()?, faults, Duration::from_secs(10), SIZES);
         assert!(steps.is_sorted_by_key(|step| step.at));
         for step in &steps {
@@ -295,3 +292,30 @@
         assert_eq!(flaw, Some("the stream has events of two versions"));
     }
 }
+
+/// Guards against releases that change the other faults of a seed, or that take an engine back to an earlier version.
+#[test]
+fn releases_come_beside_the_faults_of_a_seed() {
+    let time = Duration::from_secs(10);
+    for seed in 0..50 {
+        let is_release =
+            |action: &Action| matches!(action, Action::Upgrade(..) | Action::EndReplaced);
+        let mut others = steps(seed, Faults::Versions, time, SIZES);
+        others.retain(|step| !is_release(&step.action));
+        let list = |steps: Vec<_>| format!("{steps:?}");
+        assert_eq!(list(others), list(steps(seed, Faults::Any, time, SIZES)));
+        let first = versions(seed, SIZES.engines);
+        let (among_faults, last) = releases(seed, time, SIZES);
+        assert_eq!(
+            among_faults.is_empty(),
+            first.iter().all(|version| *version == 1)
+        );
+        let mut newest = first.into_iter().max().expect("there are engines");
+        for step in among_faults.into_iter().chain(last) {
+            if let Action::Upgrade(engine, version) = step.action {
+                assert!(engine < SIZES.engines && version >= newest);
+                newest = version;
+            }
+        }
+    }
+}
