Soak: callers return for their streams, and what comes is checked over all attempts

No caller of the soak came back for a stream, and of a stream that broke off the checker read nothing. In all modes a stream whose events have two versions, are missing or double over all attempts breaks the rule ORDER, streams without a stated end included. After the faults follow 8 s without any, with a release to half of the engines; if then, of 12 or more attempts for streams with two engines of their version, fewer than nine tenths as many go on as new streams begin, LOST is broken. The report counts them with the codes of refusals. Streams mixed on purpose, and shares on both sides of the limit, are told apart in tests/trial.rs.

--- a/crates/fireflywheel_standin/src/trial/book.rs
+++ b/crates/fireflywheel_standin/src/trial/book.rs
@@ -8,6 +8,7 @@
 
 use super::caller::{Kind, Outcome, Seen};
 use super::deployment::LOADS_PER_SECOND;
+use super::resumption::{self, Tally};
 use super::script::Faults;
 use crate::site::configuration::ATTEMPTS;
 use crate::site::line::Line;
@@ -49,6 +50,8 @@
     fetches: Vec<Instant>,
     requests: Vec<Seen>,
     probes: Vec<Probe>,
+    /// Number of engines of each software version, from a time after the faults on.
+    serving: Vec<(Instant, BTreeMap<SmolStr, usize>)>,
     violations: Vec<String>,
 }
 
@@ -63,6 +66,7 @@
             fetches: Vec::new(),
             requests: Vec::new(),
             probes: Vec::new(),
+            serving: Vec::new(),
             violations: Vec::new(),
         }
     }
@@ -93,6 +97,25 @@
         self.probes.push(probe);
     }
 
+    /// Records the number of engines of each software version from now on. There are no faults any more.
+    pub fn record_serving(&mut self, serving: BTreeMap<SmolStr, usize>) {
+        self.serving.push((Instant::now(), serving));
+    }
+
+    /// Counts the streams that callers took up again.
+    #[must_use]
+    pub fn tally(&self) -> Tally {
+        Tally::new(&self.requests, |_| true)
+    }
+
+    /// Counts the streams that callers took up again after the faults, with at least two engines of their version.
+    #[must_use]
+    pub fn quiet_tally(&self) -> Tally {
+        Tally::new(&self.requests, |request| {
+            resumption::has_servers(request, &self.requests, &self.serving)
+        })
+    }
+
     /// Records an event that breaks a rule regardless of all other observations.
     pub fn record_violation(&mut self, violation: String) {
         self.violations.push(violation);
@@ -143,6 +166,8 @@
         violations.extend(self.check_orders());
         violations.extend(self.check_load_rate());
         violations.extend(self.check_versions());
+        violations.extend(resumption::check_order(&self.requests));
+        violations.extend(self.quiet_tally().check());
         violations
     }
 
--- a/crates/fireflywheel_standin/src/trial/caller.rs
+++ b/crates/fireflywheel_standin/src/trial/caller.rs
@@ -14,6 +14,9 @@
 
 use crate::site::worker::{self, EVENTS};
 
+/// Highest number of a software version. The versions are named `v1`, `v2` and so on.
+const MAX_VERSION: u64 = 50;
+
 /// How long a caller waits for an answer after the deadline.
 pub const ANSWER_GRACE_PERIOD: Duration = Duration::from_secs(2);
 
@@ -78,6 +81,19 @@
     pub size: usize,
     /// Deadline, measured from the start of the request.
     pub deadline: Duration,
+    /// The stream that the caller takes up again, if any.
+    pub origin: Option<Origin>,
+    /// Number of whole events after which the caller leaves, if it doesn't wait for the end.
+    pub leaves_after: Option<usize>,
+}
+
+/// What a caller has of a stream that broke off.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    /// Id of the request that brought the stream's first event.
+    pub id: SmolStr,
+    /// Id of the last whole event.
+    pub last: u64,
 }
 
 /// The outcome of a request, as its caller observes it.
@@ -87,6 +103,8 @@
     Answer(Answer),
     /// An answer that was visibly truncated.
     Broken,
+    /// The caller left before the end.
+    Left,
     /// The connection ended without an answer.
     Unanswered,
     /// The connection could not be opened, so nothing was sent.
@@ -135,6 +153,32 @@
     pub whole: Duration,
     /// Outcome of the request.
     pub outcome: Outcome,
+    /// Status code, if a head came.
+    pub status: Option<StatusCode>,
+    /// What came of a stream; other bodies aren't kept.
+    pub text: String,
+}
+
+impl Seen {
+    /// The whole events that came.
+    #[must_use]
+    pub fn events(&self) -> &str {
+        let is_success = self.status.is_some_and(|status| status.is_success());
+        let end = self.text.rfind("\n\n").filter(|_| is_success);
+        end.map_or("", |end| &self.text[..end + 2])
+    }
+
+    /// Whether the answer came to its stated end, and is a success.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        matches!(&self.outcome, Outcome::Answer(answer) if answer.states_end && answer.status.is_success())
+    }
+}
+
+/// Returns the ids of the events in a text.
+pub fn event_ids(text: &str) -> impl Iterator<Item = u64> {
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok())
 }
 
 /// A caller of one instance.
@@ -158,39 +202,34 @@
 
     /// Sends a request and waits for its end. Opens a new connection if the previous one has ended.
     pub async fn send(&mut self, call: Call) -> Seen {
-        let sent = time::Instant::now();
-        let mut first = Duration::ZERO;
-        let exchange = self.exchange(&call, sent, &mut first);
-        let outcome = match time::timeout(call.deadline + ANSWER_GRACE_PERIOD, exchange).await {
-            Ok(outcome) => outcome,
-            Err(_) => {
-                self.connection = None;
-                Outcome::Hung
-            }
-        };
-        Seen {
+        let limit = call.deadline + ANSWER_GRACE_PERIOD;
+        let mut seen = Seen {
             call,
             instance: self.instance,
-            sent,
-            first,
-            whole: sent.elapsed(),
-            outcome,
+            sent: time::Instant::now(),
+            first: Duration::ZERO,
+            whole: Duration::ZERO,
+            outcome: Outcome::Hung,
+            status: None,
+            text: String::new(),
+        };
+        match time::timeout(limit, self.exchange(&mut seen)).await {
+            Ok(outcome) => seen.outcome = outcome,
+            Err(_) => self.connection = None,
         }
+        seen.whole = seen.sent.elapsed();
+        seen
     }
 
-    async fn exchange(
-        &mut self,
-        call: &Call,
-        sent: time::Instant,
-        first: &mut Duration,
-    ) -> Outcome {
+    async fn exchange(&mut self, seen: &mut Seen) -> Outcome {
         let Some(mut connection) = self.connect().await else {
             return Outcome::Unreached;
         };
-        let Ok(response) = connection.send_request(build_request(call)).await else {
+        let Ok(response) = connection.send_request(build_request(&seen.call)).await else {
             return Outcome::Unanswered;
         };
         let (head, body) = response.into_parts();
+        seen.status = Some(head.status);
         let header = |name| head.headers.get(name)?.to_str().ok();
         let closes_connection = header("connection") == Some("close");
         let mut answer = Answer {
@@ -202,11 +241,12 @@
                 || head.headers.contains_key(header::TRANSFER_ENCODING),
             flaw: None,
         };
-        let Some(bytes) = read_body(body, sent, first).await else {
-            return Outcome::Broken;
+        let bytes = match read_body(body, seen).await {
+            Ok(bytes) => bytes,
+            Err(outcome) => return outcome,
         };
         if head.status.is_success() {
-            answer.flaw = find_flaw(call, &bytes, answer.states_end);
+            answer.flaw = find_flaw(&seen.call, &bytes, answer.states_end);
         }
         if !closes_connection {
             self.connection = Some(connection);
@@ -241,27 +281,35 @@
     if let Some(prompt) = &call.prompt {
         request = request.header("x-prompt-prefix", prompt.as_str());
     }
+    if let Some(origin) = &call.origin {
+        request = request.header("resumes", origin.id.as_str());
+        request = request.header("last-event-id", origin.last);
+    }
     let body = Full::new(Bytes::from(vec![b'x'; call.size]));
     request.body(body).expect("the request is valid")
 }
 
-/// Reads the body to its end and sets `first` at its first byte. Returns `None` if the body is truncated.
-async fn read_body(
-    mut body: body::Incoming,
-    sent: time::Instant,
-    first: &mut Duration,
-) -> Option<Vec<u8>> {
+/// Reads the body to its end, and sets the time of its first byte and the text of a stream. Fails if the body is
+/// truncated or the caller leaves.
+async fn read_body(mut body: body::Incoming, seen: &mut Seen) -> Result<Vec<u8>, Outcome> {
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
+        let Ok(data) = frame.map_err(|_| Outcome::Broken)?.into_data() else {
             continue;
         };
         if bytes.is_empty() {
-            *first = sent.elapsed();
+            seen.first = seen.sent.elapsed();
         }
         bytes.extend_from_slice(&data);
+        if seen.call.kind.is_stream() {
+            seen.text = String::from_utf8_lossy(&bytes).into_owned();
+        }
+        let events = seen.text.matches("\n\n").count();
+        if seen.call.leaves_after.is_some_and(|left| events >= left) {
+            return Err(Outcome::Left);
+        }
     }
-    Some(bytes)
+    Ok(bytes)
 }
 
 /// Returns the error in the body of a successful answer, if any. A body whose end isn't stated may lack a part at its end.
@@ -274,16 +322,20 @@
             text.contains(&size) || (!states_end && size.contains(text.trim_start_matches('{')));
         return (!is_own).then_some("the body belongs to another request");
     }
-    let marks = ["", "version: v2\n"];
-    let whole = marks.map(|mark| {
-        let events = (1..=EVENTS).map(|id| format!("id: {id}\n{mark}data: t{id}\n\n"));
+    let after = call.origin.as_ref().map_or(0, |origin| origin.last);
+    let mut whole = (1..=MAX_VERSION).map(|version| {
+        let mark = match version {
+            1 => String::new(),
+            _ => format!("version: v{version}\n"),
+        };
+        let events = (after + 1..=EVENTS).map(|id| format!("id: {id}\n{mark}data: t{id}\n\n"));
         events.collect::<String>()
     });
-    let is_sound = |whole: &String| match states_end {
-        true => text == *whole,
+    let is_sound = |whole: String| match states_end {
+        true => text == whole,
         false => whole.starts_with(&*text),
     };
-    if whole.iter().any(is_sound) {
+    if whole.any(is_sound) {
         None
     } else if worker::versions(&text).len() > 1 {
         Some("the stream has events of two versions")
--- a/crates/fireflywheel_standin/src/trial/mod.rs
+++ b/crates/fireflywheel_standin/src/trial/mod.rs
@@ -7,6 +7,7 @@
 //! |---|---|
 //! | [`soak`] | soak test: injects seeded faults while callers send requests, and checks the rules |
 //! | [`replay`] | replays a load pattern without faults, to compare two builds |
+//! | [`resumption`] | checks and counts the streams that callers take up again |
 //! | [`script`] | derives the faults and their times from a seed |
 //! | [`caller`] | a caller with a persistent connection, and the outcome of each request |
 //! | [`book`] | records all observations and checks the rules against them |
@@ -16,5 +17,6 @@
 pub mod deployment;
 pub mod proxy;
 pub mod replay;
+pub mod resumption;
 pub mod script;
 pub mod soak;
--- a/crates/fireflywheel_standin/src/trial/replay.rs
+++ b/crates/fireflywheel_standin/src/trial/replay.rs
@@ -256,6 +256,8 @@
             prompt: None,
             size: 100,
             deadline: DEADLINE,
+            origin: None,
+            leaves_after: None,
         };
         let mut caller = Caller::new(arrival.instance, callers[arrival.instance]);
         tasks.spawn(async move { caller.send(call).await });
--- a/crates/fireflywheel_standin/src/trial/soak.rs
+++ b/crates/fireflywheel_standin/src/trial/soak.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom as _;
+use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use rand::{Rng as _, SeedableRng as _};
 use smol_str::format_smolstr;
 use tokio::sync::watch;
@@ -16,10 +16,12 @@
 use tokio::time;
 
 use super::book::{Book, PROBE_ID_PREFIX, Probe};
-use super::caller::{Call, Caller, Kind, Outcome};
+use super::caller::{self, Call, Caller, Kind, Origin, Outcome, Seen};
 use super::deployment::{self, CRASH_PART, Deployment};
+use super::resumption::Tally;
 use super::script::{self, Faults, Sizes};
 use crate::client::Client;
+use crate::site::worker::EVENTS;
 
 /// Callers of each instance.
 const CALLERS_PER_INSTANCE: usize = 6;
@@ -39,6 +41,17 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time limit of a configuration probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Delays after which a caller returns for its stream until it is whole, one list for each pattern.
+const RETURN_DELAYS: [&[Duration]; 4] = [
+    &[Duration::ZERO],
+    &[Duration::from_secs(1)],
+    &[Duration::from_secs(3)],
+    &[Duration::ZERO, Duration::from_secs(1)],
+];
+/// One stream in this many is left by its caller, who then returns for it.
+const STREAMS_PER_LEAVING: u32 = 3;
+/// How long streams are taken up again without faults.
+const QUIET_TIME: Duration = Duration::from_secs(8);
 /// All requests must be served again within this time after the faults have ended. It is far longer than recovery
 /// takes: it is the only time limit among the rules, and a busy machine must not break a rule.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(40);
@@ -73,6 +86,10 @@
     pub actions: usize,
     /// Number of requests by kind and outcome.
     pub counts: BTreeMap<Kind, BTreeMap<String, usize>>,
+    /// Streams that callers took up again.
+    pub resumed: Tally,
+    /// Those after the faults, with at least two engines of their version.
+    pub resumed_in_quiet: Tally,
     /// Number of runs with a part of the prompt on which engines crash.
     pub crashing_runs: usize,
     /// Violations of rules, a line each.
@@ -95,6 +112,10 @@
                 .collect();
             writeln!(f, "  {kind:?}: {}", counts.join(", "))?;
         }
+        if self.resumed.taken_up > 0 {
+            writeln!(f, "  resumed: {}", self.resumed)?;
+            writeln!(f, "  resumed without faults: {}", self.resumed_in_quiet)?;
+        }
         for broken in &self.broken {
             writeln!(f, "  broken: {broken}")?;
         }
@@ -160,6 +181,17 @@
     deployment.heal().await?;
     versions.send_replace(read_versions(&deployment, sizes.instances));
     wait_until_served(&deployment, models, &book, "the end").await;
+    if options.faults == Faults::Versions {
+        let start = time::Instant::now();
+        lock(&book).record_serving(deployment.serving());
+        for step in script::releases(options.seed, options.time, sizes).1 {
+            time::sleep_until(start + step.at).await;
+            deployment.apply(step.action).await?;
+            lock(&book).record_serving(deployment.serving());
+            actions += 1;
+        }
+        time::sleep_until(start + QUIET_TIME).await;
+    }
     stop.send_replace(true);
     while let Some(ended) = tasks.join_next().await {
         ended?;
@@ -172,6 +204,8 @@
         crashing_runs: crashing,
         seed: options.seed,
         actions,
+        resumed: book.tally(),
+        resumed_in_quiet: book.quiet_tally(),
         counts: Kind::ALL
             .map(|kind| (kind, book.count_outcomes(kind)))
             .into(),
@@ -189,6 +223,10 @@
 ) -> JoinSet<()> {
     let models = model_count(options);
     let mut tasks = JoinSet::new();
+    let returns = match options.faults {
+        Faults::Versions => deployment.caller_addresses(),
+        _ => Vec::new(),
+    };
     for (instance, address) in deployment.caller_addresses().into_iter().enumerate() {
         for caller in 0..CALLERS_PER_INSTANCE {
             let name = format!("s{}-i{instance}c{caller}", options.seed);
@@ -201,6 +239,7 @@
                 caller,
                 rng,
                 models,
+                returns.clone(),
                 stop.subscribe(),
                 Arc::clone(book),
             ));
@@ -233,11 +272,13 @@
     book.lock().expect("no panic under the lock")
 }
 
+/// Sends requests to an instance. Returns to any instance of `returns` for streams that broke off.
 async fn run_caller(
     name: String,
     mut caller: Caller,
     mut rng: StdRng,
     models: usize,
+    returns: Vec<SocketAddr>,
     mut stop: watch::Receiver<bool>,
     book: Arc<Mutex<Book>>,
 ) {
@@ -256,6 +297,7 @@
         } else {
             rng.random_range(0..models)
         };
+        let resumes = kind == Kind::Stream && !returns.is_empty();
         let call = Call {
             id: format_smolstr!("{name}-{number}"),
             kind,
@@ -265,9 +307,56 @@
                 .then(|| format_smolstr!("aa:90,{:x}:60,{number:x}:20", 16 + model)),
             size: rng.random_range(BODY_BYTES),
             deadline: Duration::from_millis(rng.random_range(DEADLINE_MS)),
+            origin: None,
+            leaves_after: resumes.then(|| draw_leaving(&mut rng)).flatten(),
         };
         let request = caller.send(call).await;
-        lock(&book).record_request(request);
+        lock(&book).record_request(request.clone());
+        if resumes {
+            take_up(request, &returns, &mut rng, &book).await;
+        }
+    }
+}
+
+/// Draws the number of events after which a caller leaves a stream, if it does.
+fn draw_leaving(rng: &mut StdRng) -> Option<usize> {
+    let leaves = rng.random_ratio(1, STREAMS_PER_LEAVING);
+    leaves.then(|| rng.random_range(1..EVENTS as usize))
+}
+
+/// Has a caller return for its stream if that broke off after an event, to any instance that answers.
+async fn take_up(first: Seen, addresses: &[SocketAddr], rng: &mut StdRng, book: &Mutex<Book>) {
+    let delays = *RETURN_DELAYS.choose(rng).expect("the list is not empty");
+    let mut last = caller::event_ids(first.events()).last();
+    let mut is_complete = first.is_complete();
+    let mut number = 0;
+    for delay in delays {
+        let Some(event) = last.filter(|_| !is_complete) else {
+            return;
+        };
+        time::sleep(*delay).await;
+        let mut instances: Vec<usize> = (0..addresses.len()).collect();
+        instances.shuffle(rng);
+        for instance in instances {
+            number += 1;
+            let call = Call {
+                id: format_smolstr!("{}-r{number}", first.call.id),
+                origin: Some(Origin {
+                    id: first.call.id.clone(),
+                    last: event,
+                }),
+                leaves_after: draw_leaving(rng),
+                ..first.call.clone()
+            };
+            let request = Caller::new(instance, addresses[instance]).send(call).await;
+            let is_answered = !matches!(request.outcome, Outcome::Unanswered | Outcome::Unreached);
+            last = caller::event_ids(request.events()).last().or(last);
+            is_complete = request.is_complete();
+            lock(book).record_request(request);
+            if is_answered {
+                break;
+            }
+        }
     }
 }
 
@@ -299,6 +388,8 @@
             prompt: Some(format_smolstr!("aa:90,{CRASH_PART}:40,{number:x}:20")),
             size: 10,
             deadline: CRASHING_DEADLINE,
+            origin: None,
+            leaves_after: None,
         };
         // Another request may come before this one has ended.
         let book = Arc::clone(&book);
@@ -383,6 +474,8 @@
                     prompt: None,
                     size: 10,
                     deadline: Duration::from_secs(3),
+                    origin: None,
+                    leaves_after: None,
                 };
                 let request = caller.send(call).await;
                 let served = matches!(&request.outcome, Outcome::Answer(answer) if answer.status.is_success());
--- a/crates/fireflywheel_standin/tests/trial.rs
+++ b/crates/fireflywheel_standin/tests/trial.rs
@@ -5,7 +5,7 @@
 use arbtest::arbtest;
 use fireflywheel_standin::site::worker::EVENTS;
 use fireflywheel_standin::trial::book::{Book, Probe};
-use fireflywheel_standin::trial::caller::{self, Answer, Call, Kind, Outcome, Seen};
+use fireflywheel_standin::trial::caller::{self, Answer, Call, Kind, Origin, Outcome, Seen};
 use fireflywheel_standin::trial::proxy::{Flow, Proxy};
 use fireflywheel_standin::trial::replay::{Options, Pattern, arrivals};
 use fireflywheel_standin::trial::script::{Action, Faults, Sizes, releases, steps, versions};
@@ -40,12 +40,16 @@
             prompt: None,
             size: 0,
             deadline: Duration::from_secs(2),
+            origin: None,
+            leaves_after: None,
         },
         instance: 0,
         sent: time::Instant::now(),
         first: Duration::ZERO,
         whole: Duration::from_millis(20),
         outcome,
+        status: None,
+        text: String::new(),
     }
 }
 
@@ -260,6 +264,8 @@
         prompt: None,
         size: 0,
         deadline: Duration::from_secs(1),
+        origin: None,
+        leaves_after: None,
     };
     caller::find_flaw(&call, text.as_bytes(), states_end)
 }
@@ -293,6 +299,90 @@
     }
 }
 
+/// Returns a request for the stream that began with `r1`: a new one, or one that takes it up after an event.
+fn attempt(id: &str, after: Option<u64>, text: &str) -> Seen {
+    let mut seen = request(Kind::Stream, Outcome::Broken);
+    seen.call.id = id.into();
+    seen.call.origin = after.map(|last| Origin {
+        id: "r1".into(),
+        last,
+    });
+    seen.status = Some(StatusCode::OK);
+    seen.text = text.into();
+    seen
+}
+
+/// Returns the number of streams in whose attempts the checker finds events of two versions, missing or double.
+fn order_violations(attempts: &[Seen]) -> usize {
+    let mut book = Book::new(Faults::Versions);
+    for attempt in attempts {
+        book.record_request(attempt.clone());
+    }
+    let violations = book.violations();
+    let order = violations
+        .iter()
+        .filter(|line| line.starts_with("ORDER: r1 "));
+    order.count()
+}
+
+/// Guards against a checker that doesn't find events of two versions in different attempts, or that counts an event that
+/// broke off.
+#[test]
+fn versions_mixed_over_attempts_are_found() {
+    let [first, other] = ["", "version: v3\n"].map(|mark| stream(mark, EVENTS));
+    let rest = |events: &str, id: u64| {
+        let start = events.find(&format!("id: {id}\n"));
+        events[start.expect("there is this event")..].to_owned()
+    };
+    let begun = attempt("r1", None, &(stream("", 3) + "id: 4\nda"));
+    let none = attempt("r1-r1", Some(3), "");
+    let sound = attempt("r1-r2", Some(3), &rest(&first, 4));
+    assert_eq!(order_violations(&[begun.clone(), none.clone(), sound]), 0);
+    for wrong in [rest(&other, 4), rest(&first, 5), rest(&first, 3)] {
+        let wrong = attempt("r1-r2", Some(3), &wrong);
+        assert_eq!(order_violations(&[begun.clone(), none.clone(), wrong]), 1);
+    }
+}
+
+/// Returns whether the checker finds that too few streams go on: `went_on` of `taken_up`, beside 20 new ones that begin,
+/// with this number of engines of their version.
+fn is_lost(taken_up: usize, went_on: usize, engines: usize) -> bool {
+    let mut book = Book::new(Faults::Versions);
+    book.record_serving([("v1".into(), engines)].into());
+    for number in 0..20 {
+        let mut new = attempt("r1", None, &stream("", 1));
+        new.call.id = format!("r{}", 1 + number).into();
+        book.record_request(new);
+        if number < taken_up {
+            let text = if number < went_on {
+                "id: 2\ndata: t2\n\n"
+            } else {
+                ""
+            };
+            book.record_request(attempt(&format!("back-{number}"), Some(1), text));
+        }
+    }
+    let resumed = book.quiet_tally();
+    let counted = if engines < 2 {
+        (0, 0)
+    } else {
+        (taken_up, went_on)
+    };
+    assert_eq!((resumed.taken_up, resumed.went_on), counted);
+    let violations = book.violations();
+    violations.iter().any(|line| line.starts_with("LOST: "))
+}
+
+/// Guards against a checker that doesn't find that streams don't go on while new ones begin.
+#[test]
+fn too_few_streams_that_go_on_are_found() {
+    assert!(!is_lost(20, 18, 2));
+    assert!(is_lost(20, 17, 2));
+    assert!(is_lost(12, 10, 2));
+    assert!(!is_lost(11, 0, 2));
+    assert!(!is_lost(20, 0, 1));
+}
+
 /// Guards against releases that change the other faults of a seed, or that take an engine back to an earlier version.
 #[test]
 fn releases_come_beside_the_faults_of_a_seed() {
