--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -66,6 +66,7 @@
         }
         let leaving_servers = state.announcements.take_leaving_notices();
         let origins = state.origins.take_report();
+        self.metrics.count_reported_streams(origins.begun.len());
         if state.origins.has_news() {
             self.demand_changed.notify_one();
         }
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -333,35 +333,52 @@
         }
     }
 
-    /// Notes that an event is about to be forwarded. From the first on, the stream goes on only at the version that sent it;
-    /// callers that come back to another instance rely on what is reported here. Returns an error if the event must not be
-    /// forwarded.
+    /// Prepares for forwarding an event. From the first on, the stream goes on only at the version that sent it. Returns an
+    /// error if the event must not be forwarded.
     async fn begin(&mut self) -> Result<(), End> {
-        if std::mem::replace(&mut self.has_begun, true) {
+        if self.has_begun {
             return Ok(());
         }
-        let is_new = self.origin == Origin::Open;
-        if is_new {
+        if self.origin == Origin::Open {
             let version = self.source.version.clone();
             self.origin = version.map_or(Origin::Unknown, Origin::Version);
+            self.record_origin().await?;
+        } else if let (Origin::Version(version), Some(first)) =
+            (&self.origin, &self.job.call.resumes)
+        {
+            let group = &self.job.queue.group;
+            self.node.record_origin(&self.job.call.id, group, version);
+            self.node.record_origin(first, group, version);
         }
+        self.count_begun();
+        Ok(())
+    }
+
+    /// Records the version at which a new stream begins. Callers that come back to another instance rely on it.
+    async fn record_origin(&self) -> Result<(), End> {
         let Origin::Version(version) = &self.origin else {
             return Ok(());
         };
-        let (call, group) = (&self.job.call, &self.job.queue.group);
-        self.node.record_origin(&call.id, group, version);
-        if let Some(first) = call.resumes.as_ref().filter(|_| !is_new) {
-            self.node.record_origin(first, group, version);
+        let (attempt, group) = (&self.job.call.id, &self.job.queue.group);
+        self.node.record_origin(attempt, group, version);
+        let confirmed = self
+            .node
+            .confirm_origin(attempt, group, version, self.cutoff());
+        tokio::select! {
+            is_confirmed = confirmed => is_confirmed.then_some(()).ok_or(End::Unrecorded),
+            () = self.sender.closed() => Err(End::CallerGone),
         }
-        if !is_new {
-            return Ok(());
+    }
+
+    /// Counts the caller's stream once it gets its first event.
+    fn count_begun(&mut self) {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return;
         }
-        let until = self.cutoff();
-        let confirmed = tokio::select! {
-            confirmed = self.node.confirm_origin(&call.id, group, version, until) => confirmed,
-            () = self.sender.closed() => return Err(End::CallerGone),
-        };
-        confirmed.then_some(()).ok_or(End::Unrecorded)
+        let is_taken_up = self.job.version.is_some();
+        self.node
+            .metrics
+            .count_begun_stream(self.source.version.as_deref(), is_taken_up);
     }
 
     /// Decides what the end of a run means for the caller's stream.
@@ -399,6 +416,9 @@
             Content::Resumable(splitter) => splitter,
             Content::Events(scanner) => {
                 scanner.push_all(&bytes);
+                if !bytes.is_empty() {
+                    self.count_begun();
+                }
                 return self.send_part(bytes).await;
             }
             Content::Opaque => return self.send_part(bytes).await,
