--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -247,7 +247,7 @@
         let mut versions = servers.iter().map(|known| &known.server.version);
         let first = versions.next();
         let has_several_versions = versions.any(|version| Some(version) != first);
-        let is_for_any = query.version.is_none() && query.queue.model.is_some();
+        let is_for_any = query.queue.version.is_none() && query.queue.model.is_some();
         let leaves_reserve = is_for_any && has_several_versions;
         let prompt = prompt(call);
         let parts = call
