A steward concludes and confirms only in office, and what a review of streams and versions found

A stream waits 5 s for its record at most; after 0.3 s others begin where none is needed. - Keepers are chosen anew as standbys are named.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -490,14 +490,21 @@
         self.observation = None;
     }
 
+    /// Whether no other instance can hold the lease, by a renewal of which the term isn't over. A holder whose orders are fenced
+    /// may go on without that.
+    #[must_use]
+    pub fn is_renewed(&self, now: clock::Instant) -> bool {
+        let held = self.held.filter(|held| self.era == Some(held.era));
+        let renewed_at = held.and_then(|held| held.renewed_at);
+        let usable_term = self.options.term - self.options.margin;
+        renewed_at.is_some_and(|sent| now < sent.after(usable_term))
+    }
+
     /// The fencing number for orders; `None` while this instance may not send any.
     #[must_use]
     pub fn fencing(&self, now: clock::Instant) -> Option<u64> {
         let held = self.held.filter(|held| self.era == Some(held.era))?;
-        let usable_term = self.options.term - self.options.margin;
-        let is_renewed = held
-            .renewed_at
-            .is_some_and(|sent| now < sent.after(usable_term));
+        let is_renewed = self.is_renewed(now);
         // A process that was suspended has not tried to renew meanwhile, and must try before it continues.
         let unanswered = held.unanswered_at;
         let has_tried = unanswered.is_some_and(|sent| now < sent.after(self.options.term));
--- a/crates/fireflywheel/src/fleet/origin.rs
+++ b/crates/fireflywheel/src/fleet/origin.rs
@@ -177,7 +177,7 @@
         self
     }
 
-    /// Records a version of a group that serves or has just left.
+    /// Records a version of a group that serves or has just left; an empty one stands for servers whose entries tell none.
     pub fn observe(&mut self, now: clock::Instant, group: &SmolStr, version: &SmolStr) {
         self.begin_release(now, group, version);
         let versions = match self.groups.get_mut(group) {
@@ -185,8 +185,8 @@
             None => self.groups.entry(group.clone()).or_default(),
         };
         match versions.get_mut(version) {
-            Some(seen) => seen.last = now,
-            None => {
+            Some(seen) if is_recent(now, seen) => seen.last = now,
+            Some(_) | None => {
                 let seen = Seen {
                     first: now,
                     last: now,
@@ -199,7 +199,11 @@
     /// Begins a release if this version is the second one of its group.
     fn begin_release(&mut self, now: clock::Instant, group: &SmolStr, version: &SmolStr) {
         let versions = self.groups.get(group);
-        if versions.is_none_or(|versions| versions.contains_key(version)) {
+        let is_known = |versions: &BTreeMap<SmolStr, Seen>| {
+            let seen = versions.get(version);
+            seen.is_some_and(|seen| is_recent(now, seen))
+        };
+        if versions.is_none_or(is_known) {
             return;
         }
         // At the first start of the whole system, there are no streams from before.
@@ -212,18 +216,16 @@
         };
         let is_sole = others.next().is_none();
         drop(others);
-        match (self.is_known(now, MAX_AGE), is_sole) {
-            // All instances know that there are several versions.
-            (true, false) => return,
-            (false, _) if self.release(now, group).is_some() => return,
-            (true, true) | (false, _) => {}
+        // Others may have forgotten one of several versions a moment sooner, and know a single one.
+        let is_base = is_sole && self.is_known(now, MAX_AGE);
+        if !is_base && self.release(now, group).is_some() {
+            return;
         }
         let seen = versions.and_then(|versions| versions.get(other));
         // If both versions are new, others may have seen this one alone.
         let is_older = |absent_at: &clock::Instant| {
             seen.is_some_and(|seen| seen.first.after(YOUNG_TIME) <= *absent_at)
         };
-        let is_base = self.is_known(now, MAX_AGE);
         let absent_at = self.previous_read_at.filter(|at| is_base && is_older(at));
         let release = Release {
             base: absent_at.map(|_| other.clone()),
@@ -487,7 +489,8 @@
             self.records.remove(&oldest);
             self.incomplete_until = self.incomplete_until.max(Some(expiry));
         }
-        let expiry = now.after(RETURN_TIME);
+        // Conclusions from a stream that is not found end sooner.
+        let expiry = now.after(RELEASE_TIME);
         self.expiries.push_back((expiry, record.attempt.clone()));
         self.records.insert(record.attempt.clone(), record);
         true
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -175,11 +175,6 @@
                 return not_loaded(&state, queue, now);
             }
         }
-        if queue.version.is_none() && query.route.kind == config::Kind::Resumable {
-            state
-                .origins
-                .retain_settled(now, state.has_steward, &mut servers);
-        }
         let rests_until = |known: &state::ServerState| state.rests_until(now, known);
         let first_rest_end = servers.iter().filter_map(|known| rests_until(known)).min();
         servers.retain(|known| rests_until(known).is_none());
@@ -201,9 +196,19 @@
             .copied()
             .filter(|known| known.limit.is_open(view))
             .collect();
+        let begins_stream = queue.version.is_none() && query.route.kind == config::Kind::Resumable;
+        let is_settled = |known: &&state::ServerState| {
+            !begins_stream || state.origins.is_settled(now, state.has_steward, known)
+        };
+        let [settled_open, settled_permitted] = [&open, &permitted].map(|servers| {
+            let servers = servers.iter().copied();
+            servers.filter(is_settled).collect::<Vec<_>>()
+        });
         // A server that announces a limit is overloaded, so servers without a limit come first.
         let picked = self
-            .pick(now, query, &open)
+            .pick(now, query, &settled_open)
+            .or_else(|| self.pick(now, query, &settled_permitted))
+            .or_else(|| self.pick(now, query, &open))
             .or_else(|| self.pick(now, query, &permitted));
         let Some(picked) = picked else {
             let is_full = !open.is_empty() || !permitted.is_empty();
--- a/crates/fireflywheel_daemon/src/fleet/node/origin.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/origin.rs
@@ -23,7 +23,13 @@
 /// Delay until the steward is asked again, or another one.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Delay until the steward is asked again whether it has recorded a stream.
-const CONFIRMATION_DELAY: Duration = Duration::from_millis(30);
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(50);
+/// How long a new stream waits for its record at most: longer than a steward takes to be replaced.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time after which a steward that has not recorded a stream counts as one that can't.
+const SLOW_CONFIRMATION_TIME: Duration = Duration::from_millis(300);
+/// How long other streams then begin where no record is needed, if they can.
+const UNRECORDED_TIME: Duration = Duration::from_secs(2);
 /// How long the report of a stream may take. A caller may come back sooner.
 const REPORT_TIME: Duration = Duration::from_millis(400);
 
@@ -39,6 +45,8 @@
     releasing: BTreeSet<SmolStr>,
     /// Questions to the steward, with its answers.
     queries: BTreeMap<Query, Pending>,
+    /// Until when no streams begin that the steward would have to record, if others can.
+    unrecorded_until: clock::Instant,
 }
 
 /// A question to the steward.
@@ -58,6 +66,7 @@
             unreported: VecDeque::new(),
             releasing: BTreeSet::new(),
             queries: BTreeMap::new(),
+            unrecorded_until: clock::Instant::default(),
         }
     }
 }
@@ -138,24 +147,19 @@
         queries.collect()
     }
 
-    /// Leaves out servers at which a stream could not begin at once, if there are others: those of a version that other
-    /// instances may not know yet, and without a steward those whose streams it would have to record.
-    pub(super) fn retain_settled(
+    /// Whether a stream could begin at once at a server: not at one of a version that other instances may not know yet, and
+    /// without a steward not at one whose streams it would have to record.
+    pub(super) fn is_settled(
         &self,
         now: clock::Instant,
         has_steward: bool,
-        servers: &mut Vec<&state::ServerState>,
-    ) {
-        let is_settled = |known: &&state::ServerState| {
-            let group = &known.server.group;
-            known.server.version.as_ref().is_some_and(|version| {
-                let is_recorded = || has_steward || !self.history.needs_record(now, group, version);
-                self.history.youth(now, group, version).is_zero() && is_recorded()
-            })
-        };
-        if servers.iter().any(is_settled) {
-            servers.retain(is_settled);
-        }
+        known: &state::ServerState,
+    ) -> bool {
+        let group = &known.server.group;
+        let version = known.server.version.clone().unwrap_or_default();
+        let can_record = has_steward && now >= self.unrecorded_until;
+        self.history.youth(now, group, &version).is_zero()
+            && (can_record || !self.history.needs_record(now, group, &version))
     }
 
     fn remove_waiter(&mut self, query: &Query) {
@@ -204,14 +208,16 @@
     P: platform::Platform,
 {
     /// Finds the version at which the stream began that a caller takes up again. What the caller says of it selects a
-    /// version at most: the request runs as the caller's own in any case. Until `until`, waits for a steward that can tell.
+    /// version at most: the request runs as the caller's own in any case. `is_recorded` says whether streams of its route are
+    /// recorded. Until `until`, waits for a steward that can tell.
     pub async fn find_origin(
         self: &Arc<Self>,
         call: &platform::Call,
         group: &SmolStr,
+        is_recorded: bool,
         until: clock::Instant,
     ) -> Found {
-        let attempt = call.resumes.as_ref();
+        let attempt = call.resumes.as_ref().filter(|_| is_recorded);
         // Others are nowhere recorded, and many long ones would not fit into a frame.
         let Some(attempt) = attempt.filter(|attempt| origin::is_identifying(attempt)) else {
             return self.sole_version(group, false);
@@ -265,6 +271,9 @@
             group: group.clone(),
             is_confirmation: true,
         };
+        let started = self.now();
+        let until = until.min(started.after(CONFIRMATION_TIMEOUT));
+        let slow_at = started.after(SLOW_CONFIRMATION_TIME);
         loop {
             let now = self.now();
             let is_needed = {
@@ -277,6 +286,9 @@
             if now >= until {
                 return false;
             }
+            if now >= slow_at {
+                self.lock().origins.unrecorded_until = now.after(UNRECORDED_TIME);
+            }
             match self.ask(query.clone()).await {
                 Some(Answer::Version(recorded)) => return recorded == *version,
                 Some(Answer::NotReported | Answer::Unknown) | None => {}
@@ -379,7 +391,8 @@
         if !origins.own.insert(now, record.clone()) || is_sole {
             return;
         }
-        origins.unreported.push_back(record);
+        // Its first event may wait for the record.
+        origins.unreported.push_front(record);
         drop(state);
         self.demand_changed.notify_one();
     }
@@ -402,8 +415,10 @@
     /// Stores the answers of an instance that keeps streams for the steward. Only the steward can tell that a stream was not
     /// reported.
     pub fn handle_kept_replies(&self, replies: Vec<origin::Reply>) {
-        let is_version = |reply: &origin::Reply| matches!(reply.answer, Answer::Version(_));
-        self.handle_origin_replies(replies.into_iter().filter(is_version).collect());
+        let is_kept = |reply: &origin::Reply| {
+            !reply.query.is_confirmation && matches!(reply.answer, Answer::Version(_))
+        };
+        self.handle_origin_replies(replies.into_iter().filter(is_kept).collect());
     }
 
     /// Takes the questions that nobody has been asked.
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -493,10 +493,8 @@
     /// Records the versions of all servers.
     pub(super) fn observe_versions(&mut self, now: clock::Instant) {
         for known in self.servers.values() {
-            if let Some(version) = &known.server.version {
-                let group = &known.server.group;
-                self.origins.observe(now, group, version);
-            }
+            let version = known.server.version.clone().unwrap_or_default();
+            self.origins.observe(now, &known.server.group, &version);
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -188,7 +188,8 @@
             .deadline
             .map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let until = arrived.after(queue_timeout(route, total));
-        let found = self.node.find_origin(call, group, until).await;
+        let is_recorded = route.kind == config::Kind::Resumable;
+        let found = self.node.find_origin(call, group, is_recorded, until).await;
         let (result, age_ms) = (found.result, found.age.map_or(u64::MAX, clock::millis));
         self.node.metrics.count_resumption(match &result {
             Ok(_) => found.source,
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -122,7 +122,7 @@
             entries: None,
             own_gateway: None,
             origins: origin::Registry::new(origins::MAX_STREAMS),
-            recorded_groups: BTreeSet::new(),
+            recorded_groups: BTreeMap::new(),
             written_groups: Some(BTreeSet::new()),
             inherited_groups: None,
             read_groups: None,
--- a/crates/fireflywheel_daemon/src/fleet/steward/broadcast.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/broadcast.rs
@@ -282,6 +282,8 @@
         // is steward now.
         if !standbys.is_empty() && standbys != self.standbys {
             self.standbys = standbys;
+            // Instances without a link ask standbys only.
+            self.keepers.clear();
             self.broadcast(&frame::Frame::Standbys(self.standbys.clone()));
         }
     }
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -68,7 +68,7 @@
 /// The groups in which earlier stewards may have recorded streams of other versions; `None` if a reading doesn't tell.
 fn recorded_groups(reading: &lease::Reading, is_first_start: bool) -> Option<BTreeSet<SmolStr>> {
     match &reading.record {
-        None if is_first_start && reading.end.offset == 0 => Some(BTreeSet::new()),
+        None if is_first_start && reading.end == Position::default() => Some(BTreeSet::new()),
         None => None,
         // An older copy of the store may have lost a later record.
         Some((_, record)) if record.era != Some(reading.end.era) => None,
--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -39,37 +39,61 @@
             .iter()
             .filter(|record| !self.node.is_base_version(&record.group, &record.version));
         for record in others {
-            state.recorded_groups.insert(record.group.clone());
-        }
-        if state.has_unwritten_groups() {
-            self.lease_wake.notify_one();
+            state.recorded_groups.insert(record.group.clone(), now);
         }
         state.record_streams(now, &report.begun);
-        let since = state.role_changed_at;
-        let is_settled = now.since(since) >= origin::SETTLING_TIME;
-        let answer = |query: &Query| match state.origins.answer(now, query, is_settled) {
-            Answer::NotReported => self.conclude_origin(state, query),
-            // A later steward has to know first that there are such streams.
-            Answer::Version(version)
-                if query.is_confirmation
-                    && !self.node.is_base_version(&query.group, &version)
-                    && !state.is_written(&query.group) =>
-            {
-                Answer::Unknown
-            }
-            other => other,
-        };
+        // The role changes a moment after the lease was taken.
+        let is_in_office =
+            state.active_fencing.is_some() && state.active_fencing == state.lease.fencing(now);
+        let in_office = now.since(state.role_changed_at);
+        let is_settled = is_in_office && in_office >= origin::SETTLING_TIME;
         let queries = report.queries.iter();
-        queries
-            .map(|query| origin::Reply {
+        let replies = queries.map(|query| {
+            let answer = match state.origins.answer(now, query, is_settled) {
+                Answer::Version(version) if query.is_confirmation => {
+                    self.confirm(now, state, &query.group, version)
+                }
+                Answer::NotReported if query.is_confirmation => Answer::Unknown,
+                Answer::NotReported => self.conclude_origin(now, state, query),
+                other => other,
+            };
+            origin::Reply {
                 query: query.clone(),
-                answer: answer(query),
-            })
-            .collect()
+                answer,
+            }
+        });
+        let replies = replies.collect();
+        if state.has_unwritten_groups() {
+            self.lease_wake.notify_one();
+        }
+        replies
+    }
+
+    /// The answer about a new stream that was recorded. One that would be taken for a stream of another version if its record
+    /// were lost is confirmed once a later steward knows that there are such streams.
+    fn confirm(
+        &self,
+        now: clock::Instant,
+        state: &mut State,
+        group: &SmolStr,
+        version: SmolStr,
+    ) -> Answer {
+        if self.node.is_base_version(group, &version) {
+            return Answer::Version(version);
+        }
+        state.recorded_groups.insert(group.clone(), now);
+        match state.is_written(group) {
+            true => Answer::Version(version),
+            false => Answer::Unknown,
+        }
     }
 
     /// The answer about a stream that was not reported to this instance as steward.
-    fn conclude_origin(&self, state: &State, query: &Query) -> Answer {
+    fn conclude_origin(&self, now: clock::Instant, state: &State, query: &Query) -> Answer {
+        // Another steward may have recorded the stream.
+        if !state.lease.is_renewed(now) {
+            return Answer::NotReported;
+        }
         let inherited = state.inherited_groups.as_ref();
         let recorded_before = inherited.is_none_or(|groups| groups.contains(&query.group));
         let since = state.role_changed_at;
@@ -103,12 +127,15 @@
             // A takeover hands on what it has read.
             return read_groups.clone();
         }
-        recorded_groups.retain(|group| !self.node.has_sole_version(group));
+        recorded_groups.retain(|group, at| {
+            now.since(*at) < origin::RELEASE_TIME || !self.node.has_sole_version(group)
+        });
+        let recorded = recorded_groups.keys().cloned();
         if now.since(*role_changed_at) >= origin::RELEASE_TIME {
-            return Some(recorded_groups.clone());
+            return Some(recorded.collect());
         }
-        let inherited = inherited_groups.as_ref()?;
-        Some(recorded_groups.union(inherited).cloned().collect())
+        let inherited = inherited_groups.as_ref()?.iter().cloned();
+        Some(recorded.chain(inherited).collect())
     }
 
     /// Keeps streams for the steward.
@@ -129,12 +156,12 @@
         state.origins.records().cloned().collect()
     }
 
-    /// Answers another instance's questions by the streams that this one keeps.
+    /// Answers an instance's questions by the streams that this one keeps. Only the steward confirms new ones.
     #[must_use]
     pub fn answer_by_kept(&self, queries: Vec<Query>) -> Vec<origin::Reply> {
         let now = self.node.now();
         let state = self.lock();
-        let queries = queries.into_iter();
+        let queries = queries.into_iter().filter(|query| !query.is_confirmation);
         queries
             .map(|query| origin::Reply {
                 answer: state.origins.answer(now, &query, false),
@@ -147,7 +174,7 @@
 impl State {
     /// Whether the lease's record lacks a group in which streams of other versions were recorded.
     pub(super) fn has_unwritten_groups(&self) -> bool {
-        let mut groups = self.recorded_groups.iter();
+        let mut groups = self.recorded_groups.keys();
         groups.any(|group| !self.is_written(group))
     }
 
@@ -162,11 +189,13 @@
         let origins = &mut self.origins;
         let is_new = |record: &&Record| origins.insert(now, (*record).clone());
         let new: Vec<Record> = records.iter().filter(is_new).cloned().collect();
+        let known = self.keepers.clone();
+        if !records.is_empty() {
+            self.select_keepers(now);
+        }
         if new.is_empty() {
             return;
         }
-        let known = self.keepers.clone();
-        self.select_keepers(now);
         let frame = frame::Frame::Streams(new).encode();
         for number in &self.keepers {
             let is_known = known.contains(number);
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -86,8 +86,8 @@
     pub(super) entries: Option<BTreeMap<SmolStr, frame::Entry>>,
     /// The streams that instances have reported.
     pub(super) origins: origin::Registry,
-    /// Groups in which streams were recorded that nobody would take for those from before a release.
-    pub(super) recorded_groups: BTreeSet<SmolStr>,
+    /// Groups in which streams were recorded that nobody would take for those from before a release, and when the last one was.
+    pub(super) recorded_groups: BTreeMap<SmolStr, clock::Instant>,
     /// Those that the lease's record has, as this instance has written it; `None` if it says that they aren't known.
     pub(super) written_groups: Option<BTreeSet<SmolStr>>,
     /// Those that an earlier steward's record of the lease had; `None` if this instance didn't take the lease after reading it.
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -76,9 +76,8 @@
 enum Origin {
     /// The caller has no event yet, so that the stream may begin anywhere.
     Open,
+    /// It is empty if the entry of the server that began it doesn't tell; then it can't go on.
     Version(SmolStr),
-    /// The entry of the server that began it doesn't tell.
-    Unknown,
 }
 
 impl Origin {
@@ -89,7 +88,7 @@
     fn version(&self) -> Option<&SmolStr> {
         match self {
             Self::Version(version) => Some(version),
-            Self::Open | Self::Unknown => None,
+            Self::Open => None,
         }
     }
 }
@@ -340,8 +339,7 @@
             return Ok(());
         }
         if self.origin == Origin::Open {
-            let version = self.source.version.clone();
-            self.origin = version.map_or(Origin::Unknown, Origin::Version);
+            self.origin = Origin::Version(self.source.version.clone().unwrap_or_default());
             self.record_origin().await?;
         } else if let (Origin::Version(version), Some(first)) =
             (&self.origin, &self.job.call.resumes)
@@ -475,9 +473,7 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.content.is_resumable()
-            && self.runs < self.job.route.attempts
-            && self.origin != Origin::Unknown
+        self.content.is_resumable() && self.runs < self.job.route.attempts
     }
 
     /// Whether the answer of the current run has just begun, or hasn't yet: a server that crashes on a request does so as it
