--- a/crates/fireflywheel/tests/fleet/overload.rs
+++ b/crates/fireflywheel/tests/fleet/overload.rs
@@ -205,6 +205,7 @@
             group: "g".into(),
             model: "m".into(),
             adapter: None,
+            version: None,
             waiting,
             waited_ms: 0,
             left_ms: 1000,
@@ -256,6 +257,7 @@
         let candidates: Vec<Candidate<'_>> = (0..ENGINES)
             .map(|index| Candidate {
                 is_detour: false,
+                leaves_reserve: false,
                 stats: &self.stats[instance][index],
                 slots: SLOTS,
                 same_domain: true,
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -20,6 +20,7 @@
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::config::{history, update};
 use fireflywheel::fleet::era::{Era, Position};
+use fireflywheel::fleet::server;
 use fireflywheel::fleet::settings;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
@@ -61,6 +62,8 @@
     pub usage_changed: Notify,
     /// Notified when there are new facts of crashes.
     pub facts_changed: Notify,
+    /// Notified when there are new questions about streams.
+    pub queries_changed: Notify,
     /// Notified when the store answers again after failed calls.
     pub store_recovered: Notify,
     /// The steward's reads of the store, as it reports them.
@@ -127,6 +130,22 @@
     pub model: Option<SmolStr>,
     /// The adapter of that model.
     pub adapter: Option<SmolStr>,
+    /// The version of the servers' software at which the requests' streams began; `None` if they take up no streams.
+    pub version: Option<SmolStr>,
+}
+
+impl QueueKey {
+    /// Sets the version of the servers' software at which the requests' streams began.
+    #[must_use]
+    pub fn with_version(mut self, version: Option<SmolStr>) -> Self {
+        self.version = version;
+        self
+    }
+
+    /// Whether a server can run the requests as far as its version is concerned.
+    fn allows(&self, server: &server::Server) -> bool {
+        self.version.is_none() || self.version == server.version
+    }
 }
 
 impl<P> Node<P>
@@ -154,6 +173,7 @@
             demand_changed: Notify::new(),
             usage_changed: Notify::new(),
             facts_changed: Notify::new(),
+            queries_changed: Notify::new(),
             store_recovered: Notify::new(),
             steward_reads: watch::Sender::new(StewardReads::default()),
             state: Mutex::new(state),
@@ -283,7 +303,7 @@
         state.announced_config = reads.version;
         state.update_config_lag(now);
         if let Some(read) = reads.read {
-            state.origins.history.record_read(read);
+            state.origins.record_read(read);
         }
         drop(state);
         self.steward_reads.send_replace(reads);
@@ -317,7 +337,7 @@
         let mut state = self.lock();
         state.directory_read_at = Some(requested_at);
         state.era = era;
-        state.origins.history.record_read(requested_at);
+        state.origins.record_read(requested_at);
     }
 
     /// Time since the older of the last reads of configuration and directory.
@@ -371,12 +391,13 @@
 
     /// Sets whether this instance is the active steward.
     pub fn set_acting_steward(&self, is_acting: bool) {
+        let now = self.now();
         let mut state = self.lock();
         state.is_acting_steward = is_acting;
         if is_acting {
             state.subscriptions = None;
             state.pending_subscriptions.clear();
-            state.tell_steward_again();
+            state.tell_steward_again(now);
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -86,6 +86,16 @@
     pub(super) entries: Option<BTreeMap<SmolStr, frame::Entry>>,
     /// The streams that instances have reported.
     pub(super) origins: origin::Registry,
+    /// Groups in which streams were recorded that nobody would take for those from before a release.
+    pub(super) recorded_groups: BTreeSet<SmolStr>,
+    /// Those that the lease's record has, as this instance has written it; `None` if it says that they aren't known.
+    pub(super) written_groups: Option<BTreeSet<SmolStr>>,
+    /// Those that an earlier steward's record of the lease had; `None` if this instance didn't take the lease after reading it.
+    pub(super) inherited_groups: Option<BTreeSet<SmolStr>>,
+    /// Those in the lease's record as it was last read; `None` if a hand-over came later.
+    pub(super) read_groups: Option<BTreeSet<SmolStr>>,
+    /// The links of instances that keep these streams as well.
+    pub(super) keepers: Vec<u64>,
     /// The versions of groups' servers as they were last sent.
     pub(super) versions: origin::Versions,
     /// When they were last sent.
@@ -137,6 +147,10 @@
         self.subscriptions = subscription::Registry::default();
         self.tracked_versions = (0, 0);
         self.versions = origin::Versions::default();
+        self.keepers.clear();
+        self.recorded_groups.clear();
+        self.written_groups = Some(BTreeSet::new());
+        self.inherited_groups = self.read_groups.take();
         self.entries = None;
         for link in self.links.values_mut() {
             link.all_engines = false;
@@ -258,8 +272,16 @@
         forecasts.extend(forecast.map(|(model, wait)| frame::Forecast {
             group: group.clone(),
             model,
+            version: None,
             wait_ms: frame::millis(wait),
         }));
+        let versioned = plan::version_forecasts(&view).into_iter();
+        forecasts.extend(versioned.map(|forecast| frame::Forecast {
+            group: group.clone(),
+            model: forecast.model,
+            version: Some(forecast.version),
+            wait_ms: forecast.wait.map_or(frame::NEVER_MS, frame::millis),
+        }));
         log_delays(&view, &mut self.delays_logged_at);
         let mut steps = plan::steps(&view);
         steps.retain(|step| match step {
@@ -420,8 +442,8 @@
         logged_at.insert(pending.model.clone(), view.now);
         log::info!(
             model = pending.model.as_str(), waiting = pending.waiting,
-            waited_ms = clock::millis(waited),
-            why = plan::blocked_reason(view, &pending.model);
+            version = pending.version.as_deref().unwrap_or_default(), waited_ms = clock::millis(waited),
+            why = plan::blocked_reason(view, pending);
             "requests wait for model"
         );
     }
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -60,7 +60,7 @@
         framing,
         content: Content::new(&job.route, &upstream.head.headers),
         has_data: false,
-        origin: Origin::new(job.version.as_ref()),
+        origin: Origin::new(job.queue.version.as_ref()),
         has_begun: false,
         source: Source::new(upstream),
         tried: Vec::new(),
@@ -193,6 +193,8 @@
     CallerGone,
     /// The route's timeout has passed.
     TimedOut,
+    /// The steward has not recorded the stream in time, so that no event may be forwarded.
+    Unrecorded,
 }
 
 impl<P> Source<P>
@@ -229,7 +231,7 @@
                         self.node.examine(&self.source.target, &self.job.parts);
                     }
                 }
-                End::CallerGone | End::TimedOut => break self.abort(end),
+                End::CallerGone | End::TimedOut | End::Unrecorded => break self.abort(end),
             }
             let source = if end == End::Idle {
                 // Without another server, the run is kept: ending it would lose a stream that may still continue.
@@ -279,6 +281,7 @@
             End::Idle => "silent",
             End::CallerGone => "the caller left",
             End::TimedOut => "out of time",
+            End::Unrecorded => "origin not recorded",
         };
         log::info!(
             request = self.job.call.id.as_str(), server = self.source.server.as_str(), why = why,
@@ -330,20 +333,52 @@
         }
     }
 
-    /// Notes that an event is about to be forwarded. From the first on, the stream goes on only at the version that sent it;
-    /// callers that come back to another instance rely on what is reported here.
-    fn begin(&mut self) {
-        if std::mem::replace(&mut self.has_begun, true) {
-            return;
+    /// Prepares for forwarding an event. From the first on, the stream goes on only at the version that sent it. Returns an
+    /// error if the event must not be forwarded.
+    async fn begin(&mut self) -> Result<(), End> {
+        if self.has_begun {
+            return Ok(());
         }
         if self.origin == Origin::Open {
             let version = self.source.version.clone();
             self.origin = version.map_or(Origin::Unknown, Origin::Version);
+            self.record_origin().await?;
+        } else if let (Origin::Version(version), Some(first)) =
+            (&self.origin, &self.job.call.resumes)
+        {
+            let group = &self.job.queue.group;
+            self.node.record_origin(&self.job.call.id, group, version);
+            self.node.record_origin(first, group, version);
+        }
+        self.count_begun();
+        Ok(())
+    }
+
+    /// Records the version at which a new stream begins. Callers that come back to another instance rely on it.
+    async fn record_origin(&self) -> Result<(), End> {
+        let Origin::Version(version) = &self.origin else {
+            return Ok(());
+        };
+        let (attempt, group) = (&self.job.call.id, &self.job.queue.group);
+        self.node.record_origin(attempt, group, version);
+        let confirmed = self
+            .node
+            .confirm_origin(attempt, group, version, self.cutoff());
+        tokio::select! {
+            is_confirmed = confirmed => is_confirmed.then_some(()).ok_or(End::Unrecorded),
+            () = self.sender.closed() => Err(End::CallerGone),
         }
-        if let Origin::Version(version) = &self.origin {
-            self.node
-                .record_origin(&self.job.call.id, &self.job.queue.group, version);
+    }
+
+    /// Counts the caller's stream once it gets its first event.
+    fn count_begun(&mut self) {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return;
         }
+        let is_taken_up = self.job.queue.version.is_some();
+        self.node
+            .metrics
+            .count_begun_stream(self.source.version.as_deref(), is_taken_up);
     }
 
     /// Decides what the end of a run means for the caller's stream.
@@ -381,6 +416,9 @@
             Content::Resumable(splitter) => splitter,
             Content::Events(scanner) => {
                 scanner.push_all(&bytes);
+                if !bytes.is_empty() {
+                    self.count_begun();
+                }
                 return self.send_part(bytes).await;
             }
             Content::Opaque => return self.send_part(bytes).await,
@@ -391,7 +429,7 @@
         }
         let events: Vec<Bytes> = std::iter::from_fn(|| splitter.pop()).collect();
         for event in events {
-            self.begin();
+            self.begin().await?;
             self.send_part(event).await?;
         }
         Ok(())
@@ -409,13 +447,13 @@
         let mut tried = self.tried.clone();
         tried.push(self.source.server.clone());
         let job = &self.job;
+        let queue = self.queue();
         let query = node::Query {
             route: &job.route,
-            queue: &job.queue,
+            queue: &queue,
             call: &job.call,
             tried: &tried,
             remaining: Duration::ZERO,
-            version: self.origin.version(),
         };
         match self.node.choose(query) {
             node::Choice::Server(chosen) if !tried.contains(&chosen.server) => {
@@ -467,10 +505,17 @@
         self.send(chosen).await
     }
 
+    /// The queue in which the stream waits for a server that can resume it.
+    fn queue(&self) -> node::QueueKey {
+        let queue = self.job.queue.clone();
+        queue.with_version(self.origin.version().cloned())
+    }
+
     /// Waits for a server that can resume the stream, and takes a retry from the group's budget.
     async fn wait_for_server(&self) -> Option<node::Chosen> {
+        let queue = self.queue();
         let chosen = tokio::select! {
-            found = relay::wait_for_server(&self.node, &self.job, &self.tried, self.origin.version()) => found.ok()?,
+            found = relay::wait_for_server(&self.node, &self.job, &self.tried, &queue) => found.ok()?,
             () = self.sender.closed() => return None,
         };
         self.node.try_retry(&self.job.queue.group).then_some(chosen)
--- a/crates/fireflywheel_standin/src/trial/replay.rs
+++ b/crates/fireflywheel_standin/src/trial/replay.rs
@@ -234,6 +234,7 @@
         services: 2,
         models: options.models,
         engine_args: ENGINE_ARGS.map(str::to_owned).into(),
+        versions: Vec::new(),
         log_level: options.log_level,
         logs: None,
     };
@@ -255,6 +256,8 @@
             prompt: None,
             size: 100,
             deadline: DEADLINE,
+            origin: None,
+            leaves_after: None,
         };
         let mut caller = Caller::new(arrival.instance, callers[arrival.instance]);
         tasks.spawn(async move { caller.send(call).await });
