--- a/crates/fireflywheel/src/fleet/config.rs
+++ b/crates/fireflywheel/src/fleet/config.rs
@@ -101,6 +101,9 @@
     pub connections: usize,
     /// Settings of model engines; `None` for other backend servers.
     pub engine: Option<Engine>,
+    /// The path at which a server tells its health and its id.
+    #[serde(default)]
+    pub health_path: Option<SmolStr>,
 }
 
 /// The capacity of the engines of a group.
--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -1,14 +1,14 @@
-//! Parts of prompts on which servers crash.
+//! Requests on which servers crash.
 //!
 //! A request on which its server crashes crashes the next one as well, and so does each other request with the same part in
-//! its prompt. No single instance sees enough to tell which part it is: requests come at any instance, and an instance sees
-//! connections break, not processes end. Therefore instances share [`Facts`]: which processes have crashed, which parts
-//! were being answered there, and which parts have been answered to the end since. Facts are merged in any order, over the
-//! links to the steward or, without one, over those to its standbys. From them each instance derives by itself which parts are
-//! quarantined ([`Registry`]), and refuses requests with them.
+//! its prompt, or the same two parts. No single instance sees enough to tell what it is: requests come at any instance, and an
+//! instance sees connections break, not processes end. Therefore instances share [`Facts`]: which processes have crashed, which
+//! [`Suspects`] were being answered there, and which of them have been answered to the end since. Facts are merged in any
+//! order, over the links to the steward or, without one, over those to its standbys. From them each instance derives by itself
+//! which parts are quarantined ([`Registry`]), and refuses requests with them.
 //!
-//! A crash is a fact once two instances have found that the process doesn't listen any more. A path that is lost, a server that
-//! is frozen and a partition don't show that, and an answer of the process refutes it.
+//! A crash is a fact once two instances have found that the process has ended or is silent. One that others reach is refuted by
+//! its answers, as long as they are those of the same process.
 //!
 //! | module | contents |
 //! |---|---|
@@ -25,7 +25,7 @@
 use super::frame;
 use crate::clock;
 
-pub use fact::{Clearance, Crash, Facts, Part, Report, Survivor, Verdict};
+pub use fact::{Clearance, Crash, Facts, Kind, Part, Report, Survivor, Suspects, Verdict};
 
 /// Number of crashes, without a whole answer since, after which a part is quarantined.
 const MIN_CRASHES: u32 = 3;
@@ -47,8 +47,10 @@
 const FACT_TTL: Duration = Duration::from_secs(600);
 /// Maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 32;
-/// Maximum number of suspected parts of a crash.
-const MAX_SUSPECTS: usize = 64;
+/// Maximum number of suspects of a crash.
+const MAX_SUSPECTS: usize = 256;
+/// Maximum number of suspects of the broken runs at a process.
+const MAX_BROKEN_SUSPECTS: usize = 4096;
 /// Maximum number of quarantined parts.
 const MAX_VERDICTS: usize = 256;
 /// Maximum number of clearances that are kept.
@@ -71,7 +73,7 @@
 struct Known {
     at: clock::Instant,
     witnesses: BTreeSet<u64>,
-    /// The parts that were being answered, with the number of whole answers before.
+    /// What was being answered, with the number of whole answers before.
     suspects: BTreeMap<Part, u32>,
     is_confirmed: bool,
 }
@@ -87,13 +89,26 @@
     tolerance: Duration,
 }
 
-/// The parts of runs that broke off.
+/// The suspects of runs that broke off.
 #[derive(Clone, Debug)]
 struct Breaks {
     at: clock::Instant,
     parts: BTreeSet<Part>,
 }
 
+/// What speaks against a part.
+#[derive(Clone, Copy, Debug, Default)]
+struct Charge {
+    /// The number of crashes without a whole answer of it since.
+    crashes: u32,
+    /// Those of them that no quarantined part explains.
+    unexplained: u32,
+    /// The largest number of whole answers before that an instance knows of.
+    answers: u32,
+    /// The time of the last of these crashes.
+    last: clock::Instant,
+}
+
 /// What has changed since it was last told.
 #[derive(Clone, Debug, Default)]
 struct News {
@@ -113,25 +128,23 @@
     /// When suspected parts were last answered to the end.
     cleared: BTreeMap<Part, clock::Instant>,
     quarantined: BTreeMap<Part, Quarantine>,
+    /// Whether more may speak against a part than at the last review.
+    needs_review: bool,
     news: News,
 }
 
 impl Registry {
     /// Records an answer that has arrived whole. Returns whether other instances have to be told.
-    pub fn record_answer(&mut self, now: clock::Instant, parts: &[Part]) -> bool {
-        for part in parts {
-            self.answers.record(now, *part);
-        }
+    pub fn record_answer(&mut self, now: clock::Instant, suspects: &Suspects) -> bool {
+        self.answers.record(now, suspects);
         if self.crashes.is_empty() && self.quarantined.is_empty() {
             return false;
         }
         let mut is_news = false;
-        for part in parts {
+        for part in suspects.all() {
             is_news |= self.is_accused(*part) && self.clear(*part, now);
         }
-        if is_news {
-            self.review();
-        }
+        self.review();
         is_news
     }
 
@@ -144,7 +157,8 @@
             at: now,
             parts: BTreeSet::new(),
         });
-        breaks.parts.extend(parts);
+        let room = MAX_BROKEN_SUSPECTS.saturating_sub(breaks.parts.len());
+        breaks.parts.extend(parts.iter().take(room));
         if self.crashes.contains_key(process) {
             self.add_suspects(process);
             self.review();
@@ -174,6 +188,7 @@
             return false;
         }
         known.is_confirmed |= known.witnesses.len() >= MIN_WITNESSES.min(instances);
+        self.needs_review = true;
         self.news.crashes.insert(process.clone());
         self.add_suspects(process);
         self.limit_crashes();
@@ -208,10 +223,10 @@
         true
     }
 
-    /// Whether a process is thought to have crashed.
+    /// When a process is thought to have crashed; `None` if it isn't.
     #[must_use]
-    pub fn has_crashed(&self, process: &Process) -> bool {
-        self.crashes.contains_key(process)
+    pub fn crashed_at(&self, process: &Process) -> Option<clock::Instant> {
+        Some(self.crashes.get(process)?.at)
     }
 
     /// Forgets the broken runs at a process that goes on.
@@ -348,13 +363,23 @@
         self.quarantined.len()
     }
 
-    /// Whether requests with all of these parts have been answered to the end before, so that they are unlikely to crash a
-    /// server.
+    /// Whether requests with the same shared parts have been answered to the end before, and nothing of this one's own is
+    /// suspected of another crash, so that it is unlikely to crash a server.
     #[must_use]
-    pub fn are_proven(&self, parts: &[Part]) -> bool {
-        parts
-            .iter()
-            .all(|part| self.answers.count(*part) > 0 && !self.quarantined.contains_key(part))
+    pub fn are_proven(&self, process: &Process, suspects: &Suspects) -> bool {
+        let mut shared = suspects.shared().iter();
+        let is_known = |part| self.answers.count(part) > 0 && !self.quarantined.contains_key(&part);
+        shared.all(|part| is_known(*part))
+            && !suspects
+                .own()
+                .any(|part| self.is_accused_elsewhere(part, process))
+    }
+
+    fn is_accused_elsewhere(&self, part: Part, process: &Process) -> bool {
+        let mut others = self.crashes.iter().filter(|(other, _)| *other != process);
+        others.any(|(_, known)| {
+            known.suspects.contains_key(&part) && !self.is_cleared(part, known.at)
+        })
     }
 
     /// The time until a trial of a quarantined part is due; zero if it is due or the part isn't quarantined.
@@ -440,7 +465,10 @@
             return false;
         }
         if known.is_none() && self.cleared.len() >= MAX_CLEARANCES {
-            return false;
+            let oldest = self.cleared.iter().min_by_key(|(part, at)| (**at, **part));
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.cleared.remove(&oldest);
+            }
         }
         self.cleared.insert(part, at);
         self.news.parts.insert(part);
@@ -448,6 +476,7 @@
             && self.is_answered_since(part, quarantine.since, quarantine.tolerance)
         {
             self.quarantined.remove(&part);
+            self.needs_review = true;
             log::info!(part = part.to_string().as_str(); "part of prompts is no longer quarantined");
         }
         true
@@ -485,7 +514,7 @@
         }
     }
 
-    /// Makes the parts of broken runs suspects of their process's crash.
+    /// Adds the suspects of broken runs to those of their process's crash.
     fn add_suspects(&mut self, process: &Process) {
         let (Some(known), Some(breaks)) =
             (self.crashes.get_mut(process), self.breaks.remove(process))
@@ -500,9 +529,10 @@
             let answers = self.answers.count(part);
             if known.suspects.insert(part, answers).is_none() {
                 self.news.crashes.insert(process.clone());
+                self.needs_review = true;
             }
         }
-        limit_suspects(&mut known.suspects);
+        self.limit_suspects(process);
     }
 
     /// Merges a crash, and returns whether it tells anything new.
@@ -535,16 +565,22 @@
             });
             *count = (*count).max(*answers);
         }
-        limit_suspects(&mut known.suspects);
+        self.needs_review |= is_new;
+        self.limit_suspects(&crash.process);
         if is_new && passes_on {
             self.news.crashes.insert(crash.process.clone());
         }
-        // What this instance has answered since clears parts, also if that came before the news of the crash.
+        // What this instance has answered since clears parts, also if that came before the news of the crash. What it has
+        // answered earlier counts if nobody else knows that it was answered.
         let answered: Vec<(Part, clock::Instant)> = crash
             .suspects
             .iter()
-            .filter_map(|(part, _)| Some((*part, self.answers.last(*part)?)))
-            .filter(|(_, last)| last.after(TIME_TOLERANCE) >= at)
+            .filter_map(|(part, answers)| Some((*part, *answers, self.answers.last(*part)?)))
+            .filter(|(part, answers, last)| {
+                let is_unknown = *answers == 0 && !self.cleared.contains_key(part);
+                last.after(TIME_TOLERANCE) >= at || is_unknown
+            })
+            .map(|(part, _, last)| (part, last))
             .collect();
         for (part, last) in answered {
             self.clear(part, last);
@@ -583,6 +619,9 @@
 
     /// Quarantines the parts that explain the crashes best.
     fn review(&mut self) {
+        if !std::mem::take(&mut self.needs_review) {
+            return;
+        }
         while let Some(parts) = self.find_causes() {
             for (part, since) in parts {
                 let quarantine = Quarantine {
@@ -599,30 +638,37 @@
         }
     }
 
-    /// The parts that were being answered in enough crashes that no quarantined part explains, with the time of the last of
-    /// these. Of several, those come first that have been answered least often before.
+    /// The parts that explain enough crashes, at least one of which no quarantined part explains, with the time of the last.
+    /// Of several, those come first that have been answered least often before, and then those that stand for the fewest
+    /// requests.
     fn find_causes(&self) -> Option<Vec<(Part, clock::Instant)>> {
-        let mut accused: BTreeMap<Part, (u32, u32, clock::Instant)> = BTreeMap::new();
+        let mut charges: BTreeMap<Part, Charge> = BTreeMap::new();
         for known in self.crashes.values().filter(|known| known.is_confirmed) {
             let mut suspects = known.suspects.keys();
-            if suspects.any(|part| self.quarantined.contains_key(part)) {
-                continue;
-            }
+            let is_explained = suspects.any(|part| self.quarantined.contains_key(part));
             for (part, answers) in &known.suspects {
-                if self.is_cleared(*part, known.at) {
+                if self.quarantined.contains_key(part) || self.is_cleared(*part, known.at) {
                     continue;
                 }
-                let (crashes, most, last) = accused.entry(*part).or_default();
-                *crashes += 1;
-                *most = (*most).max(*answers);
-                *last = (*last).max(known.at);
+                let charge = charges.entry(*part).or_default();
+                charge.crashes += 1;
+                charge.unexplained += u32::from(!is_explained);
+                let was_answered = u32::from(self.cleared.contains_key(part));
+                charge.answers = charge.answers.max(*answers).max(was_answered);
+                charge.last = charge.last.max(known.at);
             }
         }
-        accused.retain(|_, (crashes, answers, _)| *crashes >= required_crashes(*answers));
-        let least = accused.values().map(|(_, answers, _)| *answers).min()?;
-        accused.retain(|_, (_, answers, _)| *answers == least);
-        let causes = accused.into_iter();
-        Some(causes.map(|(part, (_, _, last))| (part, last)).collect())
+        charges.retain(|_, charge| {
+            charge.unexplained > 0 && charge.crashes >= required_crashes(charge.answers)
+        });
+        let rank = |part: &Part, charge: &Charge| (charge.answers, part.kind());
+        let least = charges
+            .iter()
+            .map(|(part, charge)| rank(part, charge))
+            .min()?;
+        charges.retain(|part, charge| rank(part, charge) == least);
+        let causes = charges.into_iter();
+        Some(causes.map(|(part, charge)| (part, charge.last)).collect())
     }
 
     fn crash(&self, now: clock::Instant, process: &Process) -> Option<Crash> {
@@ -666,6 +712,37 @@
         })
     }
 
+    /// Limits the suspects of a crash. Those of other crashes are kept first, then single ones, then those that have been
+    /// answered least often before.
+    fn limit_suspects(&mut self, process: &Process) {
+        let excess = self
+            .crashes
+            .get(process)
+            .map_or(0, |known| known.suspects.len().saturating_sub(MAX_SUSPECTS));
+        if excess == 0 {
+            return;
+        }
+        let others = self.crashes.iter().filter(|(other, _)| *other != process);
+        let recurring: BTreeSet<Part> = others
+            .flat_map(|(_, known)| known.suspects.keys().copied())
+            .collect();
+        let Some(known) = self.crashes.get_mut(process) else {
+            return;
+        };
+        let mut ranked: Vec<_> = known
+            .suspects
+            .iter()
+            .map(|(part, answers)| {
+                let is_pair = part.kind() == Kind::Pair;
+                (!recurring.contains(part), is_pair, *answers, *part)
+            })
+            .collect();
+        ranked.sort_unstable();
+        for (.., part) in ranked.iter().rev().take(excess) {
+            known.suspects.remove(part);
+        }
+    }
+
     fn limit_crashes(&mut self) {
         while self.crashes.len() > MAX_CRASHES {
             let oldest = self.crashes.iter().min_by_key(|(_, known)| known.at);
@@ -683,6 +760,7 @@
                 break;
             };
             self.quarantined.remove(&oldest);
+            self.needs_review = true;
         }
     }
 }
@@ -695,19 +773,6 @@
     }
 }
 
-/// Keeps the suspects that have been answered least often before.
-fn limit_suspects(suspects: &mut BTreeMap<Part, u32>) {
-    while suspects.len() > MAX_SUSPECTS {
-        let proven = suspects
-            .iter()
-            .max_by_key(|(part, answers)| (**answers, **part));
-        let Some(proven) = proven.map(|(part, _)| *part) else {
-            break;
-        };
-        suspects.remove(&proven);
-    }
-}
-
 fn log_quarantine(part: Part, by: &str) {
     log::info!(part = part.to_string().as_str(), by = by; "part of prompts is quarantined");
 }
--- a/crates/fireflywheel/src/fleet/quarantine/fact.rs
+++ b/crates/fireflywheel/src/fleet/quarantine/fact.rs
@@ -8,19 +8,32 @@
 
 use crate::fleet::announcement::Process;
 
-/// What may crash the servers of a group: a part of prompts, or the load of a model or adapter. Its name may be long, so a
-/// hash stands for it.
+/// The bits of a part that hold its kind.
+const KIND_MASK: u64 = 0b11;
+/// Maximum number of parts of a prompt of which each two are a pair: the last ones, which fewer requests share.
+const MAX_PAIRED_PARTS: usize = 12;
+
+/// What may crash the servers of a group: a part of prompts, two of them together, a whole request, or the load of a model or
+/// adapter. Its name may be long, so a hash stands for it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Part(u64);
 
+/// Which requests a part stands for. Of several parts that explain crashes equally well, the first kind does.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Kind {
+    /// One request, sent again and again.
+    Request,
+    /// All with a part in their prompts, or the load of a model or adapter.
+    Single,
+    /// All with two parts in their prompts.
+    Pair,
+}
+
 impl Part {
     /// The part of this name in prompts to the servers of a group.
     #[must_use]
     pub fn new(group: &str, name: &str) -> Self {
-        Self(xxh3::xxh3_64_with_seed(
-            name.as_bytes(),
-            xxh3::xxh3_64(group.as_bytes()),
-        ))
+        Self::of_kind(Kind::Single, hash(group, name.as_bytes()))
     }
 
     /// The load of a model, or of an adapter of it.
@@ -30,6 +43,106 @@
         let name = format!("load\n{model}\n{}", adapter.unwrap_or_default());
         Self::new(group, &name)
     }
+
+    /// The request with this content.
+    #[must_use]
+    pub fn of_request(group: &str, content: &[u8]) -> Self {
+        Self::of_kind(Kind::Request, hash(group, content))
+    }
+
+    /// Two parts of one prompt, in any order.
+    #[must_use]
+    pub fn of_pair(one: Self, other: Self) -> Self {
+        let (first, second) = (one.min(other), one.max(other));
+        let hash = xxh3::xxh3_64_with_seed(&first.0.to_le_bytes(), second.0);
+        Self::of_kind(Kind::Pair, hash)
+    }
+
+    /// Which requests it stands for.
+    #[must_use]
+    pub fn kind(self) -> Kind {
+        match self.0 & KIND_MASK {
+            1 => Kind::Request,
+            2 => Kind::Pair,
+            _ => Kind::Single,
+        }
+    }
+
+    fn of_kind(kind: Kind, hash: u64) -> Self {
+        let bits = match kind {
+            Kind::Single => 0,
+            Kind::Request => 1,
+            Kind::Pair => 2,
+        };
+        Self(hash & !KIND_MASK | bits)
+    }
+}
+
+fn hash(group: &str, content: &[u8]) -> u64 {
+    xxh3::xxh3_64_with_seed(content, xxh3::xxh3_64(group.as_bytes()))
+}
+
+/// All that may make a request crash servers.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Suspects {
+    /// The parts of its prompt, the request itself, and the pairs.
+    all: Vec<Part>,
+    /// The number of parts at the beginning of `all` that other requests may have as well.
+    shared: usize,
+}
+
+impl Suspects {
+    /// The suspects of a request, given the parts of its prompt and the request itself. The last part of a prompt belongs to
+    /// the request or to its session.
+    #[must_use]
+    pub fn new(parts: &[Part], request: Part) -> Self {
+        let mut all = parts.to_vec();
+        all.push(request);
+        let paired = &parts[parts.len().saturating_sub(MAX_PAIRED_PARTS)..];
+        for (index, one) in paired.iter().enumerate() {
+            let others = paired[index + 1..].iter();
+            all.extend(others.map(|other| Part::of_pair(*one, *other)));
+        }
+        Self {
+            all,
+            shared: parts.len().saturating_sub(1),
+        }
+    }
+
+    /// Loads of models and adapters, which all requests for them share.
+    #[must_use]
+    pub fn of_loads(loads: Vec<Part>) -> Self {
+        Self {
+            shared: loads.len(),
+            all: loads,
+        }
+    }
+
+    /// Whether the request's prompt has parts.
+    #[must_use]
+    pub fn has_parts(&self) -> bool {
+        self.all
+            .first()
+            .is_some_and(|first| first.kind() == Kind::Single)
+    }
+
+    /// All of them.
+    #[must_use]
+    pub fn all(&self) -> &[Part] {
+        &self.all
+    }
+
+    /// The parts of the prompt that other requests may have as well.
+    #[must_use]
+    pub fn shared(&self) -> &[Part] {
+        &self.all[..self.shared]
+    }
+
+    /// What belongs to the request or its session alone.
+    pub fn own(&self) -> impl Iterator<Item = Part> {
+        let rest = self.all[self.shared..].iter().copied();
+        rest.filter(|part| part.kind() != Kind::Pair)
+    }
 }
 
 impl fmt::Display for Part {
@@ -50,7 +163,7 @@
     /// Whether there are enough of them.
     #[serde(rename = "confirmed")]
     pub is_confirmed: bool,
-    /// The parts that it had just begun to answer, with the number of whole answers before.
+    /// The suspects of the requests that it had just begun to answer, with the number of whole answers before.
     pub suspects: Vec<(Part, u32)>,
 }
 
--- a/crates/fireflywheel/src/fleet/server.rs
+++ b/crates/fireflywheel/src/fleet/server.rs
@@ -49,6 +49,8 @@
 pub struct Report {
     /// The number of orders accepted since the engine's start.
     pub orders: u64,
+    /// When the engine started, in Unix milliseconds, if the report tells.
+    pub started_ms: Option<u64>,
     /// The engine's holdings.
     pub held: Held,
 }
--- a/crates/fireflywheel/tests/fleet/quarantine.rs
+++ b/crates/fireflywheel/tests/fleet/quarantine.rs
@@ -4,7 +4,7 @@
 
 use fireflywheel::clock::Instant;
 use fireflywheel::fleet::announcement::Process;
-use fireflywheel::fleet::quarantine::{Facts, Part, Registry};
+use fireflywheel::fleet::quarantine::{Facts, Part, Registry, Suspects};
 
 /// Number of instances of a fleet.
 const INSTANCES: usize = 3;
@@ -26,6 +26,12 @@
     names.map(part).to_vec()
 }
 
+/// The suspects of a request with these parts before the last one of its prompt.
+fn suspects(parts: &[Part]) -> Suspects {
+    let own = [parts, &[part("own")]].concat();
+    Suspects::new(&own, Part::of_request("llm", b"request"))
+}
+
 /// Instances that exchange what is new after each step, without a delay.
 struct Fleet {
     now: Instant,
@@ -76,7 +82,7 @@
     }
 
     fn answer(&mut self, index: usize, prompt: &[Part]) {
-        self.registries[index].record_answer(self.now, prompt);
+        self.registries[index].record_answer(self.now, &suspects(prompt));
         self.exchange();
     }
 
@@ -141,7 +147,7 @@
         fleet.crashes += 1;
         let process = process(fleet.crashes);
         fleet.registries[0].record_break(fleet.now, &process, &parts(["sound"]));
-        fleet.registries[2].record_answer(fleet.now, &parts(["sound"]));
+        fleet.registries[2].record_answer(fleet.now, &suspects(&parts(["sound"])));
         for witness in 0..2 {
             fleet.registries[witness].record_end(fleet.now, &process, witness as u64, INSTANCES);
         }
@@ -269,6 +275,147 @@
     assert!(new.find_quarantined(fleet.now, &[part("bad")]).is_some());
 }
 
+/// All suspects of a request without parts, by its body.
+fn request(body: &str) -> Suspects {
+    Suspects::new(&[], Part::of_request("llm", body.as_bytes()))
+}
+
+/// All suspects of a request with a prompt.
+fn prompt<const COUNT: usize>(names: [&str; COUNT]) -> Suspects {
+    let content = names.join(",");
+    let request = Part::of_request("llm", content.as_bytes());
+    Suspects::new(&parts(names), request)
+}
+
+impl Fleet {
+    fn is_refused(&self, suspects: &Suspects) -> bool {
+        let registry = &self.registries[0];
+        registry
+            .find_quarantined(self.now, suspects.all())
+            .is_some()
+    }
+}
+
+/// Guards against a request without parts that is sent again and again, under new ids.
+#[test]
+fn request_of_three_crashes_is_quarantined() {
+    let mut fleet = Fleet::new();
+    let bad = request("bad");
+    for number in 0..3 {
+        assert!(!fleet.is_refused(&bad));
+        let other = request(&format!("other{number}"));
+        fleet.crash(&[bad.all().to_vec(), other.all().to_vec()]);
+    }
+    assert!(fleet.is_refused(&bad));
+    assert!(!fleet.is_refused(&request("other2")));
+}
+
+/// Guards against a session whose part comes last, and against its other parts that are blamed with it.
+#[test]
+fn session_of_three_crashes_is_quarantined() {
+    let mut fleet = Fleet::new();
+    for index in 0..INSTANCES {
+        let sound = prompt(["system", "topic", "sound"]);
+        fleet.registries[index].record_answer(fleet.now, &sound);
+    }
+    for number in 0..3 {
+        let question = format!("question{number}");
+        let bad = prompt(["system", "topic", &question, "session"]);
+        fleet.crash(&[bad.all().to_vec()]);
+    }
+    assert!(fleet.is_refused(&prompt(["system", "topic", "question3", "session"])));
+    assert!(!fleet.is_refused(&prompt(["system", "topic", "question2", "other"])));
+}
+
+/// Guards against two parts that crash servers together, and against either of them that is blamed alone.
+#[test]
+fn two_parts_of_three_crashes_are_quarantined_together() {
+    let mut fleet = Fleet::new();
+    for index in 0..INSTANCES {
+        for (number, part) in ["one", "two", "one", "two"].into_iter().enumerate() {
+            let own = format!("own{index}-{number}");
+            let sound = prompt(["system", part, &own]);
+            fleet.registries[index].record_answer(fleet.now, &sound);
+        }
+    }
+    for number in 0..3 {
+        let own = format!("bad{number}");
+        let bad = prompt(["system", "one", "two", &own]);
+        fleet.crash(&[bad.all().to_vec()]);
+    }
+    assert!(fleet.is_refused(&prompt(["one", "system", "two", "bad3"])));
+    assert!(!fleet.is_refused(&prompt(["system", "one", "own"])));
+    assert!(!fleet.is_refused(&prompt(["system", "two", "own"])));
+}
+
+/// Guards against sound parts that are blamed since only a few instances know that they were answered.
+#[test]
+fn answer_that_one_instance_knows_counts_for_all() {
+    let mut fleet = Fleet::new();
+    let sound = prompt(["system", "one", "own"]);
+    fleet.registries[2].record_answer(fleet.now, &sound);
+    for number in 0..3 {
+        let own = format!("bad{number}");
+        let bad = prompt(["system", "one", "bad", &own]);
+        fleet.crash(&[bad.all().to_vec()]);
+        fleet.exchange();
+    }
+    assert!(fleet.is_refused(&prompt(["bad", "other"])));
+    assert!(!fleet.is_refused(&sound));
+}
+
+/// Guards against a part that is sound for others and blamed for a request that is repeated, and against one that isn't
+/// blamed since such a request was blamed first.
+#[test]
+fn repeated_request_is_blamed_before_its_parts() {
+    let mut fleet = Fleet::new();
+    let bad = prompt(["rare", "repeated"]);
+    for _ in 0..3 {
+        fleet.crash(&[bad.all().to_vec()]);
+    }
+    assert!(fleet.is_refused(&bad));
+    assert!(!fleet.is_refused(&prompt(["rare", "other"])));
+    fleet.crash(&[prompt(["rare", "other"]).all().to_vec()]);
+    assert!(fleet.is_refused(&prompt(["rare", "third"])));
+}
+
+/// Guards against a cause that is displaced by the requests that ran beside it.
+#[test]
+fn cause_is_kept_beside_many_other_requests() {
+    let mut fleet = Fleet::new();
+    for crash in 0..3 {
+        let others = (0..200).map(|number| request(&format!("{crash}-{number}")).all().to_vec());
+        let mut runs: Vec<_> = others.collect();
+        runs.push(request("bad").all().to_vec());
+        fleet.crash(&runs);
+    }
+    assert!(fleet.is_refused(&request("bad")));
+}
+
+/// Guards against parts that count as new since callers invent others.
+#[test]
+fn invented_parts_do_not_displace_shared_ones() {
+    let mut registry = Registry::default();
+    let now = Instant(1_000_000);
+    let common = prompt(["common", "own"]);
+    registry.record_answer(now, &common);
+    for number in 0..20_000 {
+        registry.record_answer(now, &request(&number.to_string()));
+    }
+    assert!(registry.are_proven(&process(1), &common));
+}
+
+/// Guards against a request that is sent to another server though it was at a crash before.
+#[test]
+fn suspect_of_another_crash_does_not_run_again() {
+    let mut fleet = Fleet::new();
+    let bad = request("bad");
+    let first = fleet.crash(&[bad.all().to_vec()]);
+    assert!(fleet.registries[0].are_proven(&first, &bad));
+    assert!(!fleet.registries[0].are_proven(&process(9), &bad));
+    assert!(fleet.registries[0].are_proven(&process(9), &request("other")));
+}
+
 /// Guards against memory and bytes on the links that grow with the parts that callers invent.
 #[test]
 fn facts_are_bounded() {
@@ -279,7 +426,7 @@
             .collect();
         fleet.crash(&prompts);
         for prompt in &prompts {
-            fleet.registries[0].record_answer(fleet.now, prompt);
+            fleet.registries[0].record_answer(fleet.now, &suspects(prompt));
         }
         fleet.exchange();
     }
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -7,7 +7,7 @@
 use fireflywheel::clock;
 use fireflywheel::ending::Ending;
 use fireflywheel::fleet::config;
-use fireflywheel::fleet::quarantine::Part;
+use fireflywheel::fleet::quarantine;
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::http::response::Parts;
@@ -40,8 +40,8 @@
     pub route: config::Route,
     /// The queue in which the request waits for a server.
     pub queue: node::QueueKey,
-    /// The parts of the prompt that other requests may have as well.
-    pub parts: Vec<Part>,
+    /// What may make it crash servers.
+    pub suspects: quarantine::Suspects,
     /// Whether the request is let through to find out whether servers still crash on its quarantined part.
     pub is_trial: bool,
     /// The organisation that sent the request; `None` if it is anonymous or the configuration has no organisations.
@@ -55,7 +55,7 @@
 }
 
 impl Job {
-    /// The time for which requests with a part of this one's prompt are refused; `None` if it may be sent.
+    /// The time for which requests that share a suspect with this one are refused; `None` if it may be sent.
     #[must_use]
     pub fn quarantined_for<P>(&self, node: &node::Node<P>) -> Option<Duration>
     where
@@ -64,7 +64,7 @@
         if self.is_trial {
             return None;
         }
-        let (_, wait) = node.find_quarantined(&self.parts)?;
+        let (_, wait) = node.find_quarantined(self.suspects.all())?;
         Some(wait)
     }
 }
@@ -147,6 +147,7 @@
     let now = node.now();
     let remaining = job.deadline.since(now);
     let request = build_request(&node.platform, job, chosen, remaining, last_event);
+    let opened = now.before(connection.age());
     let pending = connection.send(request);
     tokio::pin!(pending);
     let timeout = node.response_timeout(&job.route.name).unwrap_or(remaining);
@@ -160,6 +161,7 @@
         Err(_) => {
             node.record_outcome(server, node::ServerOutcome::Failed);
             node.probe_path(&target);
+            node.examine(&target, &job.suspects, node::Doubt::Silence);
             if on_timeout == OnTimeout::Abandon {
                 return Outcome::Lost("silent");
             }
@@ -173,7 +175,7 @@
         Ok(sent) => sent,
         Err(error) => {
             if error == pool::Error::Lost {
-                node.examine(&target, &job.parts);
+                node.examine(&target, &job.suspects, node::Doubt::Break);
             }
             return handle_pool_error(node, server, error);
         }
@@ -204,7 +206,7 @@
             "response of another request"
         });
     }
-    node.record_life(&target.process, now);
+    node.record_life(&target.process, now, opened);
     node.observe_response_time(&job.route.name, node.now().since(now));
     in_flight.prefill_done();
     Outcome::Response(Box::new(Response {
@@ -251,13 +253,13 @@
     }
     match ending {
         Ending::BrokenOff(why) => {
-            node.examine(&response.target, &job.parts);
+            node.examine(&response.target, &job.suspects, node::Doubt::Break);
             return Err(Outcome::Lost(why.as_str()));
         }
         // Dropping the connection closes it: it has ended with the body.
         Ending::Unstated => {}
         Ending::Complete => {
-            node.record_whole_answer(&job.parts);
+            node.record_whole_answer(&job.suspects);
             let keep_alive = response.reply.keep_alive;
             node.pool
                 .release(node.now(), response.connection, keep_alive);
--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -88,6 +88,7 @@
     served_tunnels: IntCounterVec,
     quarantined_parts: IntGauge,
     crashes_found: IntCounter,
+    examinations: IntCounterVec,
     steward: IntGauge,
     linked: IntGauge,
 }
@@ -201,6 +202,11 @@
                 "fleet_crashes_found_total",
                 "Backend servers that this instance has found to have ended while they ran requests",
             )?,
+            examinations: builder.counter(
+                "fleet_examinations_total",
+                "Backend servers that this instance has examined after a run failed there, by what it found",
+                &["finding"],
+            )?,
             steward: builder.gauge("fleet_steward", "1 while this instance orders engines")?,
             linked: builder.gauge(
                 "fleet_steward_linked",
@@ -323,6 +329,11 @@
         self.crashes_found.inc();
     }
 
+    /// Counts an examination of a backend server.
+    pub fn count_examination(&self, finding: &str) {
+        self.examinations.with_label_values(&[finding]).inc();
+    }
+
     /// Counts streams that a steward is told.
     pub fn count_reported_streams(&self, count: usize) {
         self.reported_streams.inc_by(count as u64);
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -29,6 +29,7 @@
 pub use guard::{InFlight, Waiter};
 pub use limit::Answer;
 pub use path::{ServedTunnel, Target};
+pub use quarantine::Doubt;
 pub use quota::Charge;
 pub use store::ANSWER_TIMEOUT;
 
--- a/crates/fireflywheel_daemon/src/fleet/node/path.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/path.rs
@@ -238,14 +238,14 @@
         pool::Connection::direct(stream, target.address, reservation).await
     }
 
-    /// Opens a TCP connection of this instance's own and closes it, to find out whether a process listens.
-    pub(super) async fn try_connect(self: &Arc<Self>, target: &Target) -> io::Result<()> {
+    /// Opens a TCP connection of this instance's own, to find out whether a process listens.
+    pub(super) async fn try_connect(self: &Arc<Self>, target: &Target) -> io::Result<TcpStream> {
         let result = pool::try_dial(self.platform.network(), target.address).await;
         match result {
             Ok(_) => self.record_direct(target),
             Err(_) => self.record_direct_failure(target),
         }
-        result.map(drop)
+        result
     }
 
     /// Opens a TCP connection of this instance's own, and records whether it opens.
@@ -539,6 +539,11 @@
         is_changed
     }
 
+    /// Whether other instances reach a process that this one doesn't.
+    pub(super) fn is_path_lost(&self, process: &Process) -> bool {
+        self.path(process) == Path::Lost
+    }
+
     fn path(&self, process: &Process) -> Path {
         let state = self.lock();
         let Some(known) = state.servers.get(&process.server) else {
--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -1,25 +1,39 @@
-//! Crashes of backend servers, and the parts of prompts that may have caused them.
+//! Crashes of backend servers, and the requests that may have caused them.
 
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use fireflywheel::clock;
+use fireflywheel::ending::Ending;
 use fireflywheel::fleet::announcement::Process;
-use fireflywheel::fleet::quarantine::{Facts, Part, Registry, Report, Verdict};
+use fireflywheel::fleet::quarantine::{Facts, Part, Registry, Report, Suspects, Verdict};
+use http_body_util::Full;
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, StatusCode, Uri};
 use smol_str::SmolStr;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time;
+use xxhash_rust::xxh3;
 
 use super::{Node, QueueKey, Target, state};
-use crate::fleet::platform;
+use crate::fleet::{platform, pool};
+use crate::received;
 
 /// Delay from a broken run to the connection that shows whether its process has ended. A process that ends closes its
 /// connections one by one.
 const EXAMINATION_DELAY: Duration = Duration::from_millis(15);
-/// How long an examination may take: its delay and the time for a connection to open.
+/// How long an examination may take: its delay, and the times for a connection to open and for an answer over it.
 const EXAMINATION_TIMEOUT: Duration = Duration::from_millis(450);
+/// How long a connection may take to open until the address counts as silent. Servers answer within a round trip.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long the answer may take that tells which process listens.
+const IDENTITY_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum size in bytes of that answer.
+const MAX_IDENTITY_BYTES: usize = 1 << 20;
 /// How long to wait for the steward's answer to a trial request.
 const TRIAL_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of parts for which trial requests wait at once.
@@ -51,6 +65,46 @@
     waiting: usize,
 }
 
+/// Why a process is examined.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Doubt {
+    /// A run broke off.
+    Break,
+    /// A run brings nothing in the usual time. Most servers that are late live, so nothing more than a connection is asked for.
+    Silence,
+}
+
+/// What an examination has found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Finding {
+    /// The process has ended: its address refuses connections, or another process has it.
+    Ended,
+    /// Connections to its address don't open.
+    Silent,
+    /// The process answers.
+    Lives,
+    /// A connection opens, and it isn't known to which process.
+    Connected,
+    /// Nothing is known.
+    Unknown,
+}
+
+impl Finding {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Ended => "ended",
+            Self::Silent => "silent",
+            Self::Lives => "lives",
+            Self::Connected => "connected",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    fn has_ended(self) -> bool {
+        matches!(self, Self::Ended | Self::Silent)
+    }
+}
+
 /// Whether a request may be sent to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -110,23 +164,58 @@
     }
 }
 
-/// The parts of a prompt to the servers of a group.
-#[must_use]
-pub fn parts(group: &str, call: &platform::Call) -> Vec<Part> {
-    let names = call.prompt_parts.iter();
-    names.map(|name| Part::new(group, name)).collect()
+/// What of a caller's request may make servers of a group crash.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// The group.
+    pub group: &'a str,
+    /// The routing information.
+    pub call: &'a platform::Call,
+    /// The HTTP method.
+    pub method: &'a Method,
+    /// The path and query.
+    pub target: &'a Uri,
+    /// The complete body.
+    pub body: &'a [u8],
+}
+
+impl Request<'_> {
+    /// Its suspects. Attempts with different ids have the same ones.
+    #[must_use]
+    pub fn suspects(&self) -> Suspects {
+        let Self { group, call, .. } = self;
+        let names = call.prompt_parts.iter();
+        let parts: Vec<Part> = names.map(|name| Part::new(group, name)).collect();
+        let target = self.target.path_and_query();
+        let mut content = format!(
+            "{}\n{}\n{}\n{}\n{}\n{:?}\n",
+            self.method,
+            target.map_or("/", PathAndQuery::as_str),
+            call.model.as_deref().unwrap_or_default(),
+            call.adapter.as_deref().unwrap_or_default(),
+            call.prompt_parts.join(","),
+            call.total_tokens,
+        )
+        .into_bytes();
+        content.extend_from_slice(&xxh3::xxh3_64(self.body).to_le_bytes());
+        Suspects::new(&parts, Part::of_request(group, &content))
+    }
+
+    /// The name of a quarantined part, for logs: that of a part of the prompt, or a hash.
+    #[must_use]
+    pub fn name(&self, part: Part) -> SmolStr {
+        let mut names = self.call.prompt_parts.iter();
+        let name = names.find(|name| Part::new(self.group, name) == part);
+        name.cloned().unwrap_or_else(|| part.to_string().into())
+    }
 }
 
 impl<P> Node<P>
 where
     P: platform::Platform,
 {
-    /// Finds out whether a process has ended at which a run broke off. `parts` are those of its prompt if its answer had just
-    /// begun, or might have.
-    pub fn examine(self: &Arc<Self>, target: &Target, parts: &[Part]) {
-        if parts.is_empty() {
-            return;
-        }
+    /// Finds out whether a process has ended at which a run has failed whose answer had just begun, or might have.
+    pub fn examine(self: &Arc<Self>, target: &Target, suspects: &Suspects, doubt: Doubt) {
         let process = &target.process;
         let now = self.now();
         let mut state = self.lock();
@@ -134,7 +223,8 @@
             return;
         }
         let quarantine = &mut state.quarantine;
-        quarantine.registry.record_break(now, process, parts);
+        let registry = &mut quarantine.registry;
+        registry.record_break(now, process, suspects.all());
         if quarantine.examinations.contains_key(process) {
             return;
         }
@@ -144,24 +234,25 @@
         let (node, target) = (Arc::clone(self), target.clone());
         tokio::spawn(async move {
             time::sleep(EXAMINATION_DELAY).await;
-            let has_ended = node.has_ended(&target).await;
-            node.record_examination(&target.process, has_ended);
-            sender.send_replace(Some(has_ended == Some(true)));
+            let finding = node.find_process(&target, doubt).await;
+            node.record_examination(&target.process, finding);
+            sender.send_replace(Some(finding.has_ended()));
         });
     }
 
     /// Whether a request whose run has just broken off at a process may run again: not if the process has ended and the
     /// request may be the cause.
-    pub async fn may_run_again(&self, process: &Process, parts: &[Part]) -> bool {
+    pub async fn may_run_again(&self, process: &Process, suspects: &Suspects) -> bool {
         let examination = {
             let state = self.lock();
-            if state.quarantine.registry.are_proven(parts) {
+            if state.quarantine.registry.are_proven(process, suspects) {
                 return true;
             }
             state.quarantine.examinations.get(process).cloned()
         };
         let Some(mut examination) = examination else {
-            return !self.lock().quarantine.registry.has_crashed(process);
+            let state = self.lock();
+            return state.quarantine.registry.crashed_at(process).is_none();
         };
         let result = examination.wait_for(Option::is_some);
         let has_ended = match time::timeout(EXAMINATION_TIMEOUT, result).await {
@@ -206,62 +297,129 @@
     fn verify(self: &Arc<Self>, target: Target) {
         let node = Arc::clone(self);
         tokio::spawn(async move {
-            let has_ended = node.has_ended(&target).await;
-            node.record_examination(&target.process, has_ended);
+            let finding = node.find_process(&target, Doubt::Break).await;
+            node.record_examination(&target.process, finding);
         });
     }
 
-    fn record_examination(&self, process: &Process, has_ended: Option<bool>) {
+    fn record_examination(&self, process: &Process, finding: Finding) {
+        self.metrics.count_examination(finding.as_str());
         let now = self.now();
         let mut state = self.lock();
         let instances = state.instances.count();
         let quarantine = &mut state.quarantine;
         quarantine.examinations.remove(process);
         let registry = &mut quarantine.registry;
-        let is_news = match has_ended {
-            Some(true) => registry.record_end(now, process, self.incarnation, instances),
-            Some(false) => {
+        let is_news = match finding {
+            Finding::Ended | Finding::Silent => {
+                registry.record_end(now, process, self.incarnation, instances)
+            }
+            Finding::Lives => {
+                registry.forget_breaks(process);
+                registry.record_life(now, process, now)
+            }
+            Finding::Connected => {
                 registry.forget_breaks(process);
                 registry.record_connection(now, process)
             }
-            None => false,
+            Finding::Unknown => false,
         };
         drop(state);
-        if has_ended == Some(true) && is_news {
+        if finding.has_ended() && is_news {
             self.metrics.count_crash();
-            log::info!(server = process.server.as_str(); "backend server has ended while it ran requests");
+            log::info!(
+                server = process.server.as_str(), finding = finding.as_str();
+                "backend server has ended while it ran requests"
+            );
         }
         if is_news {
             self.handle_facts();
         }
     }
 
-    /// Whether a process listens no more; `None` if that isn't known.
-    async fn has_ended(self: &Arc<Self>, target: &Target) -> Option<bool> {
-        match self.try_connect(target).await {
-            Ok(()) => Some(false),
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Some(true),
-            Err(_) => None,
+    /// Finds out whether a process has ended, by a connection to its address and by what answers there.
+    async fn find_process(self: &Arc<Self>, target: &Target, doubt: Doubt) -> Finding {
+        let stream = match time::timeout(SILENCE_TIMEOUT, self.try_connect(target)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Finding::Ended;
+            }
+            Ok(Err(_)) => return Finding::Unknown,
+            // The path may be lost instead.
+            Err(_) if self.is_path_lost(&target.process) => return Finding::Unknown,
+            Err(_) => return Finding::Silent,
+        };
+        if doubt == Doubt::Silence {
+            return Finding::Unknown;
         }
+        let Some(request) = self.build_identity_request(&target.process) else {
+            return Finding::Connected;
+        };
+        let identify = self.identify(stream, target, request);
+        let found = time::timeout(IDENTITY_TIMEOUT, identify).await;
+        found.unwrap_or(Finding::Unknown)
     }
 
-    /// Waits until it is known whether a request with these parts may be sent to a server.
-    pub async fn admit(&self, parts: &[Part]) -> Admission {
-        if parts.is_empty() {
-            return Admission::Open;
+    fn build_identity_request(&self, process: &Process) -> Option<hyper::Request<Full<Bytes>>> {
+        let state = self.lock();
+        let group = &state.servers.get(&process.server)?.server.group;
+        let group = state.config()?.groups.get(group)?;
+        self.platform.build_identity_request(&process.server, group)
+    }
+
+    /// Asks the process at the other end of a connection who it is. A server that has started again under its id tells another
+    /// time of its start.
+    async fn identify(
+        &self,
+        stream: TcpStream,
+        target: &Target,
+        request: hyper::Request<Full<Bytes>>,
+    ) -> Finding {
+        let reservation = Arc::new(pool::OpenGuard::new(Arc::default()));
+        let opened = pool::Connection::direct(stream, target.address, reservation).await;
+        let Ok(connection) = opened else {
+            return Finding::Unknown;
+        };
+        let Ok((response, _connection)) = connection.send(request).await else {
+            return Finding::Unknown;
+        };
+        let (head, body) = received::Body::split(response);
+        let reply = self.platform.read_reply(&head);
+        let Process { server, started_ms } = &target.process;
+        let is_other = reply.server.is_some_and(|other| other != *server);
+        if is_other || head.status == StatusCode::MISDIRECTED_REQUEST {
+            return Finding::Ended;
+        }
+        let (body, ending) = body.collect(MAX_IDENTITY_BYTES).await;
+        if ending != Ending::Complete {
+            return Finding::Unknown;
         }
+        let report = self.platform.read_report(&body).ok();
+        match report.and_then(|report| report.started_ms) {
+            Some(answered) if answered == *started_ms => Finding::Lives,
+            Some(_) => Finding::Ended,
+            None => Finding::Unknown,
+        }
+    }
+
+    /// Waits until it is known whether a request with these suspects may be sent to a server.
+    pub async fn admit(&self, suspects: &Suspects) -> Admission {
         let mut changed = self.changed.subscribe();
         let started_for = self.now().since(self.started);
-        let informed = async {
-            while !self.lock().quarantine.is_informed && changed.changed().await.is_ok() {}
-        };
-        // Without a store and a steward, nobody tells.
-        let _ = time::timeout(START_TIMEOUT.saturating_sub(started_for), informed).await;
+        // What has no parts in common with other requests is not held up.
+        if suspects.has_parts() {
+            let informed = async {
+                while !self.lock().quarantine.is_informed && changed.changed().await.is_ok() {}
+            };
+            // Without a store and a steward, nobody tells.
+            let _ = time::timeout(START_TIMEOUT.saturating_sub(started_for), informed).await;
+        }
         let waiter = {
             let now = self.now();
             let mut state = self.lock();
             let quarantine = &mut state.quarantine;
-            let Some((part, wait)) = quarantine.registry.find_quarantined(now, parts) else {
+            let Some((part, wait)) = quarantine.registry.find_quarantined(now, suspects.all())
+            else {
                 return Admission::Open;
             };
             let requests = &mut quarantine.trial_requests;
@@ -307,25 +465,28 @@
     P: Send + Sync,
 {
     /// Records an answer that has arrived whole, as its server stated.
-    pub fn record_whole_answer(&self, parts: &[Part]) {
-        if parts.is_empty() {
-            return;
-        }
+    pub fn record_whole_answer(&self, suspects: &Suspects) {
         let now = self.now();
-        let is_news = self.lock().quarantine.registry.record_answer(now, parts);
+        let mut state = self.lock();
+        let is_news = state.quarantine.registry.record_answer(now, suspects);
+        drop(state);
         if is_news {
             self.handle_facts();
         }
     }
 
-    /// Records that a process has answered a request that was sent at `sent`.
-    pub fn record_life(&self, process: &Process, sent: clock::Instant) {
+    /// Records that a process has answered a request that was sent at `sent` over a connection that was opened at `opened`. One
+    /// that was opened after a crash may lead to the next process.
+    pub fn record_life(&self, process: &Process, sent: clock::Instant, opened: clock::Instant) {
         let now = self.now();
-        let is_news = self
-            .lock()
-            .quarantine
-            .registry
-            .record_life(now, process, sent);
+        let mut state = self.lock();
+        let registry = &mut state.quarantine.registry;
+        let crashed_at = registry.crashed_at(process);
+        if crashed_at.is_none_or(|at| opened > at) {
+            return;
+        }
+        let is_news = registry.record_life(now, process, sent);
+        drop(state);
         if is_news {
             self.handle_facts();
         }
@@ -490,11 +651,3 @@
         is_ready && !self.announcements.is_leaving(server, *started_ms)
     }
 }
-
-/// The names of quarantined parts, for callers and logs.
-#[must_use]
-pub fn name(group: &str, call: &platform::Call, part: Part) -> SmolStr {
-    let names = call.prompt_parts.iter();
-    let mut names = names.filter(|name| Part::new(group, name) == part);
-    names.next().cloned().unwrap_or_default()
-}
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use fireflywheel::clock;
-use fireflywheel::fleet::config::update;
+use fireflywheel::fleet::config::{self, update};
 use fireflywheel::fleet::era::{Era, Position};
 use fireflywheel::fleet::{announcement, lease, organisation, routing, server};
 use http_body_util::Full;
@@ -215,6 +215,14 @@
     /// Builds the request for an engine's report.
     fn build_report_request(&self) -> Request<Full<Bytes>>;
 
+    /// Builds the request whose answer tells which process listens at the address of a server: another server refuses it, an
+    /// engine answers with its report, and any other server with its id. `None` if the group's servers answer none.
+    fn build_identity_request(
+        &self,
+        server: &str,
+        group: &config::Group,
+    ) -> Option<Request<Full<Bytes>>>;
+
     /// Parses an engine's report.
     ///
     /// # Errors
--- a/crates/fireflywheel_daemon/src/fleet/pool.rs
+++ b/crates/fireflywheel_daemon/src/fleet/pool.rs
@@ -98,6 +98,7 @@
 pub struct Connection {
     address: SocketAddr,
     route: Route,
+    opened: time::Instant,
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
     _reservation: Arc<OpenGuard>,
@@ -124,6 +125,12 @@
         Ok((response, self))
     }
 
+    /// The time since it was opened.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.opened.elapsed()
+    }
+
     /// Closes the connection immediately.
     pub fn close(&self) {
         self.task.abort();
@@ -327,6 +334,7 @@
         Ok(Self {
             address,
             route,
+            opened: time::Instant::now(),
             sender,
             task: task.abort_handle(),
             _reservation: reservation,
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -119,12 +119,19 @@
         let organisation = self.identify_organisation(&config, route, call)?;
         let body = incoming::read(body, &body_limits(&config.limits)).await?;
         let queue = queue_key(&config, route, call);
-        let parts = quarantine::parts(&queue.group, call);
-        let is_trial = match self.node.admit(&parts).await {
+        let request = quarantine::Request {
+            group: &queue.group,
+            call,
+            method: &head.method,
+            target: &head.uri,
+            body: &body,
+        };
+        let suspects = request.suspects();
+        let is_trial = match self.node.admit(&suspects).await {
             Admission::Open => false,
             Admission::Trial => true,
             Admission::Refused(part, wait) => {
-                let name = quarantine::name(&queue.group, call, part);
+                let name = request.name(part);
                 log::info!(request = call.id.as_str(), part = name.as_str(); "servers crash on a part of the prompt");
                 return Err(quarantined(wait));
             }
@@ -158,7 +165,7 @@
             body,
             route: route.clone(),
             queue,
-            parts,
+            suspects,
             is_trial,
             organisation: organisation.map(|organisation| organisation.name.clone()),
             priority: organisation
@@ -260,7 +267,11 @@
                     if !job.route.kind.is_retryable() || may_have_run >= job.route.attempts {
                         return Err(failure);
                     }
-                    if !self.node.may_run_again(&chosen.process(), &job.parts).await {
+                    if !self
+                        .node
+                        .may_run_again(&chosen.process(), &job.suspects)
+                        .await
+                    {
                         return Err(failure);
                     }
                 }
@@ -540,10 +551,14 @@
     timeout::first_byte(route, total).mul_f64(QUEUE_TIMEOUT_RATIO)
 }
 
-/// The refusal of a request with a part on which servers crash. Its caller has no reason to come back before the next trial
-/// of the part.
+/// The refusal of a request on which servers crash, or on a part of its prompt. Its caller has no reason to come back before
+/// the next trial.
 fn quarantined(wait: Duration) -> errors::Problem {
-    unavailable("quarantined", "servers crash on a part of the prompt").with_retry_after(wait)
+    unavailable(
+        "quarantined",
+        "servers crash on the request or a part of its prompt",
+    )
+    .with_retry_after(wait)
 }
 
 /// Returns whether a request should still wait for its model to be loaded on another engine.
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -8,6 +8,7 @@
 use fireflywheel::fleet::announcement::Process;
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::plan;
+use fireflywheel::fleet::quarantine::Suspects;
 use fireflywheel::fleet::server;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -227,7 +228,7 @@
         let changed = tracker.report_received(requested_at, now, report);
         let finished = tracker.take_finished_loads();
         let finished = quarantine::load_parts(&tracker.group, finished);
-        self.node.record_whole_answer(&finished);
+        self.node.record_whole_answer(&Suspects::of_loads(finished));
         if let Some(fetched) = tracker.take_finished_fetch() {
             let unshared_time = self.unshared_load_time(&server.group, &fetched.model);
             state.record_fetch(&fetched, unshared_time);
@@ -260,7 +261,10 @@
         }
         let target = target(server);
         let loads = self.lock().awaited_loads(&target.process);
-        self.node.examine(&target, &loads);
+        if !loads.is_empty() {
+            let loads = Suspects::of_loads(loads);
+            self.node.examine(&target, &loads, node::Doubt::Break);
+        }
     }
 
     /// Publishes a change in what an engine holds, first to this instance itself.
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -150,8 +150,8 @@
     target: node::Target,
     server: SmolStr,
     version: Option<SmolStr>,
-    /// When the first byte of the body arrived.
-    data_at: Option<clock::Instant>,
+    /// When the first byte of the body arrived, and the last one so far.
+    data_at: Option<(clock::Instant, clock::Instant)>,
     _in_flight: node::InFlight<P>,
 }
 
@@ -226,8 +226,13 @@
                 End::Broken(_) | End::Idle => {
                     let outcome = node::ServerOutcome::Failed;
                     self.node.record_outcome(&self.source.server, outcome);
-                    if matches!(end, End::Broken(_)) && self.is_at_beginning() {
-                        self.node.examine(&self.source.target, &self.job.parts);
+                    let doubt = match end {
+                        End::Idle => node::Doubt::Silence,
+                        _ => node::Doubt::Break,
+                    };
+                    if self.is_at_beginning(doubt) {
+                        let suspects = &self.job.suspects;
+                        self.node.examine(&self.source.target, suspects, doubt);
                     }
                 }
                 End::CallerGone | End::TimedOut | End::Unrecorded => break self.abort(end),
@@ -265,7 +270,7 @@
         }
         let outcome = node::ServerOutcome::Good;
         self.node.record_outcome(&self.source.server, outcome);
-        self.node.record_whole_answer(&self.job.parts);
+        self.node.record_whole_answer(&self.job.suspects);
         self.node
             .pool
             .release(now, self.source.connection, self.source.keep_alive);
@@ -285,7 +290,7 @@
         log::info!(
             request = self.job.call.id.as_str(), server = self.source.server.as_str(), why = why,
             events = self.content.last_event().unwrap_or_default(), parts = self.job.call.prompt_parts.join(",").as_str(),
-            just_begun = self.is_at_beginning();
+            just_begun = self.is_at_beginning(node::Doubt::Break);
             "stream ended early"
         );
         self.node
@@ -320,10 +325,11 @@
                 received::Part::Data(bytes) => bytes,
                 received::Part::End(ending) => return self.end_of(ending).await,
             };
-            self.has_data |= !bytes.is_empty();
-            if self.has_data {
+            if !bytes.is_empty() {
+                self.has_data = true;
                 let now = self.node.now();
-                self.source.data_at.get_or_insert(now);
+                let (first, _) = self.source.data_at.unwrap_or((now, now));
+                self.source.data_at = Some((first, now));
             }
             match self.forward(bytes).await {
                 Ok(()) => {}
@@ -476,24 +482,29 @@
         self.content.is_resumable() && self.runs < self.job.route.attempts
     }
 
-    /// Whether the answer of the current run has just begun, or hasn't yet: a server that crashes on a request does so as it
-    /// begins to answer it.
-    fn is_at_beginning(&self) -> bool {
-        let now = self.node.now();
-        let data_at = self.source.data_at;
-        data_at.is_none_or(|at| now.since(at) < BEGINNING)
+    /// Whether the answer of the current run had just begun as it ended, or hadn't yet: a server that crashes on a request does
+    /// so as it begins to answer it.
+    fn is_at_beginning(&self, doubt: node::Doubt) -> bool {
+        let Some((first, last)) = self.source.data_at else {
+            return true;
+        };
+        let end = match doubt {
+            node::Doubt::Break => self.node.now(),
+            node::Doubt::Silence => last,
+        };
+        end.since(first) < BEGINNING
     }
 
     /// Starts another run in place of one that broke off.
     async fn resume(&mut self) -> Option<Source<P>> {
-        let is_at_beginning = self.is_at_beginning();
+        let is_at_beginning = self.is_at_beginning(node::Doubt::Break);
         self.end_run();
         if !self.may_resume() {
             return None;
         }
         if is_at_beginning {
             let process = &self.source.target.process;
-            if !self.node.may_run_again(process, &self.job.parts).await {
+            if !self.node.may_run_again(process, &self.job.suspects).await {
                 return None;
             }
         }
--- a/crates/fireflywheel_standin/src/main.rs
+++ b/crates/fireflywheel_standin/src/main.rs
@@ -402,7 +402,9 @@
         version: text_value(args, "software-version").into(),
         prints_lines: true,
         crash_model: None,
-        crash_part: args.get_one::<String>("crash-part").map(Into::into),
+        trigger: args
+            .get_one::<String>("crash-part")
+            .map(|part| site::worker::Trigger::part(part)),
     };
     let mut worker = site::worker::Worker::with_options(
         text_value(args, "id"),
--- a/crates/fireflywheel_standin/src/site/configuration.rs
+++ b/crates/fireflywheel_standin/src/site/configuration.rs
@@ -3,6 +3,9 @@
 /// Maximum number of workers on which the configuration lets a request run.
 pub const ATTEMPTS: usize = 2;
 
+/// The path at which workers tell their health and their ids.
+pub const HEALTH_PATH: &str = "/health";
+
 /// Returns the configuration as JSON. The service `llm` consists of engines with memory for two models each, and `app`
 /// is a plain service. Each version adds a route `/vN/`, so that a request can show whether the version is in effect.
 #[must_use]
@@ -19,8 +22,8 @@
         .collect();
     format!(
         r#"{{"version":{version},"routes":[{},{},{},{},{}],
-        "services":[{{"name":"llm","maxConns":200,"engine":{{"slots":8,"models":[{}],"weightsMb":83,
-        "adapterSlots":4,"loadsPerS":{loads_per_second}}}}},{{"name":"app","maxConns":200}}],
+        "services":[{{"name":"llm","maxConns":200,"healthPath":"{HEALTH_PATH}","engine":{{"slots":8,"models":[{}],"weightsMb":83,
+        "adapterSlots":4,"loadsPerS":{loads_per_second}}}}},{{"name":"app","maxConns":200,"healthPath":"{HEALTH_PATH}"}}],
         "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
         streaming_route("ask", 2, true),
         streaming_route("once", 1, false),
--- a/crates/fireflywheel_standin/src/site/host.rs
+++ b/crates/fireflywheel_standin/src/site/host.rs
@@ -5,13 +5,16 @@
 use std::time::Duration;
 
 use smol_str::format_smolstr;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time;
 
 use super::store::{SERVERS, Store};
 use super::worker::{Options, Worker};
 use crate::trial::proxy;
 
+/// A connection that isn't open after this time finds the queue of the listener full.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(5);
+
 /// Settings of a host.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -21,8 +24,10 @@
     pub service: &'static str,
     /// Model that its first worker holds, and that all have on disk.
     pub model: &'static str,
-    /// Time from a crash to the start of the next worker. Meanwhile, connections to the address are refused.
+    /// Time from a crash to the start of the next worker.
     pub downtime: Duration,
+    /// Whether connections to the address get no answer meanwhile. Otherwise they are refused.
+    pub is_silent: bool,
     /// Settings of its workers.
     pub worker: Options,
 }
@@ -87,15 +92,36 @@
             // A bound socket that doesn't listen refuses connections, and no other process gets its port.
             let socket = proxy::bind_again(self.inner.address).await;
             self.lock().crashes.push(time::Instant::now());
-            time::sleep(self.inner.settings.downtime).await;
+            listener = match self.inner.settings.is_silent {
+                true => self.be_silent(socket).await?,
+                false => {
+                    time::sleep(self.inner.settings.downtime).await;
+                    socket.listen(proxy::BACKLOG)?
+                }
+            };
             store.remove(SERVERS, worker.id());
-            listener = socket.listen(proxy::BACKLOG)?;
             let mut state = self.lock();
             let next = new_worker(&self.inner.settings, state.workers.len());
             state.workers.push(next);
         }
     }
 
+    /// Leaves new connections without an answer until the next worker starts: the queue of its listener is full.
+    async fn be_silent(&self, socket: TcpSocket) -> anyhow::Result<TcpListener> {
+        let until = time::Instant::now() + self.inner.settings.downtime;
+        let full = socket.listen(1)?;
+        let mut queued = Vec::new();
+        while let Ok(connected) =
+            time::timeout(QUEUE_TIMEOUT, TcpStream::connect(self.inner.address)).await
+        {
+            queued.push(connected?);
+        }
+        time::sleep_until(until).await;
+        drop((full, queued));
+        let socket = proxy::bind_again(self.inner.address).await;
+        Ok(socket.listen(proxy::BACKLOG)?)
+    }
+
     /// Returns the times at which its workers have crashed.
     #[must_use]
     pub fn crashes(&self) -> Vec<time::Instant> {
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time;
 
+use super::configuration::HEALTH_PATH;
 use super::line::Line;
 use super::store::{SERVERS, record};
 use super::{empty_answer, set_header};
@@ -60,12 +61,43 @@
     pub version: SmolStr,
     /// Whether the worker writes its events to standard output, one [`Line`] each.
     pub prints_lines: bool,
-    /// The part of prompts on which the worker crashes once it has begun an answer, unless it is the prompt's last part.
-    pub crash_part: Option<SmolStr>,
+    /// The requests on which the worker crashes once it has begun an answer.
+    pub trigger: Option<Trigger>,
     /// The model on which the worker crashes at the end of a load.
     pub crash_model: Option<SmolStr>,
 }
 
+/// What the requests have on which a worker crashes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Trigger {
+    /// All of these parts in their prompts, wherever.
+    Parts(Vec<SmolStr>),
+    /// This body.
+    Body(SmolStr),
+}
+
+impl Trigger {
+    /// One part of prompts.
+    #[must_use]
+    pub fn part(name: &str) -> Self {
+        Self::Parts(vec![name.into()])
+    }
+
+    fn fires(&self, request: &http::Request) -> bool {
+        match self {
+            Self::Parts(names) => {
+                let prompt = request.header("x-prompt-prefix").unwrap_or_default();
+                let mut names = names.iter();
+                names.all(|name| {
+                    let mut parts = prompt.split(',').filter_map(|part| part.split(':').next());
+                    parts.any(|part| part == name)
+                })
+            }
+            Self::Body(body) => request.body.as_ref() == body.as_bytes(),
+        }
+    }
+}
+
 impl Default for Options {
     fn default() -> Self {
         Self {
@@ -79,7 +111,7 @@
             weights_mb: 0,
             version: DEFAULT_VERSION.into(),
             prints_lines: false,
-            crash_part: None,
+            trigger: None,
             crash_model: None,
         }
     }
@@ -504,7 +536,7 @@
         json!({
             "stage": "both", "models": models, "busy": state.busy, "seq": state.orders, "pending": [],
             "available": {"inMemory": [], "onDisk": state.on_disk}, "queued": state.waiting,
-            "running": state.running,
+            "running": state.running, "born": self.inner.started_ms,
         })
     }
 
@@ -583,6 +615,11 @@
     async fn answer(&self, request: &http::Request) -> http::Answer {
         self.lock().calls.push(time::Instant::now());
         match request.path.as_str() {
+            HEALTH_PATH => {
+                let mut answer = empty_answer(StatusCode::OK);
+                set_header(&mut answer, "x-instance-id", &self.inner.id);
+                answer
+            }
             "/v1/report" => match self.shed() {
                 Some(refusal) => refusal,
                 None => http::json(StatusCode::OK, &self.build_report()),
@@ -672,13 +709,8 @@
     }
 
     fn crashes_on(&self, request: &http::Request) -> bool {
-        let Some(crash_part) = &self.inner.options.crash_part else {
-            return false;
-        };
-        let parts = request.header("x-prompt-prefix").unwrap_or_default();
-        let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
-        let mut names = shared.split(',').filter_map(|part| part.split(':').next());
-        names.any(|name| name == crash_part)
+        let trigger = self.inner.options.trigger.as_ref();
+        trigger.is_some_and(|trigger| trigger.fires(request))
     }
 
     /// Begins an answer and crashes before the first byte of its body.
@@ -784,7 +816,7 @@
     }
 
     fn has_effect(&self, request: &http::Request) -> bool {
-        request.path != "/v1/report"
+        !["/v1/report", HEALTH_PATH].contains(&request.path.as_str())
     }
 
     async fn call(self: Arc<Self>, request: http::Request) -> Result<http::Answer, http::Lost> {
