RECOVER: an instance without a connection to spare names the lenders that it knows

Callers saw: while most new connections came to one of a hundred instances, requests there were refused with 503 though other instances had connections to the servers that nobody used.

Cause: parts that are equal for all, and lent by a number of others that doesn't grow with the need: two to six gateways, which the steward has named. One that was busy for a server was left out for all servers, and connections that were never opened used up the retry budget.

Change: a gateway that has none to spare names those that it knows itself. Each lender counts what it lends as its own, so the sum of all parts is what it was. What was never sent is no retry. A part of one connection may be lent.

--- a/crates/fireflywheel/src/fleet/tunnel.rs
+++ b/crates/fireflywheel/src/fleet/tunnel.rs
@@ -9,7 +9,7 @@
 //!
 //! From then on each message is a part of the byte stream of the connection. The gateway doesn't read it, so whatever
 //! the opener decides about a request holds on this path as on its own. A gateway opens connections to servers of its
-//! directory only, and never through a third instance.
+//! directory only, and never through a third instance. Where it has none to spare, it names the gateways that it knows itself.
 
 use std::fmt;
 
@@ -17,6 +17,7 @@
 use smol_str::SmolStr;
 
 use super::announcement;
+use super::gateway;
 
 /// The size of a nonce and of a proof, in bytes.
 pub const PROOF_BYTES: usize = 32;
@@ -52,11 +53,16 @@
         /// opener's.
         #[serde(default, rename = "lent")]
         is_lent: bool,
+        /// Whether the opener's release understands [`Self::Referred`].
+        #[serde(default)]
+        accepts_referral: bool,
     },
     /// The gateway's proof; the connection to the server is open.
     Opened(Proof),
     /// The gateway opens no connection, and has sent the server nothing.
     Refused(Refusal),
+    /// The gateway has no connection to spare. These may have one.
+    Referred(Vec<gateway::Gateway>),
 }
 
 /// Why a gateway opens no connection.
--- a/crates/fireflywheel/tests/fleet/gateway.rs
+++ b/crates/fireflywheel/tests/fleet/gateway.rs
@@ -1,9 +1,10 @@
 //! Tests of the choice of gateways.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use fireflywheel::clock::Instant;
-use fireflywheel::fleet::gateway::{self, Gateway, Roster};
+use fireflywheel::fleet::gateway::{self, Gateway, Roster, Search};
 use smol_str::SmolStr;
 
 use crate::cases;
@@ -61,6 +62,15 @@
     assert_eq!(names, expected);
 }
 
+fn search<'a>(borrowed: Option<&'a str>, tried: &'a [SmolStr]) -> Search<'a> {
+    Search {
+        group: "llm",
+        borrowed,
+        failure_domain: "z1",
+        tried,
+    }
+}
+
 fn assert_picked(tried: &[&str], held_off: Option<&str>, open: usize, expected: Option<&str>) {
     let mut roster = Roster::default();
     roster.replace(vec![gateway(1, &[]), gateway(2, &["app"])]);
@@ -68,12 +78,79 @@
         roster.hold_off(Instant(1000), instance);
     }
     let tried: Vec<SmolStr> = tried.iter().copied().map(SmolStr::new).collect();
-    let picked = roster.pick(Instant(1001), "llm", "z1", &tried, 7, |instance| {
+    let picked = roster.pick(Instant(1001), search(None, &tried), 7, |instance| {
         if instance == "i1" { open } else { 0 }
     });
     assert_eq!(picked.map(|gateway| gateway.instance.as_str()), expected);
 }
 
+/// Borrows connections, one of each server, until no instance has one to spare. Each instance knows `named` others, and lends
+/// one connection to each server. Returns how many were borrowed.
+fn borrow_all(instances: usize, named: usize) -> usize {
+    let lenders = |of: usize| -> Vec<Gateway> {
+        let numbers = (1..=named).map(|offset| (of + offset * offset) % instances);
+        numbers.map(|number| gateway(number, &[])).collect()
+    };
+    let mut roster = Roster::default();
+    roster.replace(lenders(0));
+    let mut lent = BTreeSet::new();
+    let now = Instant(1000);
+    while let Some(lender) = roster.pick(now, search(Some("s1"), &["i0".into()]), 0, |name| {
+        usize::from(lent.contains(name))
+    }) {
+        let name = lender.instance.clone();
+        let number: usize = name[1..].parse().expect("names have numbers");
+        if !lent.insert(name.clone()) {
+            roster.refer(now, lenders(number));
+            roster.hold_off_for(now, &name, &"s1".into());
+        }
+    }
+    lent.len()
+}
+
+/// Guards against an instance of a large fleet that borrows of the few that it was named only.
+#[test]
+fn referrals_lead_to_most_lenders() {
+    assert!(borrow_all(100, 6) >= 90);
+}
+
+/// Guards against a lender that is left out for all servers since it has lent its connections to one.
+#[test]
+fn busy_lender_lends_connections_to_other_servers() {
+    let mut roster = Roster::default();
+    roster.replace(vec![gateway(1, &[])]);
+    let now = Instant(1000);
+    roster.hold_off_for(now, "i1", &"s1".into());
+    let pick = |server| roster.pick(now, search(server, &[]), 0, |_| 0);
+    assert!(pick(Some("s1")).is_none());
+    assert!(pick(Some("s2")).is_some());
+    assert!(pick(None).is_some());
+}
+
+/// Guards against instances that have ended and are tried again and again since others have named them.
+#[test]
+fn named_lender_that_does_not_answer_is_forgotten() {
+    let mut roster = Roster::default();
+    let now = Instant(1000);
+    roster.refer(now, vec![gateway(1, &[]), gateway(2, &[])]);
+    roster.hold_off(now, "i1");
+    let later = now.after(Duration::from_secs(1));
+    let picked = roster.pick(later, search(Some("s1"), &["i2".into()]), 0, |_| 0);
+    assert!(picked.is_none());
+}
+
+/// Guards against lenders that are named once and stay for good, and against passing on what others have named.
+#[test]
+fn named_lenders_are_forgotten() {
+    let mut roster = Roster::default();
+    let now = Instant(1000);
+    roster.refer(now, (0..1000).map(|number| gateway(number, &[])).collect());
+    assert!(roster.lenders().is_empty());
+    let later = now.after(Duration::from_secs(60));
+    roster.refer(later, Vec::new());
+    assert!(!roster.reaches("llm"));
+}
+
 cases! {
     /// Guards against a gateway through which the requests of many instances go while others are idle.
     half_of_a_fleet => assert_spread(16, 8, 1.6);
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -101,8 +101,10 @@
 {
     /// A backend server responds.
     Response(Box<Response<P>>),
-    /// The request has not run at the server and will not.
+    /// The server has refused the request, which has not run there and will not.
     NotRun(&'static str),
+    /// Nothing of the request has been sent.
+    Unsent(&'static str),
     /// The request may have run, but there is no usable response.
     Lost(&'static str),
     /// The request's deadline has passed; it may have run.
@@ -132,7 +134,7 @@
     let now = node.now();
     let remaining = job.deadline.since(now);
     if remaining.is_zero() {
-        return Outcome::NotRun("no time left");
+        return Outcome::Unsent("no time left");
     }
     let server = &chosen.server;
     let mut in_flight = node.register_in_flight(chosen, &job.queue);
@@ -141,7 +143,7 @@
     let connection = match connecting.await {
         Ok(Ok(connection)) => connection,
         Ok(Err(error)) => return handle_pool_error(node, server, error),
-        Err(_) => return Outcome::NotRun("no connection in time"),
+        Err(_) => return Outcome::Unsent("no connection in time"),
     };
     // Opening the connection has taken some of the time that the server may use.
     let now = node.now();
@@ -304,13 +306,13 @@
     match error {
         pool::Error::Unreachable => {
             node.record_outcome(server, node::ServerOutcome::Unreachable);
-            Outcome::NotRun(error.as_str())
+            Outcome::Unsent(error.as_str())
         }
         pool::Error::NoConnectionFree => {
             node.record_outcome(server, node::ServerOutcome::Full);
-            Outcome::NotRun(error.as_str())
+            Outcome::Unsent(error.as_str())
         }
-        pool::Error::Withheld | pool::Error::Unsent => Outcome::NotRun(error.as_str()),
+        pool::Error::Withheld | pool::Error::Unsent => Outcome::Unsent(error.as_str()),
         pool::Error::Lost => {
             node.record_outcome(server, node::ServerOutcome::Failed);
             Outcome::Lost(error.as_str())
--- a/crates/fireflywheel_daemon/src/fleet/gateway.rs
+++ b/crates/fireflywheel_daemon/src/fleet/gateway.rs
@@ -36,28 +36,38 @@
     else {
         return;
     };
-    let refusal = match outcome {
+    let rejection = match outcome {
         Ok(Ok(accepted)) => {
             node.metrics.count_served_tunnel("opened");
             forward(socket, accepted).await;
             return;
         }
-        Ok(Err(refusal)) => refusal,
+        Ok(Err(rejection)) => rejection,
         Err(error) => {
             log::debug!(why = error.to_string().as_str(); "tunnel handshake broke off");
             return;
         }
     };
-    node.metrics.count_served_tunnel(refusal.as_str());
+    node.metrics.count_served_tunnel(rejection.refusal.as_str());
+    let answer = match rejection.accepts_referral && rejection.refusal == Refusal::Busy {
+        true => Message::Referred(node.lenders()),
+        false => Message::Refused(rejection.refusal),
+    };
     // The opener may have left.
-    let _ = tunnel::send(&mut socket, tunnel::encode(&Message::Refused(refusal))).await;
+    let _ = tunnel::send(&mut socket, tunnel::encode(&answer)).await;
+}
+
+/// Why no connection is opened, and whether the opener can be referred to others.
+struct Rejection {
+    refusal: Refusal,
+    accepts_referral: bool,
 }
 
 async fn accept<P>(
     node: &Arc<node::Node<P>>,
     socket: &mut tunnel::Socket,
     opener: Nonce,
-) -> anyhow::Result<Result<node::ServedTunnel, Refusal>>
+) -> anyhow::Result<Result<node::ServedTunnel, Rejection>>
 where
     P: platform::Platform,
 {
@@ -67,12 +77,19 @@
         process,
         proof,
         is_lent,
+        accepts_referral,
     } = tunnel::receive(socket).await?
     else {
         anyhow::bail!("unexpected message");
     };
+    let reject = |refusal| {
+        Ok(Err(Rejection {
+            refusal,
+            accepts_referral: accepts_referral && is_lent,
+        }))
+    };
     let Some(secret) = node.tunnel_secret() else {
-        return Ok(Err(Refusal::Unauthenticated));
+        return reject(Refusal::Unauthenticated);
     };
     let handshake = tunnel::Handshake {
         secret: &secret,
@@ -83,14 +100,14 @@
     if !handshake.is_proven(tunnel::Role::Opener, &proof) {
         // The opener may know a later secret.
         node.request_secret();
-        return Ok(Err(Refusal::Unauthenticated));
+        return reject(Refusal::Unauthenticated);
     }
     let served = match node
         .serve_tunnel(&process, MAX_SERVED_TUNNELS, is_lent)
         .await
     {
         Ok(served) => served,
-        Err(refusal) => return Ok(Err(refusal)),
+        Err(refusal) => return reject(refusal),
     };
     tunnel::send(
         socket,
--- a/crates/fireflywheel_daemon/src/fleet/node/path.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/path.rs
@@ -35,6 +35,8 @@
 const LENDABLE_RATIO: f64 = 0.75;
 /// Maximum number of gateways that are tried for one connection.
 const MAX_GATEWAYS: usize = 2;
+/// The same for a connection that one of them has to spare: most may have lent theirs, and each names others.
+const MAX_LENDERS: usize = 6;
 
 /// A process that something is sent to.
 #[derive(Clone, Debug)]
@@ -289,7 +291,8 @@
     ) -> Result<pool::Connection, pool::Error> {
         let mut tried = Vec::new();
         let mut outcome = pool::Error::Unreachable;
-        while tried.len() < MAX_GATEWAYS {
+        let most = if is_lent { MAX_LENDERS } else { MAX_GATEWAYS };
+        while tried.len() < most {
             let (gateway, open_count) = match self.pick_gateway(&target.process, &tried, is_lent) {
                 Ok(picked) => picked,
                 Err(error) if tried.is_empty() => return Err(error),
@@ -315,7 +318,7 @@
                         server = target.process.server.as_str(), gateway = gateway.instance.as_str(), why = error.as_str();
                         "no tunnel to backend server"
                     );
-                    outcome = self.handle_tunnel_error(&gateway, error);
+                    outcome = self.handle_tunnel_error(&gateway, target, error);
                     if outcome == pool::Error::Withheld {
                         break;
                     }
@@ -327,7 +330,12 @@
     }
 
     /// Records why a gateway opened no tunnel. Returns what that means for the request, which has not been sent.
-    fn handle_tunnel_error(&self, gateway: &gateway::Gateway, error: tunnel::Error) -> pool::Error {
+    fn handle_tunnel_error(
+        &self,
+        gateway: &gateway::Gateway,
+        target: &Target,
+        error: tunnel::Error,
+    ) -> pool::Error {
         let (outcome, is_gateway_usable) = match error {
             tunnel::Error::Refused(Refusal::NotUsable) => (pool::Error::Withheld, true),
             tunnel::Error::Refused(Refusal::Unreachable) => (pool::Error::Unreachable, true),
@@ -339,6 +347,15 @@
                 (pool::Error::NoConnectionFree, false)
             }
             tunnel::Error::NoAnswer => (pool::Error::Unreachable, false),
+            tunnel::Error::Referred(mut others) => {
+                let own = &self.settings.instance;
+                others.retain(|other| other.instance != *own);
+                let now = self.now();
+                let gateways = &mut self.lock().paths.gateways;
+                gateways.refer(now, others);
+                gateways.hold_off_for(now, &gateway.instance, &target.process.server);
+                (pool::Error::NoConnectionFree, true)
+            }
         };
         if !is_gateway_usable {
             let now = self.now();
@@ -369,15 +386,17 @@
             let count = paths.tunnels.get(instance);
             count.map_or(0, |count| count.load(Ordering::Relaxed))
         };
-        let domain = &self.settings.failure_domain;
         let mut excluded = tried.to_vec();
         if lends {
             excluded.extend(paths.gateways.non_lending().cloned());
         }
-        let picked =
-            paths
-                .gateways
-                .pick(now, &group, domain, &excluded, rand::random(), open_count);
+        let search = gateway::Search {
+            group: &group,
+            borrowed: lends.then_some(process.server.as_str()),
+            failure_domain: &self.settings.failure_domain,
+            tried: &excluded,
+        };
+        let picked = paths.gateways.pick(now, search, rand::random(), open_count);
         let Some(gateway) = picked.cloned() else {
             return Err(match paths.gateways.reaches(&group) {
                 true => pool::Error::NoConnectionFree,
@@ -417,7 +436,7 @@
         let lent = match is_lent {
             true => {
                 let lendable = (target.connections as f64 * LENDABLE_RATIO) as usize;
-                let reserved = self.pool.reserve(target.address, lendable);
+                let reserved = self.pool.reserve(target.address, lendable.max(1));
                 Some(reserved.map_err(|_| Refusal::Busy)?)
             }
             false => None,
@@ -574,6 +593,12 @@
 where
     P: Send + Sync,
 {
+    /// The gateways that lend connections of their own, for an instance that finds none to spare here.
+    #[must_use]
+    pub fn lenders(&self) -> Vec<gateway::Gateway> {
+        self.lock().paths.gateways.lenders()
+    }
+
     /// Stores the gateways that the steward has named.
     pub fn set_gateways(&self, gateways: Vec<gateway::Gateway>) {
         let paths = &mut self.lock().paths;
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -229,6 +229,8 @@
         let mut tried: Vec<SmolStr> = Vec::new();
         let mut may_have_run = 0;
         let mut failure = unavailable("not_sent", "no server took it");
+        // A server has been sent the request.
+        let mut has_arrived = false;
         for send_index in 0..MAX_SENDS {
             let found = wait_for_server(&self.node, &job, &tried, &job.queue).await;
             let chosen = match found {
@@ -238,7 +240,7 @@
             };
             if send_index == 0 {
                 self.node.record_first_attempt(&job.queue.group);
-            } else if !self.node.try_retry(&job.queue.group) {
+            } else if has_arrived && !self.node.try_retry(&job.queue.group) {
                 return Err(failure);
             }
             tried.push(chosen.server.clone());
@@ -246,8 +248,9 @@
                 Ok(response) => return Ok(response),
                 Err(outcome) => outcome,
             };
+            has_arrived |= !matches!(outcome, attempt::Outcome::Unsent(_));
             match outcome {
-                attempt::Outcome::NotRun(why) => {
+                attempt::Outcome::NotRun(why) | attempt::Outcome::Unsent(why) => {
                     self.record_failed_attempt(&job, &chosen, "not run", why);
                     if may_have_run == 0 {
                         let wait = self
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -546,7 +546,7 @@
                     self.runs += 1;
                     return Some(Source::new(*upstream));
                 }
-                attempt::Outcome::NotRun(_) => {
+                attempt::Outcome::NotRun(_) | attempt::Outcome::Unsent(_) => {
                     self.tried.push(chosen.server);
                     chosen = self.wait_for_server().await?;
                 }
--- a/crates/fireflywheel_daemon/src/fleet/tunnel.rs
+++ b/crates/fireflywheel_daemon/src/fleet/tunnel.rs
@@ -47,10 +47,12 @@
 pub type Socket = WebSocketStream<TcpStream>;
 
 /// Why a tunnel was not opened.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Error {
     /// The gateway refused it.
     Refused(Refusal),
+    /// The gateway has no connection to spare. These may have one.
+    Referred(Vec<gateway::Gateway>),
     /// The gateway didn't answer or broke the protocol.
     NoAnswer,
     /// This instance doesn't know the fleet's secret.
@@ -60,9 +62,10 @@
 impl Error {
     /// Its name in logs and metrics.
     #[must_use]
-    pub fn as_str(self) -> &'static str {
+    pub fn as_str(&self) -> &'static str {
         match self {
             Self::Refused(refusal) => refusal.as_str(),
+            Self::Referred(_) => "referred",
             Self::NoAnswer => "gateway did not answer",
             Self::NoSecret => "secret not known",
         }
@@ -159,12 +162,14 @@
             process: process.clone(),
             proof: handshake.prove(Role::Opener),
             is_lent,
+            accepts_referral: true,
         };
         send(&mut socket, encode(&open)).await?;
         match receive(&mut socket).await? {
             Message::Opened(proof) if handshake.is_proven(Role::Gateway, &proof) => Ok(Ok(socket)),
-            Message::Opened(_) => Ok(Err(Refusal::Unauthenticated)),
-            Message::Refused(refusal) => Ok(Err(refusal)),
+            Message::Opened(_) => Ok(Err(Error::Refused(Refusal::Unauthenticated))),
+            Message::Refused(refusal) => Ok(Err(Error::Refused(refusal))),
+            Message::Referred(gateways) => Ok(Err(Error::Referred(gateways))),
             Message::Challenge(_) | Message::Open { .. } => anyhow::bail!("unexpected message"),
         }
     };
@@ -174,7 +179,7 @@
             received: Bytes::new(),
             has_ended: false,
         }),
-        Ok(Ok(Err(refusal))) => Err(Error::Refused(refusal)),
+        Ok(Ok(Err(error))) => Err(error),
         Ok(Err(_)) | Err(_) => Err(Error::NoAnswer),
     }
 }
