--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -148,6 +148,12 @@
         is_changed
     }
 
+    /// Whether the server announces that it is brittle.
+    #[must_use]
+    pub fn is_brittle(&self) -> bool {
+        self.window.is_some()
+    }
+
     /// Records that the server has rejected a request for want of room.
     pub fn record_rejection(&mut self, now: clock::Instant) {
         self.record_full(now);
--- a/crates/fireflywheel_daemon/src/fleet/node/path.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/path.rs
@@ -578,7 +578,7 @@
     }
 
     /// Whether a process may be sent a request, an order or a request for a report now.
-    fn may_send(&self, process: &Process) -> bool {
+    pub(super) fn may_send(&self, process: &Process) -> bool {
         let now = self.now();
         let Process { server, started_ms } = process;
         let announcements = &self.lock().announcements;
--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -361,9 +361,16 @@
     }
 
     fn build_identity_request(&self, process: &Process) -> Option<hyper::Request<Full<Bytes>>> {
+        if !self.may_send(process) {
+            return None;
+        }
         let state = self.lock();
-        let group = &state.servers.get(&process.server)?.server.group;
-        let group = state.config()?.groups.get(group)?;
+        let known = state.servers.get(&process.server)?;
+        let group = state.config()?.groups.get(&known.server.group)?;
+        // A server that counts what it is sent may count this as well.
+        if group.engine.is_none() && (known.limit.is_limited() || known.stats.is_brittle()) {
+            return None;
+        }
         self.platform.build_identity_request(&process.server, group)
     }
 
