Soak and load command: hot instances, sessions and repeated requests on which engines crash

Change: in one soak seed of five most callers connect to one instance and a session crashes engines; in another one the same request does.

--- a/crates/fireflywheel_standin/src/load/mod.rs
+++ b/crates/fireflywheel_standin/src/load/mod.rs
@@ -34,6 +34,8 @@
 pub struct Options {
     /// Addresses of the daemons for callers, used in turn. Only loopback addresses are allowed.
     pub targets: Vec<net::SocketAddr>,
+    /// The share of the requests, from 0 to 1, that all go to the first address.
+    pub hot_share: f64,
     /// Models, chosen at random, as `MODEL` or `MODEL:ADAPTER`.
     pub models: Vec<SmolStr>,
     /// Classes, chosen at random. If empty, requests have no class.
@@ -62,6 +64,7 @@
     fn default() -> Self {
         Self {
             targets: Vec::new(),
+            hot_share: 0.0,
             models: Vec::new(),
             classes: Vec::new(),
             tenants: Vec::new(),
@@ -104,6 +107,10 @@
                 "{target} isn't a loopback address: the load command sends to this machine only"
             );
         }
+        anyhow::ensure!(
+            (0.0..=1.0).contains(&self.hot_share),
+            "the share of the first target is from 0 to 1"
+        );
         anyhow::ensure!(
             self.rate > 0.0 && self.rate <= MAX_RATE,
             "the rate is above 0 and at most {MAX_RATE}"
@@ -114,7 +121,11 @@
     }
 
     fn draw_request(&self, number: u64, rng: &mut rngs::SmallRng) -> Request {
-        let target = usize::try_from(number).unwrap_or(0) % self.targets.len();
+        let hot_until = |number: u64| (number as f64 * self.hot_share).floor();
+        let target = match hot_until(number + 1) > hot_until(number) {
+            true => 0,
+            false => usize::try_from(number).unwrap_or(0) % self.targets.len(),
+        };
         Request {
             target: self.targets[target],
             id: smol_str::format_smolstr!("load-{}-{number}", self.seed),
--- a/crates/fireflywheel_standin/src/main.rs
+++ b/crates/fireflywheel_standin/src/main.rs
@@ -263,6 +263,10 @@
         .arg(integer_arg("deadline-ms", "10000"))
         .arg(integer_arg("max-tokens", "16"))
         .arg(decimal_arg("rate", "10"))
+        .arg(
+            decimal_arg("hot-share", "0")
+                .help("Share of the requests that all go to the first target"),
+        )
         .arg(integer_arg("count", "100"))
         .arg(integer_arg("seconds", "60"))
         .arg(integer_arg("seed", "1"))
@@ -353,6 +357,7 @@
             .unwrap_or_default()
             .copied()
             .collect(),
+        hot_share: f64_value(args, "hot-share"),
         models: text_values(args, "model"),
         classes: text_values(args, "class"),
         tenants: text_values(args, "tenant"),
--- a/crates/fireflywheel_standin/src/trial/soak.rs
+++ b/crates/fireflywheel_standin/src/trial/soak.rs
@@ -10,7 +10,7 @@
 use rand::rngs::StdRng;
 use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use rand::{Rng as _, SeedableRng as _};
-use smol_str::format_smolstr;
+use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time;
@@ -33,6 +33,10 @@
 const CRASHING_INTERVAL_MS: std::ops::Range<u64> = 200..2000;
 /// Deadline of such requests.
 const CRASHING_DEADLINE: Duration = Duration::from_secs(2);
+/// One seed in this many has an instance to which most callers connect.
+const SEEDS_PER_HOT_INSTANCE: u64 = 5;
+/// The number of callers of each instance that stay there.
+const STEADY_CALLERS: usize = 1;
 /// What their ids begin with.
 const CRASHING_ID_PREFIX: &str = "crash-";
 /// Sizes of request bodies, in bytes.
@@ -213,6 +217,22 @@
     })
 }
 
+/// The instance to which most callers of a seed connect, if there is one.
+fn find_hot_instance(seed: u64, instances: usize) -> Option<usize> {
+    let is_hot = seed % SEEDS_PER_HOT_INSTANCE == SEEDS_PER_HOT_INSTANCE - 1;
+    is_hot.then(|| (seed / SEEDS_PER_HOT_INSTANCE) as usize % instances)
+}
+
+/// The prompt of a request on which engines crash. What such requests of a seed have in common is a part that others may have,
+/// the last part, which is that of a session, or all.
+fn crashing_prompt(seed: u64, number: u64) -> SmolStr {
+    match seed % 5 {
+        0 => format_smolstr!("{CRASH_PART}:40"),
+        4 => format_smolstr!("aa:90,{number:x}:20,{CRASH_PART}:40"),
+        _ => format_smolstr!("aa:90,{CRASH_PART}:40,{number:x}:20"),
+    }
+}
+
 /// Spawns the callers and the configuration probe of each instance.
 fn spawn_callers(
     options: &Options,
@@ -227,13 +247,19 @@
         Faults::Versions => deployment.caller_addresses(),
         _ => Vec::new(),
     };
-    for (instance, address) in deployment.caller_addresses().into_iter().enumerate() {
+    let addresses = deployment.caller_addresses();
+    let hot = find_hot_instance(options.seed, addresses.len());
+    for (instance, address) in addresses.iter().copied().enumerate() {
         for caller in 0..CALLERS_PER_INSTANCE {
+            let (connected, address) = match hot {
+                Some(hot) if caller >= STEADY_CALLERS => (hot, addresses[hot]),
+                _ => (instance, address),
+            };
             let name = format!("s{}-i{instance}c{caller}", options.seed);
             let rng = StdRng::seed_from_u64(
                 options.seed ^ ((instance * CALLERS_PER_INSTANCE + caller) as u64) << 32,
             );
-            let caller = Caller::new(instance, address);
+            let caller = Caller::new(connected, address);
             tasks.spawn(run_caller(
                 name,
                 caller,
@@ -369,7 +395,7 @@
 ) {
     let mut rng = StdRng::seed_from_u64(seed.rotate_left(17));
     let mut requests = JoinSet::new();
-    for number in 0.. {
+    for number in 0_u64.. {
         let pause = Duration::from_millis(rng.random_range(CRASHING_INTERVAL_MS));
         if time::timeout(pause, stop.wait_for(|stop| *stop))
             .await
@@ -385,7 +411,7 @@
             id: format_smolstr!("{CRASHING_ID_PREFIX}{seed}-{number}"),
             kind,
             model: Some(format_smolstr!("m{}", rng.random_range(1..=2))),
-            prompt: Some(format_smolstr!("aa:90,{CRASH_PART}:40,{number:x}:20")),
+            prompt: Some(crashing_prompt(seed, number)),
             size: 10,
             deadline: CRASHING_DEADLINE,
             origin: None,
--- a/crates/fireflywheel_standin/tests/load.rs
+++ b/crates/fireflywheel_standin/tests/load.rs
@@ -120,3 +120,18 @@
     let failed = process::Child::start("fireflywheel_standin", ["absent"]).await;
     assert!(format!("{:#}", failed.unwrap_err()).contains("absent"));
 }
+
+/// Guards against a share of a hot instance that isn't sent there.
+#[tokio::test]
+async fn most_requests_go_to_a_hot_target() {
+    let (hot, other) = (loaded(quick()).await, loaded(quick()).await);
+    let targets = [&hot, &other].map(|engine| options(engine).targets[0]);
+    let options = load::Options {
+        targets: targets.into(),
+        hot_share: 0.8,
+        ..options(&hot)
+    };
+    let report = load::run(&options).await.unwrap();
+    assert_eq!(report.total.served, 50, "{report}");
+    assert_eq!(other.counts().await.runs.len(), 5);
+}
