Stand-in: a worker writes each line at once; claims that say more than holds

Cause: an engine that crashes ends its process while another thread writes a line. Standard output has no buffer then, so a line that is written in parts may arrive in part ("run " without the id).

--- a/crates/fireflywheel/src/fleet/gateway.rs
+++ b/crates/fireflywheel/src/fleet/gateway.rs
@@ -180,8 +180,7 @@
     }
 
     /// Returns the gateway for another connection to a server of a group, or `None` if there is none at the moment.
-    /// `open_count` returns the number of open connections through a gateway, and `draw`
-    /// breaks ties.
+    /// `open_count` returns the number of open connections through a gateway, and `draw` breaks ties.
     #[must_use]
     pub fn pick<F>(
         &self,
--- a/crates/fireflywheel/src/fleet/quarantine/answers.rs
+++ b/crates/fireflywheel/src/fleet/quarantine/answers.rs
@@ -22,7 +22,7 @@
     last: clock::Instant,
 }
 
-/// The whole answers of the last requests. What callers can invent without end has tables of its own, so that it doesn't
+/// The whole answers of the last requests. What differs from request to request has tables of its own, so that it doesn't
 /// displace what many requests share.
 #[derive(Clone, Debug)]
 pub struct Answers {
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -229,7 +229,7 @@
         let mut tried: Vec<SmolStr> = Vec::new();
         let mut may_have_run = 0;
         let mut failure = unavailable("not_sent", "no server took it");
-        // A server has been sent the request.
+        // What was never sent is no retry.
         let mut has_arrived = false;
         for send_index in 0..MAX_SENDS {
             let found = wait_for_server(&self.node, &job, &tried, &job.queue).await;
--- a/crates/fireflywheel_standin/src/site/line.rs
+++ b/crates/fireflywheel_standin/src/site/line.rs
@@ -1,6 +1,7 @@
 //! The lines that a worker writes to standard output. A test evaluates them after the run.
 
 use std::fmt;
+use std::io;
 use std::str::FromStr;
 
 use smol_str::SmolStr;
@@ -18,6 +19,20 @@
     Overcommitted,
 }
 
+impl Line {
+    /// Writes the line in a single call. While a process ends, standard output has no buffer, and what is written in parts may
+    /// arrive in part.
+    ///
+    /// # Errors
+    /// If the writer fails.
+    pub fn write_to<W>(&self, writer: &mut W) -> io::Result<()>
+    where
+        W: io::Write,
+    {
+        writer.write_all(format!("{self}\n").as_bytes())
+    }
+}
+
 impl fmt::Display for Line {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a backend server (a worker) of the users' platform: a model engine or a plain service.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -522,7 +523,8 @@
 
     fn print(&self, line: &Line) {
         if self.inner.options.prints_lines {
-            println!("{line}");
+            line.write_to(&mut io::stdout().lock())
+                .expect("standard output is open");
         }
     }
 
--- a/crates/fireflywheel_standin/src/trial/soak.rs
+++ b/crates/fireflywheel_standin/src/trial/soak.rs
@@ -33,8 +33,8 @@
 const CRASHING_INTERVAL_MS: std::ops::Range<u64> = 200..2000;
 /// Deadline of such requests.
 const CRASHING_DEADLINE: Duration = Duration::from_secs(2);
-/// One seed in this many has an instance to which most callers connect.
-const SEEDS_PER_HOT_INSTANCE: u64 = 5;
+/// In so many seeds each, one has an instance to which most callers connect, and another one a repeated request.
+const SEED_PERIOD: u64 = 5;
 /// The number of callers of each instance that stay there.
 const STEADY_CALLERS: usize = 1;
 /// What their ids begin with.
@@ -219,14 +219,14 @@
 
 /// The instance to which most callers of a seed connect, if there is one.
 fn find_hot_instance(seed: u64, instances: usize) -> Option<usize> {
-    let is_hot = seed % SEEDS_PER_HOT_INSTANCE == SEEDS_PER_HOT_INSTANCE - 1;
-    is_hot.then(|| (seed / SEEDS_PER_HOT_INSTANCE) as usize % instances)
+    let is_hot = seed % SEED_PERIOD == SEED_PERIOD - 1;
+    is_hot.then(|| (seed / SEED_PERIOD) as usize % instances)
 }
 
 /// The prompt of a request on which engines crash. What such requests of a seed have in common is a part that others may have,
 /// the last part, which is that of a session, or all.
 fn crashing_prompt(seed: u64, number: u64) -> SmolStr {
-    match seed % 5 {
+    match seed % SEED_PERIOD {
         0 => format_smolstr!("{CRASH_PART}:40"),
         4 => format_smolstr!("aa:90,{number:x}:20,{CRASH_PART}:40"),
         _ => format_smolstr!("aa:90,{CRASH_PART}:40,{number:x}:20"),
--- a/crates/fireflywheel_standin/tests/site.rs
+++ b/crates/fireflywheel_standin/tests/site.rs
@@ -1,7 +1,9 @@
 //! Tests of the stand-in worker of the users' platform.
 
+use std::io;
 use std::time::Duration;
 
+use fireflywheel_standin::site::line::Line;
 use fireflywheel_standin::site::worker::Worker;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -34,3 +36,32 @@
     assert!(answer.starts_with("HTTP/1.1 421"), "{answer}");
     assert_eq!(worker.orders(), 0);
 }
+
+/// A writer that counts its calls.
+#[derive(Default)]
+struct CountingWriter {
+    text: String,
+    calls: usize,
+}
+
+impl io::Write for CountingWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.text.push_str(&String::from_utf8_lossy(bytes));
+        self.calls += 1;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a part of a line of a worker that crashes while it writes, which passes for another line.
+#[test]
+fn lines_are_written_at_once() {
+    let mut writer = CountingWriter::default();
+    Line::Run("r1".into())
+        .write_to(&mut writer)
+        .expect("it takes all");
+    assert_eq!((writer.text.as_str(), writer.calls), ("run r1\n", 1));
+}
