--- a/crates/fireflywheel/tests/fleet/quarantine.rs
+++ b/crates/fireflywheel/tests/fleet/quarantine.rs
@@ -8,6 +8,8 @@
 
 /// Number of instances of a fleet.
 const INSTANCES: usize = 3;
+/// The number of crashes that have nothing in common, between two that have.
+const OTHER_CRASHES: usize = 40;
 /// Time between two crashes.
 const INTERVAL: Duration = Duration::from_secs(2);
 
@@ -473,3 +475,18 @@
         Ok(())
     });
 }
+
+/// Guards against a rare request whose crashes are forgotten, since many servers crash by themselves in between.
+#[test]
+fn crashes_of_a_rare_request_are_kept_beside_many_others() {
+    let mut fleet = Fleet::new();
+    for _ in 0..3 {
+        assert!(!fleet.refuses("bad"));
+        fleet.crash(&[parts(["bad"])]);
+        for number in 0..OTHER_CRASHES {
+            let sound = format!("sound{}-{number}", fleet.crashes);
+            fleet.crash(&[parts([&sound])]);
+        }
+    }
+    assert!(fleet.refuses("bad"));
+}
--- a/crates/fireflywheel/tests/fleet/window.rs
+++ b/crates/fireflywheel/tests/fleet/window.rs
@@ -71,6 +71,8 @@
     engine_that_lets_fewer_wait => assert_tolerated(15, 64, 32, 5, 800);
     /// The same with a large fleet, each instance of which has less than a slot.
     large_fleet => assert_tolerated(108, 128, 0, 10, 800);
+    /// The same where there are more instances than slots.
+    more_instances_than_slots => assert_tolerated(108, 32, 0, 10, 800);
 }
 
 /// Guards against a window that never opens again after a rejection.
--- a/crates/fireflywheel_standin/src/partition.rs
+++ b/crates/fireflywheel_standin/src/partition.rs
@@ -74,6 +74,16 @@
         }
     }
 
+    /// Ends the partition from one server.
+    pub fn heal_from(&self, server: SocketAddr) {
+        self.inner.faults.send_modify(|faults| {
+            faults.remove(&Some(server));
+        });
+        if let Some(link) = self.links().get(&server) {
+            link.heal();
+        }
+    }
+
     /// Opens a connection to a server.
     ///
     /// # Errors
--- a/crates/fireflywheel_standin/src/site/host.rs
+++ b/crates/fireflywheel_standin/src/site/host.rs
@@ -10,6 +10,7 @@
 
 use super::store::{SERVERS, Store};
 use super::worker::{Options, Worker};
+use crate::partition;
 use crate::trial::proxy;
 
 /// A connection that isn't open after this time finds the queue of the listener full.
@@ -26,12 +27,24 @@
     pub model: &'static str,
     /// Time from a crash to the start of the next worker.
     pub downtime: Duration,
-    /// Whether connections to the address get no answer meanwhile. Otherwise they are refused.
-    pub is_silent: bool,
+    /// How the address answers connections meanwhile.
+    pub outage: Outage,
     /// Settings of its workers.
     pub worker: Options,
 }
 
+/// How the address of a crashed worker answers connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Outage {
+    /// New ones are refused, and open ones end.
+    #[default]
+    Refuses,
+    /// New ones get no answer, and open ones end.
+    IsSilent,
+    /// The host loses power: neither new nor open ones get an answer, at the networks of [`Host::set_networks`].
+    LosesPower,
+}
+
 /// A cloneable handle to a host.
 #[derive(Clone, Debug)]
 pub struct Host {
@@ -50,6 +63,9 @@
     /// All workers, the current one last.
     workers: Vec<Worker>,
     crashes: Vec<time::Instant>,
+    /// Those of the crashes that a request has caused.
+    triggered: Vec<time::Instant>,
+    networks: Vec<partition::Network>,
 }
 
 impl Host {
@@ -63,7 +79,7 @@
         let worker = new_worker(&settings, 0).with_model(settings.model);
         let state = State {
             workers: vec![worker],
-            crashes: Vec::new(),
+            ..State::default()
         };
         let inner = Inner {
             settings,
@@ -85,20 +101,28 @@
             let worker = self.worker();
             let entry = worker.entry(self.inner.address, "ready");
             store.put(SERVERS, worker.id(), &entry);
+            let mut served = Box::pin(worker.clone().serve(listener));
             tokio::select! {
-                result = worker.clone().serve(listener) => return result,
+                result = &mut served => return result,
                 () = worker.crashed() => {}
             }
+            if self.inner.settings.outage == Outage::LosesPower {
+                self.cut_networks();
+            }
+            drop(served);
             // A bound socket that doesn't listen refuses connections, and no other process gets its port.
             let socket = proxy::bind_again(self.inner.address).await;
-            self.lock().crashes.push(time::Instant::now());
-            listener = match self.inner.settings.is_silent {
-                true => self.be_silent(socket).await?,
-                false => {
+            self.record_crash(&worker);
+            listener = match self.inner.settings.outage {
+                Outage::IsSilent => self.be_silent(socket).await?,
+                Outage::Refuses | Outage::LosesPower => {
                     time::sleep(self.inner.settings.downtime).await;
                     socket.listen(proxy::BACKLOG)?
                 }
             };
+            for network in &self.lock().networks {
+                network.heal_from(self.inner.address);
+            }
             store.remove(SERVERS, worker.id());
             let mut state = self.lock();
             let next = new_worker(&self.inner.settings, state.workers.len());
@@ -106,6 +130,23 @@
         }
     }
 
+    /// Sets the networks at which the host falls silent when it loses power.
+    pub fn set_networks(&self, networks: Vec<partition::Network>) {
+        self.lock().networks = networks;
+    }
+
+    fn cut_networks(&self) {
+        for network in &self.lock().networks {
+            network.cut_from(
+                self.inner.address,
+                partition::Fault {
+                    new: partition::New::Hang,
+                    open: partition::Open::Hang,
+                },
+            );
+        }
+    }
+
     /// Leaves new connections without an answer until the next worker starts: the queue of its listener is full.
     async fn be_silent(&self, socket: TcpSocket) -> anyhow::Result<TcpListener> {
         let until = time::Instant::now() + self.inner.settings.downtime;
@@ -128,6 +169,21 @@
         self.lock().crashes.clone()
     }
 
+    /// Returns the times at which its workers have crashed on requests.
+    #[must_use]
+    pub fn triggered_crashes(&self) -> Vec<time::Instant> {
+        self.lock().triggered.clone()
+    }
+
+    fn record_crash(&self, worker: &Worker) {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        state.crashes.push(now);
+        if worker.has_crashed_on_request() {
+            state.triggered.push(now);
+        }
+    }
+
     /// Returns the current worker.
     #[must_use]
     pub fn worker(&self) -> Worker {
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -64,6 +64,10 @@
     pub prints_lines: bool,
     /// The requests on which the worker crashes once it has begun an answer.
     pub trigger: Option<Trigger>,
+    /// The number of events of its stream after which a request crashes the worker.
+    pub events_before_crash: u64,
+    /// The interval between runs that fail, in runs; `None` if none does by itself.
+    pub failure_interval: Option<usize>,
     /// The model on which the worker crashes at the end of a load.
     pub crash_model: Option<SmolStr>,
 }
@@ -113,6 +117,8 @@
             version: DEFAULT_VERSION.into(),
             prints_lines: false,
             trigger: None,
+            events_before_crash: 0,
+            failure_interval: None,
             crash_model: None,
         }
     }
@@ -160,6 +166,7 @@
     brittle: Option<u32>,
     /// Times at which requests were rejected for want of room.
     rejections: Vec<time::Instant>,
+    has_crashed_on_request: bool,
     /// Whether all answers say that the worker leaves.
     leaving: bool,
     /// The rest that the worker asks for when it turns a call away; `None` while it accepts calls.
@@ -486,6 +493,12 @@
         self.inner.has_crashed.send_replace(true);
     }
 
+    /// Whether a request has crashed the worker.
+    #[must_use]
+    pub fn has_crashed_on_request(&self) -> bool {
+        self.lock().has_crashed_on_request
+    }
+
     /// Waits until the worker has crashed.
     pub async fn crashed(&self) {
         let mut has_crashed = self.inner.has_crashed.subscribe();
@@ -682,15 +695,12 @@
         let (faults, delivery) = self.start_run(&id, request);
         time::sleep(self.inner.options.run).await;
         let mut answer = if self.crashes_on(request) {
-            self.begin_and_crash(running)
+            self.begin_and_crash(request, running)
         } else if faults.fail > 0 {
             empty_answer(StatusCode::INTERNAL_SERVER_ERROR)
         } else if request.header("x-model").is_some() {
-            let after = request
-                .header("last-event-id")
-                .and_then(|id| id.parse().ok());
             stream_events(
-                after.unwrap_or_default(),
+                last_event(request),
                 faults,
                 delivery,
                 &self.inner.options,
@@ -715,12 +725,21 @@
         trigger.is_some_and(|trigger| trigger.fires(request))
     }
 
-    /// Begins an answer and crashes before the first byte of its body.
-    fn begin_and_crash(&self, running: RunningGuard) -> http::Answer {
+    /// Begins an answer and crashes before the first byte of its body, or after some events.
+    fn begin_and_crash(&self, request: &http::Request, running: RunningGuard) -> http::Answer {
         let (sender, parts) = mpsc::channel(1);
         let worker = self.clone();
+        let after = last_event(request);
         tokio::spawn(async move {
+            let options = &worker.inner.options;
+            for id in after + 1..=after + options.events_before_crash {
+                time::sleep(options.event_interval).await;
+                let event = format!("id: {id}\ndata: t{id}\n\n");
+                // The caller may have left; the crash comes all the same.
+                let _ = sender.send(Ok(event.into())).await;
+            }
             time::sleep(CRASH_DELAY).await;
+            worker.lock().has_crashed_on_request = true;
             worker.crash();
             if worker.inner.options.prints_lines {
                 std::process::exit(CRASH_EXIT_CODE);
@@ -753,7 +772,9 @@
             headers: request.headers.clone(),
             body: request.body.clone(),
         });
-        let fail = try_consume(&mut state.switches.fail);
+        let interval = self.inner.options.failure_interval;
+        let is_due = interval.is_some_and(|interval| state.taken.len().is_multiple_of(interval));
+        let fail = try_consume(&mut state.switches.fail) || is_due;
         let streams = request.header("x-model").is_some() && !fail;
         let delivery = match self
             .inner
@@ -842,6 +863,12 @@
     }
 }
 
+/// The id of the event after which the stream of a request begins.
+fn last_event(request: &http::Request) -> u64 {
+    let id = request.header("last-event-id");
+    id.and_then(|id| id.parse().ok()).unwrap_or_default()
+}
+
 /// Streams the events after the one with id `after`. With the fault `cut_streams`, the connection breaks within the
 /// third of them.
 fn stream_events(
