BUDGET: crashes of a rare request are kept beside many others

What callers saw: a rare request crashed servers for good where many others end by themselves. Cause: 32 crashes were kept, the newest, so that 40 others between two of a part displaced them, whatever had caused them. Change: 256 crashes with 7,168 suspects in all, which is as much to tell as before (below 128 KB, as the test asks). Those whose suspects have all been answered since are forgotten first, then the oldest.

--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -46,7 +46,9 @@
 /// How long crashes, clearances and refutations are kept.
 const FACT_TTL: Duration = Duration::from_secs(600);
 /// Maximum number of crashes that are kept.
-const MAX_CRASHES: usize = 32;
+const MAX_CRASHES: usize = 256;
+/// Maximum number of suspects of all of them.
+const MAX_ALL_SUSPECTS: usize = 7168;
 /// Maximum number of suspects of a crash.
 const MAX_SUSPECTS: usize = 256;
 /// Maximum number of suspects of the broken runs at a process.
@@ -743,13 +745,22 @@
         }
     }
 
+    /// Limits the crashes. Those that only cleared parts could have caused are forgotten first, then the oldest.
     fn limit_crashes(&mut self) {
-        while self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.iter().min_by_key(|(_, known)| known.at);
-            let Some(oldest) = oldest.map(|(process, _)| process.clone()) else {
+        let all_suspects = |crashes: &BTreeMap<Process, Known>| -> usize {
+            crashes.values().map(|known| known.suspects.len()).sum()
+        };
+        while self.crashes.len() > MAX_CRASHES || all_suspects(&self.crashes) > MAX_ALL_SUSPECTS {
+            let has_cause = |known: &Known| {
+                let mut suspects = known.suspects.keys();
+                suspects.any(|part| !self.is_cleared(*part, known.at))
+            };
+            let crashes = self.crashes.iter();
+            let least = crashes.min_by_key(|(_, known)| (has_cause(known), known.at));
+            let Some(least) = least.map(|(process, _)| process.clone()) else {
                 break;
             };
-            self.crashes.remove(&oldest);
+            self.crashes.remove(&least);
         }
     }
 
