BUDGET: a crash counts in fleets of one and two instances

What callers saw: 24 late requests at one instance, 35 at two of which one was killed, and no sound request served. Cause: a crash needs two witnesses if there are two instances, and their number was that of the retry budget, which falls only after a window of 10 s and starts at 24; nor were crashes counted later that had been found before it fell. Change: the number is the largest counted in the last 3 s, or the latest if it was two at most; crashes with one witness count once there is no other instance.

--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -33,8 +33,8 @@
 const MIN_CRASHES_OF_PROVEN: u32 = 5;
 /// Number of whole answers from which on a part has been answered often.
 const PROVEN_ANSWERS: u32 = 10;
-/// Number of instances that must find that a process has ended.
-const MIN_WITNESSES: usize = 2;
+/// Number of instances that must find that a process has ended, if there are so many.
+pub const MIN_WITNESSES: usize = 2;
 /// Maximum error of times that other instances report, by the delays of their links.
 const TIME_TOLERANCE: Duration = Duration::from_millis(500);
 /// The same for times that were kept in the store with the lease, which is renewed within this time.
@@ -180,6 +180,10 @@
         if self.is_refuted(process, at) {
             return false;
         }
+        let required = MIN_WITNESSES.min(instances);
+        for known in self.crashes.values_mut() {
+            known.is_confirmed |= known.witnesses.len() >= required;
+        }
         let known = self.crashes.entry(process.clone()).or_insert(Known {
             at,
             witnesses: BTreeSet::new(),
@@ -189,7 +193,7 @@
         if known.witnesses.len() >= MIN_WITNESSES || !known.witnesses.insert(witness) {
             return false;
         }
-        known.is_confirmed |= known.witnesses.len() >= MIN_WITNESSES.min(instances);
+        known.is_confirmed |= known.witnesses.len() >= required;
         self.needs_review = true;
         self.news.crashes.insert(process.clone());
         self.add_suspects(process);
--- a/crates/fireflywheel/src/fleet/size.rs
+++ b/crates/fireflywheel/src/fleet/size.rs
@@ -43,6 +43,20 @@
         }
     }
 
+    /// The latest count.
+    #[must_use]
+    pub fn latest(&self) -> usize {
+        self.counts.back().map_or(1, |(_, count)| *count)
+    }
+
+    /// The largest count reported within `window` before `now`, or the latest one if that is older.
+    #[must_use]
+    pub fn count_within(&self, now: clock::Instant, window: Duration) -> usize {
+        let mut counts = self.counts.iter();
+        let recent = counts.find(|(at, _)| now.since(*at) <= window);
+        recent.map_or_else(|| self.latest(), |(_, count)| *count)
+    }
+
     /// The largest count reported within the window that ends with the latest report.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/fireflywheel/tests/fleet/size.rs
+++ b/crates/fireflywheel/tests/fleet/size.rs
@@ -73,6 +73,20 @@
     assert_eq!(size.count(), 7);
 }
 
+/// The count within a time, and the latest one, as links to a new steward open.
+fn recent_count_falls_before_the_window_ends() {
+    let recent = Duration::from_secs(3);
+    let mut size = Size::new(Instant(0), WINDOW, 24);
+    size.update(Instant(2_000), 15);
+    size.update(Instant(2_500), 1);
+    assert_eq!(size.latest(), 1);
+    assert_eq!(size.count_within(Instant(3_000), recent), 24);
+    assert_eq!(size.count_within(Instant(5_000), recent), 15);
+    assert_eq!(size.count_within(Instant(5_400), recent), 1);
+    assert_eq!(size.count_within(Instant(60_000), recent), 1);
+    assert_eq!(size.count(), 24);
+}
+
 /// Random counts at random times: the estimate is never below a count reported in the last window, and
 /// never above the largest count ever reported.
 fn count_is_max_of_last_window() {
@@ -104,6 +118,8 @@
     removed_instances => lower_count_is_adopted_after_a_window();
     /// There is no steward for longer than a window.
     no_steward => count_is_kept_without_a_steward();
+    /// All other instances are lost. What needs two of them must not wait for a window.
+    recent_count => recent_count_falls_before_the_window_ends();
     /// Random counts at random times.
     random_counts => count_is_max_of_last_window();
 }
--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -9,7 +9,9 @@
 use fireflywheel::clock;
 use fireflywheel::ending::Ending;
 use fireflywheel::fleet::announcement::Process;
-use fireflywheel::fleet::quarantine::{Facts, Part, Registry, Report, Suspects, Verdict};
+use fireflywheel::fleet::quarantine::{
+    Facts, MIN_WITNESSES, Part, Registry, Report, Suspects, Verdict,
+};
 use http_body_util::Full;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode, Uri};
@@ -42,6 +44,8 @@
 const MAX_STORED_VERDICTS: usize = 64;
 /// How long after its start an instance waits to be told what is quarantined.
 const START_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long instances take to link to a new steward, which doesn't count them before.
+const LINK_TIME: Duration = Duration::from_secs(3);
 /// Mean number of instances that verify a crash which a single instance has seen.
 const MEAN_VERIFIERS: f64 = 6.0;
 
@@ -306,7 +310,7 @@
         self.metrics.count_examination(finding.as_str());
         let now = self.now();
         let mut state = self.lock();
-        let instances = state.instances.count();
+        let instances = state.count_witnesses(now);
         let quarantine = &mut state.quarantine;
         quarantine.examinations.remove(process);
         let registry = &mut quarantine.registry;
@@ -646,6 +650,15 @@
 }
 
 impl state::State {
+    /// The number of instances that can find that a process has ended.
+    fn count_witnesses(&self, now: clock::Instant) -> usize {
+        let recent = self.instances.count_within(now, LINK_TIME);
+        match recent <= MIN_WITNESSES {
+            true => self.instances.latest(),
+            false => recent,
+        }
+    }
+
     /// Whether a process has not announced that it leaves: the end of one that has is no crash.
     fn is_expected_to_stay(&self, process: &Process) -> bool {
         let Process { server, started_ms } = process;
