BUDGET: a server that falls silent as it begins an answer is examined after 0.2 s

Cause: open connections of such a host end nowhere. Whether it has ended was asked after the time-out for silence of a stream that may be resumed (1.6 s), and at the deadline otherwise, by when each server had lost power. Change: an answer that has begun and brings nothing for 0.2 s has its server's address examined, once for each run, by a connection only; a sound server that pauses sees one connection.

--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -20,6 +20,9 @@
 use super::pool;
 use crate::{door, received};
 
+/// How long an answer that has begun may bring nothing until it is found out whether its server is silent. Servers that
+/// answer may pause for this long.
+pub const EXAMINATION_DELAY: Duration = Duration::from_millis(200);
 /// Maximum size in bytes of a response that is buffered until it is complete.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -241,7 +244,16 @@
     let remaining = job.deadline.since(node.now());
     let framing = response.body.framing();
     let collecting = response.body.collect(MAX_BUFFERED_RESPONSE_BYTES);
-    let Ok((collected, ending)) = time::timeout(remaining, collecting).await else {
+    tokio::pin!(collecting);
+    let delay = remaining.min(EXAMINATION_DELAY);
+    let collected = match time::timeout(delay, &mut collecting).await {
+        Ok(collected) => Ok(collected),
+        Err(_) => {
+            node.examine(&response.target, &job.suspects, node::Doubt::Silence);
+            time::timeout(remaining - delay, collecting).await
+        }
+    };
+    let Ok((collected, ending)) = collected else {
         return Err(Outcome::TimedOut);
     };
     let outcome = match ending {
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -301,25 +301,37 @@
 
     /// Forwards the response of the current run until it ends.
     async fn forward_run(&mut self) -> End {
+        let mut silent_since = self.node.now();
+        let mut is_examined = false;
         loop {
             let now = self.node.now();
             let left = self.cutoff().since(now);
             if left.is_zero() {
                 return End::TimedOut;
             }
-            let idle_timeout = match self.content.is_resumable() {
-                true => idle_timeout(&self.job),
-                false => left,
-            };
+            let silent_for = now.since(silent_since);
+            if self.content.is_resumable() && silent_for >= idle_timeout(&self.job) {
+                return End::Idle;
+            }
+            let examines = !is_examined && self.is_at_beginning(node::Doubt::Silence);
+            if examines && silent_for >= attempt::EXAMINATION_DELAY {
+                is_examined = true;
+                let suspects = &self.job.suspects;
+                let doubt = node::Doubt::Silence;
+                self.node.examine(&self.source.target, suspects, doubt);
+                continue;
+            }
+            let mut wait = left;
+            if self.content.is_resumable() {
+                wait = wait.min(idle_timeout(&self.job).saturating_sub(silent_for));
+            }
+            if examines {
+                wait = wait.min(attempt::EXAMINATION_DELAY.saturating_sub(silent_for));
+            }
             let part = tokio::select! {
                 part = self.source.body.next() => part,
                 () = self.sender.closed() => return End::CallerGone,
-                () = time::sleep(left.min(idle_timeout)) => {
-                    if idle_timeout < left {
-                        return End::Idle;
-                    }
-                    continue;
-                }
+                () = time::sleep(wait) => continue,
             };
             let bytes = match part {
                 received::Part::Data(bytes) => bytes,
@@ -328,6 +340,7 @@
             if !bytes.is_empty() {
                 self.has_data = true;
                 let now = self.node.now();
+                silent_since = now;
                 let (first, _) = self.source.data_at.unwrap_or((now, now));
                 self.source.data_at = Some((first, now));
             }
