RECOVER: a place at a brittle server is lent with the connection

Cause: the window of an instance for such a server is its part of the slots, and nobody lent places of it. Change: a request beyond the window borrows a connection with a place in the lender's window. The lender counts the place until the tunnel ends; a rejection closes the tunnel with a code that makes the lender's window shrink. What finds no place waits as before and costs no attempt and no retry. Gateways of earlier releases, which answer without a place, count as busy. Asking gateways ends at the second one that doesn't answer.

--- a/crates/fireflywheel/src/fleet/announcement/window.rs
+++ b/crates/fireflywheel/src/fleet/announcement/window.rs
@@ -10,10 +10,15 @@
 /// The share of the requests in flight at a rejection that the window keeps.
 const SHRINK_RATIO: f64 = 0.7;
 
+/// The share of a window up to which its places are lent, those in use included.
+const LENDABLE_RATIO: f64 = 0.75;
+
 /// The window of one instance for one server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Window {
     size: f64,
+    /// The number of rejections in a second that the server tolerates from all instances.
+    rejections: u32,
     growth_per_second: f64,
     updated: clock::Instant,
 }
@@ -33,6 +38,7 @@
         let instances = instances.max(1) as f64;
         Self {
             size: (f64::from(slots) / instances).floor().max(1.0) + draw,
+            rejections,
             growth_per_second: f64::from(rejections) * GROWTH_RATIO / instances,
             updated: now,
         }
@@ -44,6 +50,20 @@
         f64::from(in_flight) + 1.0 <= self.size_at(now)
     }
 
+    /// Whether a place may be lent to another instance while `in_flight` requests are at the server: some places are left for
+    /// this instance, unless it has only one.
+    #[must_use]
+    pub fn may_lend(&self, now: clock::Instant, in_flight: u32) -> bool {
+        let lendable = (self.size_at(now) * LENDABLE_RATIO).max(1.0);
+        self.has_room(now, in_flight) && f64::from(in_flight) + 1.0 <= lendable
+    }
+
+    /// The number of rejections in a second that the server tolerates from all instances.
+    #[must_use]
+    pub fn rejections(&self) -> u32 {
+        self.rejections
+    }
+
     /// Records that the server has rejected a request for want of room, with `in_flight` others of this instance there.
     pub fn record_rejection(&mut self, now: clock::Instant, in_flight: u32) {
         self.size = (f64::from(in_flight) * SHRINK_RATIO).min(self.size_at(now));
--- a/crates/fireflywheel/src/fleet/gateway.rs
+++ b/crates/fireflywheel/src/fleet/gateway.rs
@@ -172,6 +172,12 @@
         entries.any(|entry| !entry.gateway.unreached_groups.contains(group))
     }
 
+    /// Whether any gateway lends connections of its own.
+    #[must_use]
+    pub fn has_lenders(&self) -> bool {
+        self.gateways.iter().any(|entry| entry.gateway.lends)
+    }
+
     /// The gateways that lend no connections of their own.
     pub fn non_lending(&self) -> impl Iterator<Item = &SmolStr> {
         let gateways = self.gateways.iter().map(|entry| &entry.gateway);
--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -37,6 +37,8 @@
 const MIN_RESERVED: f64 = 1.0;
 /// The time for which a server isn't chosen after it refused a request because it was full.
 const FULL_HOLD_OFF: Duration = Duration::from_millis(40);
+/// The time for which no instance is asked for a place at a brittle server after none had one to spare.
+const NO_PLACE_HOLD_OFF: Duration = Duration::from_millis(100);
 
 /// A load report of a server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -54,6 +56,11 @@
 pub struct Stats {
     /// The number of requests of this instance in flight at the server.
     pub in_flight: u32,
+    /// Those of them that have a place in the window of another instance.
+    pub borrowed: u32,
+    /// The number of places in the window that other instances use.
+    lent: u32,
+    no_place_until: clock::Instant,
     report: Option<(clock::Instant, Report)>,
     failure_rate: f64,
     failure_rate_updated: clock::Instant,
@@ -154,15 +161,60 @@
         self.window.is_some()
     }
 
-    /// Records that the server has rejected a request for want of room.
+    /// Records that the server has rejected a request of this instance's window for want of room.
     pub fn record_rejection(&mut self, now: clock::Instant) {
         self.record_full(now);
-        let others = self.in_flight.saturating_sub(1);
+        self.shrink_window(now);
+    }
+
+    /// Records that the server has rejected a request of another instance, which had a place in this one's window.
+    pub fn record_lent_rejection(&mut self, now: clock::Instant) {
+        self.shrink_window(now);
+    }
+
+    fn shrink_window(&mut self, now: clock::Instant) {
+        let others = self.occupied().saturating_sub(1);
         if let Some(window) = &mut self.window {
             window.record_rejection(now, others);
         }
     }
 
+    /// Lends a place in the window to another instance, if there is one to spare.
+    pub fn try_lend(&mut self, now: clock::Instant) -> bool {
+        let occupied = self.occupied();
+        let may_lend = self
+            .window
+            .is_some_and(|window| window.may_lend(now, occupied));
+        self.lent += u32::from(may_lend);
+        may_lend
+    }
+
+    /// Takes back a place that was lent.
+    pub fn take_back(&mut self) {
+        self.lent = self.lent.saturating_sub(1);
+    }
+
+    /// Records that no other instance had a place at the server to spare.
+    pub fn record_no_place(&mut self, now: clock::Instant) {
+        self.no_place_until = now.after(NO_PLACE_HOLD_OFF);
+    }
+
+    /// The number of rejections in a second that the server tolerates, if it announces that it is brittle.
+    #[must_use]
+    pub fn tolerated_rejections(&self) -> Option<u32> {
+        self.window.map(|window| window.rejections())
+    }
+
+    /// The number of places in the window that are in use.
+    fn occupied(&self) -> u32 {
+        self.in_flight.saturating_sub(self.borrowed) + self.lent
+    }
+
+    fn has_place(&self, now: clock::Instant) -> bool {
+        self.window
+            .is_none_or(|window| window.has_room(now, self.occupied()))
+    }
+
     /// Whether the server is considered unreachable.
     #[must_use]
     pub fn is_unreachable(&self, now: clock::Instant) -> bool {
@@ -190,15 +242,22 @@
 }
 
 impl Candidate<'_> {
-    /// Whether the server can run one more request within a short wait, as far as is known. A server at which
-    /// the steward reports no requests of other instances counts as having room until it refuses a request.
+    /// Whether another request may be sent to the server, and the server can run it within a short wait, as far as is known.
     fn has_room(&self, now: clock::Instant) -> bool {
-        let window = self.stats.window;
-        if window.is_some_and(|window| !window.has_room(now, self.stats.in_flight)) {
-            return false;
-        }
+        self.stats.has_place(now) && !self.is_full(now)
+    }
+
+    /// Whether a request may be sent to the server with a place in the window of another instance.
+    fn has_room_beyond_window(&self, now: clock::Instant) -> bool {
+        let is_beyond = !self.stats.has_place(now) && now >= self.stats.no_place_until;
+        is_beyond && !self.is_full(now)
+    }
+
+    /// Whether the server can't run one more request within a short wait, as far as is known. A server at which the steward
+    /// reports no requests of other instances isn't full until it refuses a request.
+    fn is_full(&self, now: clock::Instant) -> bool {
         // A brittle server may let fewer requests wait than others.
-        let queue_ratio = if window.is_some() {
+        let queue_ratio = if self.stats.is_brittle() {
             0.0
         } else {
             MAX_QUEUE_RATIO
@@ -211,7 +270,7 @@
         let max_requests = slots.max(slots * (1.0 + queue_ratio) - reserved);
         let known_requests = f64::from(self.stats.in_flight + self.other_requests);
         let is_full = self.other_requests > 0 && known_requests >= max_requests;
-        now >= self.stats.full_until && !is_full
+        now < self.stats.full_until || is_full
     }
 
     /// Returns the cost of sending one more request to the server. A cost of 1 corresponds to as many
@@ -236,6 +295,31 @@
 /// ties, so that instances don't all choose the same server.
 #[must_use]
 pub fn pick(now: clock::Instant, candidates: &[Candidate<'_>], draw: u64) -> Option<usize> {
+    pick_where(now, candidates, draw, |candidate| candidate.has_room(now))
+}
+
+/// Returns the index of the best candidate for a request with a place in the window of another instance, or `None` if there is
+/// none that needs one.
+#[must_use]
+pub fn pick_beyond_window(
+    now: clock::Instant,
+    candidates: &[Candidate<'_>],
+    draw: u64,
+) -> Option<usize> {
+    pick_where(now, candidates, draw, |candidate| {
+        candidate.has_room_beyond_window(now)
+    })
+}
+
+fn pick_where<F>(
+    now: clock::Instant,
+    candidates: &[Candidate<'_>],
+    draw: u64,
+    is_usable: F,
+) -> Option<usize>
+where
+    F: Fn(&Candidate<'_>) -> bool,
+{
     let count = candidates.len();
     if count == 0 {
         return None;
@@ -243,7 +327,7 @@
     let first = usize::try_from(draw % count as u64).unwrap_or_default();
     (0..count)
         .map(|offset| (first + offset) % count)
-        .filter(|index| candidates[*index].has_room(now))
+        .filter(|index| is_usable(&candidates[*index]))
         .min_by(|a, b| {
             let (a, b) = (&candidates[*a], &candidates[*b]);
             let down = a
--- a/crates/fireflywheel/src/fleet/tunnel.rs
+++ b/crates/fireflywheel/src/fleet/tunnel.rs
@@ -10,6 +10,7 @@
 //! From then on each message is a part of the byte stream of the connection. The gateway doesn't read it, so whatever
 //! the opener decides about a request holds on this path as on its own. A gateway opens connections to servers of its
 //! directory only, and never through a third instance. Where it has none to spare, it names the gateways that it knows itself.
+//! With a connection to a brittle server it lends a place in its window, until the tunnel ends.
 
 use std::fmt;
 
@@ -56,15 +57,32 @@
         /// Whether the opener's release understands [`Self::Referred`].
         #[serde(default)]
         accepts_referral: bool,
+        /// The number of rejections in a second that the server tolerates, if it is brittle and the opener asks for a place
+        /// in the gateway's window as well.
+        #[serde(default)]
+        brittle: Option<u32>,
     },
     /// The gateway's proof; the connection to the server is open.
     Opened(Proof),
+    /// The gateway's proof; the connection to the server is open, with a place in the gateway's window.
+    OpenedWithPlace(Proof),
     /// The gateway opens no connection, and has sent the server nothing.
     Refused(Refusal),
     /// The gateway has no connection to spare. These may have one.
     Referred(Vec<gateway::Gateway>),
 }
 
+impl Message {
+    /// The answer of a gateway that has opened a connection.
+    #[must_use]
+    pub fn opened(proof: Proof, has_place: bool) -> Self {
+        match has_place {
+            true => Self::OpenedWithPlace(proof),
+            false => Self::Opened(proof),
+        }
+    }
+}
+
 /// Why a gateway opens no connection.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Refusal {
--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -108,12 +108,35 @@
     NotRun(&'static str),
     /// Nothing of the request has been sent.
     Unsent(&'static str),
+    /// The same: no other instance had a place at the brittle server to spare.
+    NoPlace,
     /// The request may have run, but there is no usable response.
     Lost(&'static str),
     /// The request's deadline has passed; it may have run.
     TimedOut,
 }
 
+/// Why a server has refused a request without running it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Refusal {
+    /// Another server has its address.
+    Replaced,
+    /// It doesn't hold the model.
+    NotHeld,
+    /// It has no room.
+    NoRoom,
+}
+
+impl Refusal {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Replaced => "another server has its address",
+            Self::NotHeld => "not held there",
+            Self::NoRoom => "refused by the server",
+        }
+    }
+}
+
 /// What an attempt does when its server does not respond within the usual time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OnTimeout {
@@ -145,6 +168,10 @@
     let connecting = time::timeout(remaining, node.connect(&target, pool::Via::Any));
     let connection = match connecting.await {
         Ok(Ok(connection)) => connection,
+        Ok(Err(pool::Error::NoConnectionFree)) if chosen.brittle.is_some() => {
+            node.record_outcome(server, node::ServerOutcome::NoPlace);
+            return Outcome::NoPlace;
+        }
         Ok(Err(error)) => return handle_pool_error(node, server, error),
         Err(_) => return Outcome::Unsent("no connection in time"),
     };
@@ -198,7 +225,11 @@
     };
     node.observe_limit(server, limit);
     if reply.not_run {
-        return handle_refusal(node, job, server, head.status, &reply);
+        let refusal = handle_refusal(node, job, chosen, head.status, &reply);
+        if refusal == Refusal::NoRoom && chosen.brittle.is_some() {
+            connection.close_rejected();
+        }
+        return Outcome::NotRun(refusal.as_str());
     }
     let id_matches = reply.id.as_ref().is_none_or(|id| *id == job.call.id);
     if !id_matches || !reply.authentic {
@@ -335,21 +366,27 @@
 fn handle_refusal<P>(
     node: &Arc<node::Node<P>>,
     job: &Job,
-    server: &str,
+    chosen: &node::Chosen,
     status: StatusCode,
     reply: &platform::Reply,
-) -> Outcome<P>
+) -> Refusal
 where
     P: platform::Platform,
 {
+    let server = &chosen.server;
     if reply.server.as_ref().is_some_and(|other| other != server) {
         node.record_outcome(server, node::ServerOutcome::Replaced);
-        return Outcome::NotRun("another server has its address");
+        return Refusal::Replaced;
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         node.report_missing_model(server, &job.queue);
-        return Outcome::NotRun("not held there");
+        return Refusal::NotHeld;
     }
-    node.record_outcome(server, node::ServerOutcome::Rejected);
-    Outcome::NotRun("refused by the server")
+    // The window that has to shrink is that of the instance whose place it was.
+    let outcome = match chosen.brittle {
+        Some(_) => node::ServerOutcome::Full,
+        None => node::ServerOutcome::Rejected,
+    };
+    node.record_outcome(server, outcome);
+    Refusal::NoRoom
 }
--- a/crates/fireflywheel_daemon/src/fleet/gateway.rs
+++ b/crates/fireflywheel_daemon/src/fleet/gateway.rs
@@ -67,7 +67,7 @@
     node: &Arc<node::Node<P>>,
     socket: &mut tunnel::Socket,
     opener: Nonce,
-) -> anyhow::Result<Result<node::ServedTunnel, Rejection>>
+) -> anyhow::Result<Result<node::ServedTunnel<P>, Rejection>>
 where
     P: platform::Platform,
 {
@@ -78,6 +78,7 @@
         proof,
         is_lent,
         accepts_referral,
+        brittle,
     } = tunnel::receive(socket).await?
     else {
         anyhow::bail!("unexpected message");
@@ -103,28 +104,42 @@
         return reject(Refusal::Unauthenticated);
     }
     let served = match node
-        .serve_tunnel(&process, MAX_SERVED_TUNNELS, is_lent)
+        .serve_tunnel(&process, MAX_SERVED_TUNNELS, is_lent, brittle)
         .await
     {
         Ok(served) => served,
         Err(refusal) => return reject(refusal),
     };
-    tunnel::send(
-        socket,
-        tunnel::encode(&Message::Opened(handshake.prove(tunnel::Role::Gateway))),
-    )
-    .await?;
+    let proof = handshake.prove(tunnel::Role::Gateway);
+    let answer = Message::opened(proof, brittle.is_some());
+    tunnel::send(socket, tunnel::encode(&answer)).await?;
     Ok(Ok(served))
 }
 
 /// Forwards bytes between an opener and a server until either connection ends.
-async fn forward(socket: tunnel::Socket, served: node::ServedTunnel) {
+async fn forward<P>(socket: tunnel::Socket, served: node::ServedTunnel<P>)
+where
+    P: platform::Platform,
+{
     let (mut to_opener, mut from_opener) = socket.split();
     let (mut from_server, mut to_server) = served.stream.into_split();
+    let place = served.place;
     let upstream = async {
-        while let Some(Ok(WebSocketMessage::Binary(bytes))) = from_opener.next().await {
-            if to_server.write_all(&bytes).await.is_err() {
-                break;
+        while let Some(Ok(message)) = from_opener.next().await {
+            match message {
+                WebSocketMessage::Binary(bytes) => {
+                    if to_server.write_all(&bytes).await.is_err() {
+                        break;
+                    }
+                }
+                WebSocketMessage::Close(frame) => {
+                    let is_rejection = frame.is_some_and(|frame| frame == tunnel::REJECTED);
+                    if let (Some(place), true) = (&place, is_rejection) {
+                        place.record_rejection();
+                    }
+                    break;
+                }
+                _ => break,
             }
         }
     };
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -36,6 +36,8 @@
     pub connections: usize,
     /// Prompt tokens that it has to prefill, as far as it is known.
     pub prefill_tokens: u32,
+    /// The number of rejections in a second that it tolerates, if the request needs a place of another instance there.
+    pub brittle: Option<u32>,
 }
 
 /// The result of choosing a server for a request.
@@ -85,6 +87,15 @@
     known: &'a state::ServerState,
     /// Prompt tokens that it has to prefill, as far as it is known.
     prefill_tokens: u32,
+    /// The number of rejections in a second that it tolerates, if the request needs a place of another instance there.
+    brittle: Option<u32>,
+}
+
+/// Whose places at brittle servers a request may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Places {
+    Own,
+    Lent,
 }
 
 /// The outcome of an attempt, as far as its server is concerned.
@@ -98,6 +109,8 @@
     Unreachable,
     /// This instance had no free connection to the server.
     Full,
+    /// No other instance had a place at the server to spare.
+    NoPlace,
     /// The server rejected the request for want of room.
     Rejected,
     /// Another server listens on its address.
@@ -121,6 +134,7 @@
             process: self.process(),
             address: self.address,
             connections: self.connections,
+            brittle: self.brittle,
         }
     }
 }
@@ -206,10 +220,16 @@
         });
         // A server that announces a limit is overloaded, so servers without a limit come first.
         let picked = self
-            .pick(now, query, &settled_open)
-            .or_else(|| self.pick(now, query, &settled_permitted))
-            .or_else(|| self.pick(now, query, &open))
-            .or_else(|| self.pick(now, query, &permitted));
+            .pick(now, query, &settled_open, Places::Own)
+            .or_else(|| self.pick(now, query, &settled_permitted, Places::Own))
+            .or_else(|| self.pick(now, query, &open, Places::Own))
+            .or_else(|| self.pick(now, query, &permitted, Places::Own));
+        let picked = match state.paths.has_lenders() {
+            true => picked
+                .or_else(|| self.pick(now, query, &settled_open, Places::Lent))
+                .or_else(|| self.pick(now, query, &open, Places::Lent)),
+            false => picked,
+        };
         let Some(picked) = picked else {
             let is_full = !open.is_empty() || !permitted.is_empty();
             let limited: Vec<SmolStr> = server_ids(&limited).cloned().collect();
@@ -229,6 +249,7 @@
             version: picked.known.server.version.clone(),
             connections: state.connections(group.connections),
             prefill_tokens: picked.prefill_tokens,
+            brittle: picked.brittle,
         };
         let is_unreachable = picked.known.stats.is_unreachable(now);
         if let Some(known) = state.servers.get_mut(&chosen.server) {
@@ -246,6 +267,7 @@
         now: clock::Instant,
         query: Query<'_>,
         servers: &[&'a state::ServerState],
+        places: Places,
     ) -> Option<Picked<'a>> {
         let Query { route, call, .. } = query;
         // Streams that callers take up again can go to servers of one version only.
@@ -276,10 +298,18 @@
                 prefill_ratio: prefill_ratio(now, route, known, prefill_tokens(known)),
             })
             .collect();
-        let index = routing::pick(now, &candidates, rand::random())?;
+        let draw = rand::random();
+        let (index, brittle) = match places {
+            Places::Own => (routing::pick(now, &candidates, draw)?, None),
+            Places::Lent => {
+                let index = routing::pick_beyond_window(now, &candidates, draw)?;
+                (index, Some(servers[index].stats.tolerated_rejections()?))
+            }
+        };
         let known = servers[index];
         Some(Picked {
             known,
+            brittle,
             prefill_tokens: prefill_tokens(known),
         })
     }
@@ -316,6 +346,7 @@
         let mut server_started_ms = 0;
         if let Some(known) = state.servers.get_mut(server) {
             known.stats.in_flight += 1;
+            known.stats.borrowed += u32::from(chosen.brittle.is_some());
             known.backlog.add_own(chosen.prefill_tokens);
             let running = known.running.entry(key.clone()).or_default();
             running.count += 1;
@@ -330,6 +361,7 @@
             server_started_ms,
             key,
             prefill_tokens: chosen.prefill_tokens,
+            is_borrowed: chosen.brittle.is_some(),
             has_run: false,
             group: queue.group.clone(),
         }
--- a/crates/fireflywheel_daemon/src/fleet/node/guard.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/guard.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use fireflywheel::fleet::announcement::Process;
+use fireflywheel::fleet::routing;
 use smol_str::SmolStr;
 
 use super::{Node, QueueKey};
@@ -18,11 +20,56 @@
     pub(super) key: (SmolStr, Option<SmolStr>),
     /// Prompt tokens that the server has not prefilled yet.
     pub(super) prefill_tokens: u32,
+    /// Whether it has a place of another instance at the server.
+    pub(super) is_borrowed: bool,
     /// Whether the server has run the request.
     pub(super) has_run: bool,
     pub(super) group: SmolStr,
 }
 
+/// A place in this instance's window for a brittle server, lent to another instance until this guard is dropped.
+#[derive(Debug)]
+pub struct LentPlace<P>
+where
+    P: Send + Sync,
+{
+    pub(super) node: Arc<Node<P>>,
+    pub(super) process: Process,
+}
+
+impl<P> LentPlace<P>
+where
+    P: Send + Sync,
+{
+    /// Records that the server has rejected a request of the other instance.
+    pub fn record_rejection(&self) {
+        let now = self.node.now();
+        self.update(|stats| stats.record_lent_rejection(now));
+    }
+
+    fn update<F>(&self, update: F)
+    where
+        F: FnOnce(&mut routing::Stats),
+    {
+        let mut state = self.node.lock();
+        let known = state.servers.get_mut(&self.process.server);
+        if let Some(known) =
+            known.filter(|known| known.server.started_ms == self.process.started_ms)
+        {
+            update(&mut known.stats);
+        }
+    }
+}
+
+impl<P> Drop for LentPlace<P>
+where
+    P: Send + Sync,
+{
+    fn drop(&mut self) {
+        self.update(routing::Stats::take_back);
+    }
+}
+
 /// A waiting request, counted until this guard is dropped.
 #[derive(Debug)]
 pub struct Waiter<P>
@@ -78,6 +125,9 @@
             return;
         }
         known.stats.in_flight = known.stats.in_flight.saturating_sub(1);
+        if self.is_borrowed {
+            known.stats.borrowed = known.stats.borrowed.saturating_sub(1);
+        }
         if let Some(running) = known.running.get_mut(&self.key) {
             running.count = running.count.saturating_sub(1);
             if running.count == 0 {
--- a/crates/fireflywheel_daemon/src/fleet/node/path.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/path.rs
@@ -23,7 +23,7 @@
 use tokio::sync::oneshot;
 use tokio::time;
 
-use super::{Node, state};
+use super::{Node, guard, state};
 use crate::fleet::{platform, pool, tunnel};
 
 /// How long a connection of its own may take to open until a tunnel is opened beside it. Servers answer within a round
@@ -37,6 +37,8 @@
 const MAX_GATEWAYS: usize = 2;
 /// The same for a connection that one of them has to spare: most may have lent theirs, and each names others.
 const MAX_LENDERS: usize = 6;
+/// Maximum number of them that don't answer: each takes the time that a handshake may take.
+const MAX_SILENT_GATEWAYS: usize = 2;
 
 /// A process that something is sent to.
 #[derive(Clone, Debug)]
@@ -47,13 +49,20 @@
     pub address: SocketAddr,
     /// Maximum number of connections of this instance to it.
     pub connections: usize,
+    /// The number of rejections in a second that it tolerates, if what is sent needs a place of another instance there.
+    pub brittle: Option<u32>,
 }
 
 /// A connection that this instance has opened to a server for another instance.
 #[derive(Debug)]
-pub struct ServedTunnel {
+pub struct ServedTunnel<P>
+where
+    P: Send + Sync,
+{
     /// The connection.
     pub stream: TcpStream,
+    /// The place that is lent with it, if the server is brittle.
+    pub place: Option<guard::LentPlace<P>>,
     _guard: pool::OpenGuard,
     /// Counts it as one of this instance's connections to the server, if it is lent.
     _lent: Option<Arc<pool::OpenGuard>>,
@@ -79,6 +88,11 @@
 }
 
 impl Paths {
+    /// Whether any instance lends connections of its own.
+    pub(super) fn has_lenders(&self) -> bool {
+        self.gateways.has_lenders()
+    }
+
     /// Handles a new link to the steward, whose gateways can be used only with the secret.
     pub(super) fn link_opened(&mut self) {
         self.needs_secret |= self.secret.is_none();
@@ -161,10 +175,17 @@
         target: &Target,
         via: pool::Via,
     ) -> Result<pool::Connection, pool::Error> {
+        let via = match target.brittle {
+            Some(_) => pool::Via::LentPlace,
+            None => via,
+        };
         let idle = self.pool.take_idle(self.now(), target.address, via);
         if let Some(connection) = idle {
             return Ok(connection);
         }
+        if via == pool::Via::LentPlace {
+            return self.borrow_connection(target).await;
+        }
         let reservation = match self.pool.reserve(target.address, target.connections) {
             Err(pool::Error::NoConnectionFree) if via == pool::Via::Any => {
                 return self.borrow_connection(target).await;
@@ -266,7 +287,8 @@
         target: &Target,
         reservation: Arc<pool::OpenGuard>,
     ) -> Result<pool::Connection, pool::Error> {
-        self.open_through_gateway(target, reservation, false).await
+        let kind = tunnel::Kind::Own;
+        self.open_through_gateway(target, reservation, kind).await
     }
 
     /// Opens a connection that another instance has to spare. All connections of all instances together stay as many as
@@ -276,7 +298,11 @@
         target: &Target,
     ) -> Result<pool::Connection, pool::Error> {
         let reservation = Arc::new(pool::OpenGuard::new(Arc::default()));
-        let opened = self.open_through_gateway(target, reservation, true).await;
+        let kind = match target.brittle {
+            Some(rejections) => tunnel::Kind::LentWithPlace(rejections),
+            None => tunnel::Kind::Lent,
+        };
+        let opened = self.open_through_gateway(target, reservation, kind).await;
         opened.map_err(|error| match error {
             pool::Error::Unreachable => pool::Error::NoConnectionFree,
             other => other,
@@ -287,20 +313,21 @@
         self: &Arc<Self>,
         target: &Target,
         reservation: Arc<pool::OpenGuard>,
-        is_lent: bool,
+        kind: tunnel::Kind,
     ) -> Result<pool::Connection, pool::Error> {
+        let is_lent = kind != tunnel::Kind::Own;
+        let mut silent = 0;
         let mut tried = Vec::new();
         let mut outcome = pool::Error::Unreachable;
         let most = if is_lent { MAX_LENDERS } else { MAX_GATEWAYS };
-        while tried.len() < most {
+        while tried.len() < most && silent < MAX_SILENT_GATEWAYS {
             let (gateway, open_count) = match self.pick_gateway(&target.process, &tried, is_lent) {
                 Ok(picked) => picked,
                 Err(error) if tried.is_empty() => return Err(error),
                 Err(_) => break,
             };
             let guard = pool::OpenGuard::new(open_count);
-            let opened =
-                tunnel::open(&gateway, self.tunnel_secret(), &target.process, is_lent).await;
+            let opened = tunnel::open(&gateway, self.tunnel_secret(), &target.process, kind).await;
             self.metrics.count_tunnel(match &opened {
                 Ok(_) => "opened",
                 Err(error) => error.as_str(),
@@ -311,9 +338,18 @@
                         self.record_detour(target);
                     }
                     let address = target.address;
-                    return pool::Connection::tunnel(tunnel, address, reservation, guard).await;
+                    let has_place = target.brittle.is_some();
+                    return pool::Connection::tunnel(
+                        tunnel,
+                        address,
+                        reservation,
+                        guard,
+                        has_place,
+                    )
+                    .await;
                 }
                 Err(error) => {
+                    silent += usize::from(error == tunnel::Error::NoAnswer);
                     log::debug!(
                         server = target.process.server.as_str(), gateway = gateway.instance.as_str(), why = error.as_str();
                         "no tunnel to backend server"
@@ -408,7 +444,8 @@
     }
 
     /// Opens a connection to a server for another instance. It is one of that instance's connections to the server, or one of
-    /// this instance's if it is lent, so all instances together have no more of them than without tunnels.
+    /// this instance's if it is lent, so all instances together have no more of them than without tunnels. The same holds for
+    /// places at a `brittle` server, which tolerates so many rejections in a second.
     ///
     /// # Errors
     ///
@@ -418,7 +455,8 @@
         process: &Process,
         max_tunnels: usize,
         is_lent: bool,
-    ) -> Result<ServedTunnel, Refusal> {
+        brittle: Option<u32>,
+    ) -> Result<ServedTunnel<P>, Refusal> {
         if self.is_draining() {
             return Err(Refusal::Stopping);
         }
@@ -441,15 +479,47 @@
             }
             false => None,
         };
+        let place = match brittle {
+            Some(rejections) => {
+                let place = self.lend_place(process, rejections);
+                Some(place.ok_or(Refusal::Busy)?)
+            }
+            None => None,
+        };
         let guard = pool::OpenGuard::new(served);
         let stream = self.dial(&target).await;
         Ok(ServedTunnel {
             stream: stream.map_err(|_| Refusal::Unreachable)?,
+            place,
             _guard: guard,
             _lent: lent,
         })
     }
 
+    /// Lends a place in this instance's window for a brittle server, if there is one to spare.
+    fn lend_place(
+        self: &Arc<Self>,
+        process: &Process,
+        rejections: u32,
+    ) -> Option<guard::LentPlace<P>> {
+        let now = self.now();
+        let mut state = self.lock();
+        let instances = state.instances.count();
+        let known = state.servers.get_mut(&process.server)?;
+        let (slots, stats) = (known.server.slots, &mut known.stats);
+        if !stats.is_brittle() {
+            stats.observe_brittleness(now, Some(rejections), slots, instances, rand::random());
+        }
+        if !stats.try_lend(now) {
+            return None;
+        }
+        drop(state);
+        Some(guard::LentPlace {
+            node: Arc::clone(self),
+            process: process.clone(),
+        })
+    }
+
     /// Probes failing paths, each in a task of its own: without that, a lost one would not be used again.
     pub fn probe_failing_paths(self: &Arc<Self>) {
         let now = self.now();
@@ -688,6 +758,7 @@
             process: process.clone(),
             address: server.address,
             connections: self.connections(group.connections),
+            brittle: None,
         })
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -256,6 +256,7 @@
                 self.demand_changed.notify_one();
             }
             ServerOutcome::Full => known.stats.record_full(now),
+            ServerOutcome::NoPlace => known.stats.record_no_place(now),
             ServerOutcome::Rejected => known.stats.record_rejection(now),
             ServerOutcome::Replaced => known.stats.record_replaced(now),
         }
--- a/crates/fireflywheel_daemon/src/fleet/pool.rs
+++ b/crates/fireflywheel_daemon/src/fleet/pool.rs
@@ -21,6 +21,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time;
 
@@ -32,6 +33,8 @@
 /// How long an idle connection is kept if its server doesn't state a keep-alive timeout. [`KEEP_ALIVE_MARGIN`] is not
 /// subtracted from it.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(1500);
+/// The same for one with a place that another instance has lent and may need.
+const MAX_PLACE_IDLE_TIME: Duration = Duration::from_millis(400);
 /// An idle connection is closed this long before its server would close it, so that no request is sent while the
 /// server closes the connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1200);
@@ -69,11 +72,23 @@
     }
 }
 
+/// What carries the bytes of a connection.
+pub trait Carrier: AsyncRead + AsyncWrite + Send + Unpin + 'static {
+    /// Tells whoever has lent the connection that the server has rejected a request for want of room, and closes it.
+    fn report_rejection(self) -> impl Future<Output = ()> + Send;
+}
+
+impl Carrier for TcpStream {
+    async fn report_rejection(self) {}
+}
+
 /// Which connections a request may take.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Via {
     /// This instance's own, or a tunnel.
     Any,
+    /// Only one with a place at a brittle server that another instance has lent.
+    LentPlace,
     /// Only this instance's own. An engine must not receive orders of one steward from two instances.
     Direct,
 }
@@ -101,6 +116,10 @@
     opened: time::Instant,
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Whether a place at a brittle server is lent with it.
+    has_place: bool,
+    /// Reports to the lender that the server has rejected a request.
+    rejection: Option<oneshot::Sender<()>>,
     _reservation: Arc<OpenGuard>,
     /// Counts the connection at its gateway, if it is a tunnel.
     _tunnel: Option<OpenGuard>,
@@ -135,11 +154,22 @@
     pub fn close(&self) {
         self.task.abort();
     }
+
+    /// Closes the connection, and tells whoever has lent it that the server has rejected a request for want of room.
+    pub fn close_rejected(mut self) {
+        if let Some(rejection) = self.rejection.take() {
+            // The connection may have ended.
+            let _ = rejection.send(());
+        }
+    }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.task.abort();
+        // Its task ends by itself once it has reported the rejection.
+        if self.rejection.is_some() {
+            self.task.abort();
+        }
     }
 }
 
@@ -181,9 +211,14 @@
         connection: Connection,
         keep_alive: Option<Duration>,
     ) {
+        let most = match connection.has_place {
+            true => MAX_PLACE_IDLE_TIME,
+            false => Duration::MAX,
+        };
         let kept_for = keep_alive.map_or(DEFAULT_IDLE_TIME, |stated| {
             stated.saturating_sub(KEEP_ALIVE_MARGIN)
         });
+        let kept_for = kept_for.min(most);
         if kept_for.is_zero() || connection.sender.is_closed() {
             return;
         }
@@ -230,7 +265,11 @@
         // The most recently used connection is the least likely to be closed by its server at this moment.
         let ready = server.idle.iter().rposition(|idle| {
             let connection = &idle.connection;
-            let is_allowed = via == Via::Any || connection.route == Route::Direct;
+            let is_allowed = match via {
+                Via::Any => !connection.has_place,
+                Via::LentPlace => connection.has_place,
+                Via::Direct => connection.route == Route::Direct,
+            };
             is_allowed && connection.sender.is_ready()
         })?;
         Some(server.idle.remove(ready).connection)
@@ -298,7 +337,8 @@
         Self::start(stream, address, Route::Direct, reservation, None).await
     }
 
-    /// Uses a connection through another instance for requests. `guard` counts it at that gateway.
+    /// Uses a connection through another instance for requests. `guard` counts it at that gateway. With `has_place`, a place
+    /// at a brittle server is lent with it.
     ///
     /// # Errors
     ///
@@ -308,11 +348,15 @@
         address: SocketAddr,
         reservation: Arc<OpenGuard>,
         guard: OpenGuard,
+        has_place: bool,
     ) -> Result<Self, Error>
     where
-        T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        T: Carrier,
     {
-        Self::start(tunnel, address, Route::Tunnel, reservation, Some(guard)).await
+        let route = Route::Tunnel;
+        let mut connection = Self::start(tunnel, address, route, reservation, Some(guard)).await?;
+        connection.has_place = has_place;
+        Ok(connection)
     }
 
     async fn start<T>(
@@ -323,13 +367,28 @@
         tunnel: Option<OpenGuard>,
     ) -> Result<Self, Error>
     where
-        T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        T: Carrier,
     {
         let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|_| Error::Unreachable)?;
+        let (sender, mut connection) = handshake.map_err(|_| Error::Unreachable)?;
+        let (rejection, is_rejected) = oneshot::channel();
         let task = tokio::spawn(async move {
-            // The sender of the request receives the connection's error.
-            let _ = connection.await;
+            let is_rejected = async {
+                if is_rejected.await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            };
+            tokio::select! {
+                // The sender of the request receives the connection's error.
+                _ = &mut connection => return,
+                () = is_rejected => {}
+            }
+            connection
+                .into_parts()
+                .io
+                .into_inner()
+                .report_rejection()
+                .await;
         });
         Ok(Self {
             address,
@@ -337,6 +396,8 @@
             opened: time::Instant::now(),
             sender,
             task: task.abort_handle(),
+            has_place: false,
+            rejection: Some(rejection),
             _reservation: reservation,
             _tunnel: tunnel,
         })
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -231,23 +231,34 @@
         let mut failure = unavailable("not_sent", "no server took it");
         // What was never sent is no retry.
         let mut has_arrived = false;
-        for send_index in 0..MAX_SENDS {
+        let mut send_index = 0;
+        let mut is_counted = false;
+        while send_index < MAX_SENDS {
             let found = wait_for_server(&self.node, &job, &tried, &job.queue).await;
             let chosen = match found {
                 Ok(chosen) => chosen,
                 Err(problem) if may_have_run == 0 => return Err(problem),
                 Err(_) => return Err(failure),
             };
-            if send_index == 0 {
+            if is_counted {
+                // The attempt before had no place and sent nothing.
+            } else if send_index == 0 {
                 self.node.record_first_attempt(&job.queue.group);
             } else if has_arrived && !self.node.try_retry(&job.queue.group) {
                 return Err(failure);
             }
-            tried.push(chosen.server.clone());
             let outcome = match self.send(&job, &chosen, send_index, may_have_run).await {
                 Ok(response) => return Ok(response),
+                // It may still wait for a place of this instance's own.
+                Err(attempt::Outcome::NoPlace) => {
+                    is_counted = true;
+                    continue;
+                }
                 Err(outcome) => outcome,
             };
+            tried.push(chosen.server.clone());
+            send_index += 1;
+            is_counted = false;
             has_arrived |= !matches!(outcome, attempt::Outcome::Unsent(_));
             match outcome {
                 attempt::Outcome::NotRun(why) | attempt::Outcome::Unsent(why) => {
@@ -278,7 +289,9 @@
                         return Err(failure);
                     }
                 }
-                attempt::Outcome::TimedOut | attempt::Outcome::Response(_) => {
+                attempt::Outcome::NoPlace
+                | attempt::Outcome::TimedOut
+                | attempt::Outcome::Response(_) => {
                     return Err(errors::Problem::new(
                         StatusCode::GATEWAY_TIMEOUT,
                         "timeout",
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -347,5 +347,6 @@
         },
         address: server.address,
         connections: MAX_CONNECTIONS,
+        brittle: None,
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -473,7 +473,9 @@
             remaining: Duration::ZERO,
         };
         match self.node.choose(query) {
-            node::Choice::Server(chosen) if !tried.contains(&chosen.server) => {
+            node::Choice::Server(chosen)
+                if !tried.contains(&chosen.server) && chosen.brittle.is_none() =>
+            {
                 let may_retry = self.node.try_retry(&job.queue.group);
                 may_retry.then_some(chosen)
             }
@@ -559,7 +561,9 @@
                     self.runs += 1;
                     return Some(Source::new(*upstream));
                 }
-                attempt::Outcome::NotRun(_) | attempt::Outcome::Unsent(_) => {
+                attempt::Outcome::NotRun(_)
+                | attempt::Outcome::Unsent(_)
+                | attempt::Outcome::NoPlace => {
                     self.tried.push(chosen.server);
                     chosen = self.wait_for_server().await?;
                 }
--- a/crates/fireflywheel_daemon/src/fleet/tunnel.rs
+++ b/crates/fireflywheel_daemon/src/fleet/tunnel.rs
@@ -26,7 +26,7 @@
 use tokio_tungstenite::tungstenite::{self, Message as WebSocketMessage, Utf8Bytes};
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
-use super::net;
+use super::{net, pool};
 
 /// How long each end waits for the other to complete the handshake. It includes the time for which the gateway tries
 /// to reach the server.
@@ -43,6 +43,14 @@
     reason: Utf8Bytes::from_static("server ended"),
 };
 
+/// What an opener closes a tunnel with when the server has rejected a request for want of room.
+pub(super) const REJECTED: CloseFrame = CloseFrame {
+    code: CloseCode::Library(4000),
+    reason: Utf8Bytes::from_static("rejected"),
+};
+/// How long the opener may take to close it.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A WebSocket connection between two instances.
 pub type Socket = WebSocketStream<TcpStream>;
 
@@ -81,6 +89,26 @@
     has_ended: bool,
 }
 
+/// What an opener asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// A connection that counts as one of the opener's own.
+    Own,
+    /// A connection that the gateway has to spare.
+    Lent,
+    /// The same, with a place in the gateway's window for a brittle server that tolerates so many rejections in a second.
+    LentWithPlace(u32),
+}
+
+impl Kind {
+    fn tolerated_rejections(self) -> Option<u32> {
+        match self {
+            Self::LentWithPlace(rejections) => Some(rejections),
+            Self::Own | Self::Lent => None,
+        }
+    }
+}
+
 /// The ends of a tunnel. A proof covers its maker's role, so that it can't be sent back to its maker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Role {
@@ -137,7 +165,7 @@
     gateway: &gateway::Gateway,
     secret: Option<Secret>,
     process: &Process,
-    is_lent: bool,
+    kind: Kind,
 ) -> Result<Tunnel, Error> {
     let secret = secret.ok_or(Error::NoSecret)?;
     let opening = async {
@@ -161,13 +189,21 @@
         let open = Message::Open {
             process: process.clone(),
             proof: handshake.prove(Role::Opener),
-            is_lent,
+            is_lent: kind != Kind::Own,
             accepts_referral: true,
+            brittle: kind.tolerated_rejections(),
         };
         send(&mut socket, encode(&open)).await?;
+        let has_place = kind.tolerated_rejections().is_some();
         match receive(&mut socket).await? {
-            Message::Opened(proof) if handshake.is_proven(Role::Gateway, &proof) => Ok(Ok(socket)),
-            Message::Opened(_) => Ok(Err(Error::Refused(Refusal::Unauthenticated))),
+            Message::Opened(proof) | Message::OpenedWithPlace(proof)
+                if !handshake.is_proven(Role::Gateway, &proof) =>
+            {
+                Ok(Err(Error::Refused(Refusal::Unauthenticated)))
+            }
+            // A gateway of an earlier release lends a connection only.
+            Message::Opened(_) if has_place => Ok(Err(Error::Refused(Refusal::Busy))),
+            Message::Opened(_) | Message::OpenedWithPlace(_) => Ok(Ok(socket)),
             Message::Refused(refusal) => Ok(Err(Error::Refused(refusal))),
             Message::Referred(gateways) => Ok(Err(Error::Referred(gateways))),
             Message::Challenge(_) | Message::Open { .. } => anyhow::bail!("unexpected message"),
@@ -184,6 +220,14 @@
     }
 }
 
+impl pool::Carrier for Tunnel {
+    async fn report_rejection(mut self) {
+        let closing = self.socket.close(Some(REJECTED));
+        // The gateway may have closed it already.
+        let _ = time::timeout(CLOSE_TIMEOUT, closing).await;
+    }
+}
+
 impl AsyncRead for Tunnel {
     fn poll_read(
         mut self: Pin<&mut Self>,
