--- a/crates/fireflywheel/src/fleet/routing.rs
+++ b/crates/fireflywheel/src/fleet/routing.rs
@@ -199,6 +199,13 @@
         self.no_place_until = now.after(NO_PLACE_HOLD_OFF);
     }
 
+    /// Records that a request waits for the server.
+    pub fn record_demand(&mut self, now: clock::Instant) {
+        if let Some(window) = &mut self.window {
+            window.record_demand(now);
+        }
+    }
+
     /// The number of rejections in a second that the server tolerates, if it announces that it is brittle.
     #[must_use]
     pub fn tolerated_rejections(&self) -> Option<u32> {
--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -230,10 +230,16 @@
                 .or_else(|| self.pick(now, query, &open, Places::Lent)),
             false => picked,
         };
+        let waits = picked.is_none_or(|picked| picked.brittle.is_some());
+        let awaited: Vec<SmolStr> = match waits {
+            true => server_ids(&open).cloned().collect(),
+            false => Vec::new(),
+        };
         let Some(picked) = picked else {
             let is_full = !open.is_empty() || !permitted.is_empty();
             let limited: Vec<SmolStr> = server_ids(&limited).cloned().collect();
             let expected = forecast_wait(&state, queue, now);
+            state.record_demand(now, &awaited);
             if state.request_permit(view, query.remaining, &limited) {
                 self.demand_changed.notify_one();
             }
@@ -252,6 +258,7 @@
             brittle: picked.brittle,
         };
         let is_unreachable = picked.known.stats.is_unreachable(now);
+        state.record_demand(now, &awaited);
         if let Some(known) = state.servers.get_mut(&chosen.server) {
             if is_unreachable && !known.stats.try_probe(now) {
                 return Choice::Unreachable;
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -513,6 +513,15 @@
             .filter(in_time)
     }
 
+    /// Records that a request waits for the windows of some servers.
+    pub(super) fn record_demand(&mut self, now: clock::Instant, servers: &[SmolStr]) {
+        for id in servers {
+            if let Some(known) = self.servers.get_mut(id) {
+                known.stats.record_demand(now);
+            }
+        }
+    }
+
     /// Whether what the steward sent takes precedence over the directory's entries. Without a link it does
     /// until the directory was read after it had become more recent: while the store is unreachable, the
     /// instance would otherwise use entries from before most swaps.
