RECOVER: an instance asks for as many permits at once as requests wait

Cause: an instance asked for one permit at a time, whatever number of servers have a limit, so it got one for each exchange with the steward. Change: it asks one permit of each server with a limit, as many as requests wait. None is lost, and the steward grants no more.

--- a/crates/fireflywheel_daemon/src/fleet/node/choice.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/choice.rs
@@ -240,7 +240,7 @@
             let limited: Vec<SmolStr> = server_ids(&limited).cloned().collect();
             let expected = forecast_wait(&state, queue, now);
             state.record_demand(now, &awaited);
-            if state.request_permit(view, query.remaining, &limited) {
+            if state.request_permit(view, query.remaining, queue, &limited) {
                 self.demand_changed.notify_one();
             }
             return match is_full {
--- a/crates/fireflywheel_daemon/src/fleet/node/limit.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/limit.rs
@@ -6,9 +6,10 @@
 use fireflywheel::clock;
 use fireflywheel::fleet::limit;
 use fireflywheel::fleet::limit::gate;
+use rand::seq::IndexedRandom as _;
 use smol_str::SmolStr;
 
-use super::{Node, state};
+use super::{Node, QueueKey, state};
 
 /// What a server's answer says of its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -96,20 +97,29 @@
 
 impl state::State {
     /// Requests a permit for a request that can wait for `remaining` and would go to one of some servers that
-    /// announce a limit. Returns whether the steward has to be asked. A permit is requested from only one of
-    /// these servers: permits of several servers for one request would be lost for other requests.
+    /// announce a limit. Returns whether the steward has to be asked. No more permits are requested of these servers than
+    /// requests wait: permits of several servers for one request would be lost for other requests.
     pub(super) fn request_permit(
         &mut self,
         view: gate::View<'_>,
         remaining: Duration,
+        queue: &QueueKey,
         servers: &[SmolStr],
     ) -> bool {
-        let is_waiting = |gate: &gate::Gate| gate.is_waiting(view.now);
-        if servers.is_empty() || self.limit_gates(servers).any(is_waiting) {
+        let known = servers
+            .iter()
+            .filter_map(|id| Some((id, self.servers.get(id)?)));
+        let (pending, free): (Vec<_>, Vec<_>) =
+            known.partition(|(_, known)| known.limit.is_waiting(view.now));
+        let waiting = self.queues.get(queue).map_or(0, BTreeMap::len);
+        if pending.len() >= waiting.max(1) {
             return false;
         }
-        let id = &servers[rand::random_range(0..servers.len())];
-        let known = self.servers.get_mut(id);
+        let Some((id, _)) = free.choose(&mut rand::rng()) else {
+            return false;
+        };
+        let id = SmolStr::clone(id);
+        let known = self.servers.get_mut(&id);
         known.is_some_and(|known| known.limit.request_permit(view, remaining))
     }
 
