Soak: brittle engines beside a hot instance, crashes within streams; tests of places that are lent

Properties of lent places, at random: own requests and lent places stay within the window; a rejection of a lent place shrinks the lender's; nobody is asked again at once.

--- a/crates/fireflywheel/tests/fleet/routing.rs
+++ b/crates/fireflywheel/tests/fleet/routing.rs
@@ -1,5 +1,6 @@
 //! Tests of server selection: requests go to the least loaded server that responds correctly.
 
+use arbtest::arbtest;
 use fireflywheel::clock::Instant;
 use fireflywheel::fleet::routing::{self, Candidate, Report, Stats};
 
@@ -153,7 +154,72 @@
     assert!(routing::pick(NOW, &[candidate(&busy)], 0).is_some());
 }
 
+/// The statistics of a server that tolerates five rejections a second, at one of `instances`.
+fn brittle(slots: u32, instances: usize, draw: f64) -> Stats {
+    let mut stats = Stats::default();
+    stats.observe_brittleness(NOW, Some(5), slots, instances, draw);
+    stats
+}
+
+fn window_covers_own_requests_and_lent_places() {
+    arbtest(|u| {
+        let slots: u32 = u.int_in_range(1..=64)?;
+        let instances: usize = u.int_in_range(1..=20)?;
+        let places = (slots / u32::try_from(instances).expect("few")).max(1);
+        let mut stats = brittle(slots, instances, 0.5);
+        let mut lent = 0;
+        for _ in 0..u.int_in_range(1..=100)? {
+            let own = stats.in_flight - stats.borrowed;
+            match u.int_in_range(0..=4)? {
+                0 if routing::pick(NOW, &[candidate(&stats)], 0).is_some() => stats.in_flight += 1,
+                1 if routing::pick_beyond_window(NOW, &[candidate(&stats)], 0).is_some() => {
+                    stats.in_flight += 1;
+                    stats.borrowed += 1;
+                }
+                2 => lent += u32::from(stats.try_lend(NOW)),
+                3 if lent > 0 => {
+                    stats.take_back();
+                    lent -= 1;
+                }
+                4 if own > 0 => stats.in_flight -= 1,
+                _ => {}
+            }
+            assert!(stats.in_flight - stats.borrowed + lent <= places);
+        }
+        Ok(())
+    });
+}
+
+fn rejection_of_a_lent_place_shrinks_the_window() {
+    let mut stats = brittle(8, 1, 0.0);
+    for _ in 0..4 {
+        assert!(stats.try_lend(NOW));
+    }
+    stats.record_lent_rejection(NOW);
+    stats.take_back();
+    assert!(!stats.try_lend(NOW));
+    assert_eq!(routing::pick(NOW, &[candidate(&stats)], 0), None);
+    assert!(routing::pick_beyond_window(NOW, &[candidate(&stats)], 0).is_some());
+}
+
+fn no_place_is_asked_for_at_once_again() {
+    let mut stats = brittle(1, 1, 0.0);
+    stats.in_flight = 1;
+    let pick = |stats: &Stats, now| routing::pick_beyond_window(now, &[candidate(stats)], 0);
+    assert!(pick(&stats, NOW).is_some());
+    stats.record_no_place(NOW);
+    assert_eq!(pick(&stats, NOW), None);
+    assert!(pick(&stats, Instant(NOW.0 + 100)).is_some());
+}
+
 cases! {
+    /// An instance lends places in its window for a brittle server and uses them as well, so that the server rejects more
+    /// requests than it tolerates.
+    lent_places_stay_within_the_window => window_covers_own_requests_and_lent_places();
+    /// A brittle server rejects a request that has a lent place, and the lender lends as many again.
+    rejected_place_is_not_lent_again => rejection_of_a_lent_place_shrinks_the_window();
+    /// All instances have lent their places, and a request asks them again and again instead of waiting.
+    lenders_without_a_place_are_left_alone => no_place_is_asked_for_at_once_again();
     /// Instances that each see only their own requests fill one engine. Requests queued there are late and
     /// can't move to the replica of their model that is loaded a moment later.
     requests_of_others_fill_engine => engine_filled_by_others_is_skipped();
--- a/crates/fireflywheel_standin/src/main.rs
+++ b/crates/fireflywheel_standin/src/main.rs
@@ -155,6 +155,22 @@
                 .long("crash-part")
                 .help("Part of prompts on which it crashes"),
         )
+        .arg(
+            integer_arg("events-before-crash", "0")
+                .help("Number of events after which it crashes on them"),
+        )
+        .arg(
+            Arg::new("failure-interval")
+                .long("failure-interval")
+                .help("Interval between runs that fail, in runs")
+                .value_parser(value_parser!(usize)),
+        )
+        .arg(
+            Arg::new("brittle")
+                .long("brittle")
+                .help("Number of rejections in a second that it tolerates, as its answers say")
+                .value_parser(value_parser!(u32)),
+        )
         .arg(
             Arg::new("software-version")
                 .long("software-version")
@@ -406,6 +422,8 @@
         weights_mb: u64_value(args, "weights-mb"),
         version: text_value(args, "software-version").into(),
         prints_lines: true,
+        events_before_crash: u64_value(args, "events-before-crash"),
+        failure_interval: args.get_one("failure-interval").copied(),
         crash_model: None,
         trigger: args
             .get_one::<String>("crash-part")
@@ -416,6 +434,7 @@
         text_value(args, "service"),
         options,
     );
+    worker.set_brittle(args.get_one("brittle").copied());
     for model in text_values(args, "on-disk") {
         worker = worker.with_on_disk(&model);
     }
--- a/crates/fireflywheel_standin/src/trial/soak.rs
+++ b/crates/fireflywheel_standin/src/trial/soak.rs
@@ -35,6 +35,8 @@
 const CRASHING_DEADLINE: Duration = Duration::from_secs(2);
 /// In so many seeds each, one has an instance to which most callers connect, and another one a repeated request.
 const SEED_PERIOD: u64 = 5;
+/// The period of seeds by which engines differ; a multiple of [`SEED_PERIOD`].
+const ENGINE_PERIOD: u64 = 20;
 /// The number of callers of each instance that stay there.
 const STEADY_CALLERS: usize = 1;
 /// What their ids begin with.
@@ -139,7 +141,7 @@
         engines: options.engines,
         services: 2,
         models: model_count(options),
-        engine_args: Vec::new(),
+        engine_args: engine_args(options.seed),
         versions: match options.faults {
             Faults::Versions => script::versions(options.seed, options.engines),
             _ => Vec::new(),
@@ -217,6 +219,16 @@
     })
 }
 
+/// What distinguishes the engines of a seed: in some they are brittle beside a hot instance, or crash within streams.
+fn engine_args(seed: u64) -> Vec<String> {
+    let args = match seed % ENGINE_PERIOD {
+        9 => ["--brittle", "5"],
+        13 => ["--events-before-crash", "2"],
+        _ => return Vec::new(),
+    };
+    args.map(str::to_owned).into()
+}
+
 /// The instance to which most callers of a seed connect, if there is one.
 fn find_hot_instance(seed: u64, instances: usize) -> Option<usize> {
     let is_hot = seed % SEED_PERIOD == SEED_PERIOD - 1;
