BUDGET: a request with several quarantined parts gets no more trials than one part

Cause: each part has trials of its own, and of several that are due the last in the order of the prompt was tried, so that requests with the parts in another order had the trials of each. Change: of those that are due, the part with most trials is tried; once it has none left, the request has none.

--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -347,7 +347,7 @@
     }
 
     /// The one of these parts that is quarantined, and the time until its next trial; of several, the one whose trial comes
-    /// last.
+    /// last, and of those the one with most trials: a request has no more of them than a part.
     #[must_use]
     pub fn find_quarantined(
         &self,
@@ -357,10 +357,12 @@
         if self.quarantined.is_empty() {
             return None;
         }
-        let parts = parts.iter().copied();
-        let quarantined = parts.filter(|part| self.quarantined.contains_key(part));
-        let waits = quarantined.map(|part| (part, self.trial_wait(now, part)));
-        waits.max_by_key(|(_, wait)| *wait)
+        let quarantined = parts
+            .iter()
+            .filter_map(|part| Some((*part, self.quarantined.get(part)?.trials)));
+        let waits = quarantined.map(|(part, trials)| (part, trials, self.trial_wait(now, part)));
+        let last = waits.max_by_key(|(part, trials, wait)| (*wait, *trials, *part));
+        last.map(|(part, _, wait)| (part, wait))
     }
 
     /// The number of quarantined parts.
--- a/crates/fireflywheel/tests/fleet/quarantine.rs
+++ b/crates/fireflywheel/tests/fleet/quarantine.rs
@@ -512,3 +512,33 @@
     }
     assert!(fleet.refuses("bad"));
 }
+
+/// Guards against a request that gets the trials of each of its quarantined parts, one after another.
+#[test]
+fn trials_of_a_request_with_several_quarantined_parts_are_few() {
+    let mut fleet = Fleet::new();
+    let mut names = ["bad1", "bad2", "bad3"];
+    for _ in 0..3 {
+        fleet.crash(&[parts(names)]);
+    }
+    let mut trials = 0;
+    let end = fleet.now.after(Duration::from_secs(24 * 3600));
+    while fleet.now < end {
+        fleet.now = fleet.now.after(Duration::from_secs(10));
+        let index = fleet.now.0 as usize % INSTANCES;
+        let registry = &mut fleet.registries[index];
+        let found = registry.find_quarantined(fleet.now, &parts(names));
+        let (part, wait) = found.expect("each of them is quarantined");
+        if wait.is_zero() && registry.try_trial(fleet.now, part) {
+            trials += 1;
+            fleet.exchange();
+            fleet.crash(&[parts(names)]);
+            // Other requests have them in another order.
+            names.rotate_left(1);
+        }
+        for registry in &mut fleet.registries {
+            registry.prune(fleet.now);
+        }
+    }
+    assert!(trials <= 3, "{trials} trials");
+}
