RECOVER: a rejection of a lent place reaches its lender also as the connection ends

Cause: the task of a borrowed connection waited for its end and for the rejection alike, and dropping the connection ends it, so that the report was lost in one of two orders; the lender would have lent the place again. Change: the rejection comes first.

--- a/crates/fireflywheel_daemon/src/fleet/pool.rs
+++ b/crates/fireflywheel_daemon/src/fleet/pool.rs
@@ -379,9 +379,11 @@
                 }
             };
             tokio::select! {
+                // The connection ends as it is dropped, which must not hide the rejection.
+                biased;
+                () = is_rejected => {}
                 // The sender of the request receives the connection's error.
                 _ = &mut connection => return,
-                () = is_rejected => {}
             }
             connection
                 .into_parts()
