Streams: a caller that reads slowly isn't taken for a silent server

Cause: since silent answers are examined, the time without data counted from the arrival of the last data, and so included how long the caller took to read it; a stream to a slow caller would have been resumed elsewhere. Found by reading the diff. Change: it counts from when the data has been handed on, as before. Measured: builds; no test shows the fault.

--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -340,7 +340,6 @@
             if !bytes.is_empty() {
                 self.has_data = true;
                 let now = self.node.now();
-                silent_since = now;
                 let (first, _) = self.source.data_at.unwrap_or((now, now));
                 self.source.data_at = Some((first, now));
             }
@@ -348,6 +347,8 @@
                 Ok(()) => {}
                 Err(end) => return end,
             }
+            // A caller that reads slowly has held this up, not the server.
+            silent_since = self.node.now();
         }
     }
 
