BUDGET: sound parts are not blamed for waves of crashes, nor for servers that live

What callers saw: after all servers had crashed at once, or the only instance had been cut off for half a second, requests for a model could be refused with load_quarantined for 15 s. Cause: ends of servers that crash together were counted one by one against what several of them had in hand, and an end that one instance had wrongly found was never taken back where no other could see the server. Change: crashes within 0.5 s, some of which a part had no hand in, count once for it; a process that was found to have ended is asked again for as long as it is listed, and a quarantine that has too little evidence left ends everywhere.

--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -99,9 +99,9 @@
 }
 
 /// What speaks against a part.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Charge {
-    /// The number of crashes without a whole answer of it since.
+    /// The number of crashes without a whole answer of it since. Those of a wave count once.
     crashes: u32,
     /// Those of them that no quarantined part explains.
     unexplained: u32,
@@ -109,6 +109,35 @@
     answers: u32,
     /// The time of the last of these crashes.
     last: clock::Instant,
+    /// When the last wave began.
+    wave: Option<clock::Instant>,
+}
+
+impl Charge {
+    /// Adds a crash, which is no earlier than those before.
+    fn add(&mut self, at: clock::Instant, is_wave: bool, is_explained: bool) {
+        self.last = at;
+        if is_wave {
+            if self
+                .wave
+                .is_some_and(|begun| at <= begun.after(TIME_TOLERANCE))
+            {
+                return;
+            }
+            self.wave = Some(at);
+        }
+        self.crashes += 1;
+        self.unexplained += u32::from(!is_explained);
+    }
+
+    fn is_sufficient(&self) -> bool {
+        let required = if self.answers < PROVEN_ANSWERS {
+            MIN_CRASHES
+        } else {
+            MIN_CRASHES_OF_PROVEN
+        };
+        self.crashes >= required
+    }
 }
 
 /// What has changed since it was last told.
@@ -510,7 +539,7 @@
         let crash = self.crashes.get(process);
         if crash.is_some_and(|known| self.is_refuted(process, known.at)) {
             self.breaks.remove(process);
-            self.crashes.remove(process);
+            self.take_back_crash(process);
             log::info!(server = process.server.as_str(); "backend server has not crashed");
         }
         while self.survivors.len() > MAX_CRASHES {
@@ -522,6 +551,32 @@
         }
     }
 
+    /// Forgets a crash that was none, and ends the quarantines that it takes too much evidence from.
+    fn take_back_crash(&mut self, process: &Process) {
+        let suspected = |registry: &Self| {
+            let is_suspect = |part: &Part| {
+                let known = registry.crashes.get(process);
+                known.is_some_and(|known| known.suspects.contains_key(part))
+            };
+            let parts = registry.quarantined.keys().copied();
+            parts.filter(is_suspect).collect::<BTreeSet<Part>>()
+        };
+        let sufficient = |registry: &Self, parts: &BTreeSet<Part>| {
+            let charges = registry.charges(|part| parts.contains(part));
+            let sufficient = charges.into_iter().filter(|(_, one)| one.is_sufficient());
+            sufficient.map(|(part, _)| part).collect::<BTreeSet<Part>>()
+        };
+        let before = sufficient(self, &suspected(self));
+        self.crashes.remove(process);
+        let after = sufficient(self, &before);
+        for part in before.difference(&after) {
+            if let Some(since) = self.quarantined.get(part).map(|one| one.since) {
+                // Others that were told of the quarantine take it for cleared as well.
+                self.clear(*part, since);
+            }
+        }
+    }
+
     /// Adds the suspects of broken runs to those of their process's crash.
     fn add_suspects(&mut self, process: &Process) {
         let (Some(known), Some(breaks)) =
@@ -650,33 +705,52 @@
     /// Of several, those come first that have been answered least often before, and then those that stand for the fewest
     /// requests.
     fn find_causes(&self) -> Option<Vec<(Part, clock::Instant)>> {
+        let mut charges = self.charges(|part| !self.quarantined.contains_key(part));
+        charges.retain(|_, charge| charge.unexplained > 0 && charge.is_sufficient());
+        let rank = |part: &Part, charge: &Charge| (charge.answers, part.kind());
+        let least = charges
+            .iter()
+            .map(|(part, charge)| rank(part, charge))
+            .min()?;
+        charges.retain(|part, charge| rank(part, charge) == least);
+        let causes = charges.into_iter();
+        Some(causes.map(|(part, charge)| (part, charge.last)).collect())
+    }
+
+    /// What speaks against the parts that are to be charged.
+    fn charges<F>(&self, is_charged: F) -> BTreeMap<Part, Charge>
+    where
+        F: Fn(&Part) -> bool,
+    {
+        let mut crashes: Vec<&Known> = self.crashes.values().collect();
+        crashes.sort_by_key(|known| known.at);
+        let is_explained: Vec<bool> = crashes
+            .iter()
+            .map(|known| {
+                let mut suspects = known.suspects.keys();
+                suspects.any(|part| self.quarantined.contains_key(part))
+            })
+            .collect();
         let mut charges: BTreeMap<Part, Charge> = BTreeMap::new();
-        for known in self.crashes.values().filter(|known| known.is_confirmed) {
-            let mut suspects = known.suspects.keys();
-            let is_explained = suspects.any(|part| self.quarantined.contains_key(part));
+        let confirmed = crashes.iter().enumerate();
+        for (index, known) in confirmed.filter(|(_, known)| known.is_confirmed) {
+            let first = crashes.partition_point(|other| other.at.after(TIME_TOLERANCE) < known.at);
+            let end = crashes.partition_point(|other| other.at <= known.at.after(TIME_TOLERANCE));
             for (part, answers) in &known.suspects {
-                if self.quarantined.contains_key(part) || self.is_cleared(*part, known.at) {
+                if !is_charged(part) || self.is_cleared(*part, known.at) {
                     continue;
                 }
+                // Servers that crash together, and not all on this part, have a cause in common that isn't this part.
+                let is_wave = (first..end).any(|other| {
+                    !is_explained[other] && !crashes[other].suspects.contains_key(part)
+                });
                 let charge = charges.entry(*part).or_default();
-                charge.crashes += 1;
-                charge.unexplained += u32::from(!is_explained);
+                charge.add(known.at, is_wave, is_explained[index]);
                 let was_answered = u32::from(self.cleared.contains_key(part));
                 charge.answers = charge.answers.max(*answers).max(was_answered);
-                charge.last = charge.last.max(known.at);
             }
         }
-        charges.retain(|_, charge| {
-            charge.unexplained > 0 && charge.crashes >= required_crashes(charge.answers)
-        });
-        let rank = |part: &Part, charge: &Charge| (charge.answers, part.kind());
-        let least = charges
-            .iter()
-            .map(|(part, charge)| rank(part, charge))
-            .min()?;
-        charges.retain(|part, charge| rank(part, charge) == least);
-        let causes = charges.into_iter();
-        Some(causes.map(|(part, charge)| (part, charge.last)).collect())
+        charges
     }
 
     fn crash(&self, now: clock::Instant, process: &Process) -> Option<Crash> {
@@ -782,14 +856,6 @@
     }
 }
 
-fn required_crashes(answers: u32) -> u32 {
-    if answers < PROVEN_ANSWERS {
-        MIN_CRASHES
-    } else {
-        MIN_CRASHES_OF_PROVEN
-    }
-}
-
 fn log_quarantine(part: Part, by: &str) {
     log::info!(part = part.to_string().as_str(), by = by; "part of prompts is quarantined");
 }
--- a/crates/fireflywheel/tests/fleet/quarantine.rs
+++ b/crates/fireflywheel/tests/fleet/quarantine.rs
@@ -85,6 +85,22 @@
         self.crash_with_witnesses(prompts, 2)
     }
 
+    /// Servers crash at the same moment, each of which had begun to answer a prompt with one of these parts.
+    fn wave(&mut self, names: &[&str]) {
+        self.now = self.now.after(INTERVAL);
+        for (index, name) in names.iter().enumerate() {
+            self.crashes += 1;
+            let process = process(self.crashes);
+            let registry = &mut self.registries[index % INSTANCES];
+            registry.record_break(self.now, &process, &parts([name]));
+            for witness in 0..2 {
+                let registry = &mut self.registries[(index + witness) % INSTANCES];
+                registry.record_end(self.now, &process, witness as u64, INSTANCES);
+            }
+        }
+        self.exchange();
+    }
+
     fn answer(&mut self, index: usize, prompt: &[Part]) {
         self.registries[index].record_answer(self.now, &suspects(prompt));
         self.exchange();
@@ -217,6 +233,58 @@
     assert!(fleet.refuses("bad"));
 }
 
+/// Guards against a part that is blamed for a wave of crashes, since several of the servers were busy with it.
+#[test]
+fn part_is_not_blamed_for_a_wave_of_crashes() {
+    let mut fleet = Fleet::new();
+    for _ in 0..2 {
+        fleet.wave(&["sound", "other0", "sound", "other1", "sound", "sound"]);
+        assert!(!fleet.refuses("sound"));
+    }
+}
+
+/// Guards against a part that is not blamed, since another server crashes beside each of those that it crashes.
+#[test]
+fn part_is_blamed_beside_other_crashes() {
+    let mut fleet = Fleet::new();
+    for number in 0..3 {
+        assert!(!fleet.refuses("bad"));
+        let other = format!("other{number}");
+        fleet.wave(&["bad", &other]);
+    }
+    assert!(fleet.refuses("bad"));
+}
+
+/// Guards against a part that is not blamed, since it crashes several servers at once.
+#[test]
+fn part_that_crashes_servers_at_once_is_blamed() {
+    let mut fleet = Fleet::new();
+    fleet.wave(&["bad", "bad", "bad"]);
+    assert!(fleet.refuses("bad"));
+}
+
+/// Guards against a part that stays quarantined though the servers that it was blamed for live.
+#[test]
+fn servers_that_live_end_a_quarantine() {
+    let mut fleet = Fleet::new();
+    let crashed = [(); 3].map(|()| fleet.crash(&[parts(["sound"])]));
+    assert!(fleet.refuses("sound"));
+    fleet.now = fleet.now.after(INTERVAL);
+    fleet.registries[0].record_life(fleet.now, &crashed[0], fleet.now);
+    fleet.exchange();
+    assert!(!fleet.refuses("sound"));
+}
+
+/// Guards against a part that is let through, since one of many servers that it was blamed for lives.
+#[test]
+fn server_that_lives_ends_no_quarantine_beside_enough_crashes() {
+    let mut fleet = Fleet::new();
+    let crashed = [(); 4].map(|()| fleet.crash(&[parts(["bad"])]));
+    fleet.registries[0].record_life(fleet.now, &crashed[3], fleet.now);
+    fleet.exchange();
+    assert!(fleet.refuses("bad"));
+}
+
 /// Guards against a part that is blamed wrongly and refused for good.
 #[test]
 fn trial_that_is_answered_ends_the_quarantine() {
--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -46,6 +46,10 @@
 const START_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long instances take to link to a new steward, which doesn't count them before.
 const LINK_TIME: Duration = Duration::from_secs(3);
+/// Delay from a crash to the examination that shows whether its process lives after all; each further one comes twice as late.
+const REEXAMINATION_DELAY: Duration = Duration::from_secs(1);
+/// Maximum number of these examinations.
+const MAX_REEXAMINATIONS: u32 = 6;
 /// Mean number of instances that verify a crash which a single instance has seen.
 const MEAN_VERIFIERS: f64 = 6.0;
 
@@ -239,8 +243,12 @@
         tokio::spawn(async move {
             time::sleep(EXAMINATION_DELAY).await;
             let finding = node.find_process(&target, doubt).await;
-            node.record_examination(&target.process, finding);
+            let is_crash = node.record_examination(&target.process, finding);
             sender.send_replace(Some(finding.has_ended()));
+            drop(sender);
+            if is_crash {
+                node.reexamine(&target).await;
+            }
         });
     }
 
@@ -302,11 +310,34 @@
         let node = Arc::clone(self);
         tokio::spawn(async move {
             let finding = node.find_process(&target, Doubt::Break).await;
-            node.record_examination(&target.process, finding);
+            if node.record_examination(&target.process, finding) {
+                node.reexamine(&target).await;
+            }
         });
     }
 
-    fn record_examination(&self, process: &Process, finding: Finding) {
+    /// Takes back a crash of a process that lives: this instance may have been cut off from it.
+    async fn reexamine(self: &Arc<Self>, target: &Target) {
+        for attempt in 0..MAX_REEXAMINATIONS {
+            time::sleep(REEXAMINATION_DELAY * 2_u32.pow(attempt)).await;
+            let is_known = {
+                let state = self.lock();
+                let is_listed = state.target(&target.process).is_some();
+                let registry = &state.quarantine.registry;
+                is_listed && registry.crashed_at(&target.process).is_some()
+            };
+            if !is_known {
+                return;
+            }
+            if self.find_process(target, Doubt::Break).await == Finding::Lives {
+                self.record_examination(&target.process, Finding::Lives);
+                return;
+            }
+        }
+    }
+
+    /// Records what an examination has found. Returns whether that is a crash to which this instance is a new witness.
+    fn record_examination(&self, process: &Process, finding: Finding) -> bool {
         self.metrics.count_examination(finding.as_str());
         let now = self.now();
         let mut state = self.lock();
@@ -339,6 +370,7 @@
         if is_news {
             self.handle_facts();
         }
+        finding.has_ended() && is_news
     }
 
     /// Finds out whether a process has ended, by a connection to its address and by what answers there.
