--- a/crates/fireflywheel/src/fleet/quarantine.rs
+++ b/crates/fireflywheel/src/fleet/quarantine.rs
@@ -707,7 +707,10 @@
     fn find_causes(&self) -> Option<Vec<(Part, clock::Instant)>> {
         let mut charges = self.charges(|part| !self.quarantined.contains_key(part));
         charges.retain(|_, charge| charge.unexplained > 0 && charge.is_sufficient());
-        let rank = |part: &Part, charge: &Charge| (charge.answers, part.kind());
+        let rank = |part: &Part, charge: &Charge| match part.kind() {
+            Kind::Load => (charge.answers, Kind::Single),
+            kind => (charge.answers, kind),
+        };
         let least = charges
             .iter()
             .map(|(part, charge)| rank(part, charge))
@@ -740,10 +743,8 @@
                 if !is_charged(part) || self.is_cleared(*part, known.at) {
                     continue;
                 }
-                // Servers that crash together, and not all on this part, have a cause in common that isn't this part.
-                let is_wave = (first..end).any(|other| {
-                    !is_explained[other] && !crashes[other].suspects.contains_key(part)
-                });
+                let neighbours = crashes[first..end].iter().zip(&is_explained[first..end]);
+                let is_wave = is_wave(*part, neighbours);
                 let charge = charges.entry(*part).or_default();
                 charge.add(known.at, is_wave, is_explained[index]);
                 let was_answered = u32::from(self.cleared.contains_key(part));
@@ -856,6 +857,28 @@
     }
 }
 
+/// Whether servers that crash together, not all of them on a part, seem to have a cause in common that isn't this part. The
+/// crashes are given with whether a quarantined part explains them.
+fn is_wave<'a, C>(part: Part, crashes: C) -> bool
+where
+    C: Iterator<Item = (&'a &'a Known, &'a bool)>,
+{
+    let (mut with, mut without) = (0, 0);
+    for (known, is_explained) in crashes {
+        if known.suspects.contains_key(&part) {
+            with += 1;
+        } else if !is_explained {
+            without += 1;
+        }
+    }
+    match part.kind() {
+        // The steward knows at once which crashed engines were loading.
+        Kind::Load => without > 0,
+        // That a request with the part ran there may become known later than the crash.
+        Kind::Request | Kind::Single | Kind::Pair => without >= with,
+    }
+}
+
 fn log_quarantine(part: Part, by: &str) {
     log::info!(part = part.to_string().as_str(), by = by; "part of prompts is quarantined");
 }
--- a/crates/fireflywheel/src/fleet/quarantine/answers.rs
+++ b/crates/fireflywheel/src/fleet/quarantine/answers.rs
@@ -51,7 +51,7 @@
         for part in rest {
             let table = match part.kind() {
                 Kind::Pair => &mut self.pairs,
-                Kind::Request | Kind::Single => &mut self.own,
+                Kind::Request | Kind::Single | Kind::Load => &mut self.own,
             };
             table.record(now, *part);
         }
--- a/crates/fireflywheel/src/fleet/quarantine/fact.rs
+++ b/crates/fireflywheel/src/fleet/quarantine/fact.rs
@@ -23,8 +23,10 @@
 pub enum Kind {
     /// One request, sent again and again.
     Request,
-    /// All with a part in their prompts, or the load of a model or adapter.
+    /// All with a part in their prompts.
     Single,
+    /// The load of a model or adapter.
+    Load,
     /// All with two parts in their prompts.
     Pair,
 }
@@ -39,9 +41,8 @@
     /// The load of a model, or of an adapter of it.
     #[must_use]
     pub fn of_load(group: &str, model: &str, adapter: Option<&str>) -> Self {
-        // No name of a part in a header has a line feed.
         let name = format!("load\n{model}\n{}", adapter.unwrap_or_default());
-        Self::new(group, &name)
+        Self::of_kind(Kind::Load, hash(group, name.as_bytes()))
     }
 
     /// The request with this content.
@@ -64,6 +65,7 @@
         match self.0 & KIND_MASK {
             1 => Kind::Request,
             2 => Kind::Pair,
+            3 => Kind::Load,
             _ => Kind::Single,
         }
     }
@@ -73,6 +75,7 @@
             Kind::Single => 0,
             Kind::Request => 1,
             Kind::Pair => 2,
+            Kind::Load => 3,
         };
         Self(hash & !KIND_MASK | bits)
     }
--- a/crates/fireflywheel/tests/fleet/quarantine.rs
+++ b/crates/fireflywheel/tests/fleet/quarantine.rs
@@ -85,14 +85,14 @@
         self.crash_with_witnesses(prompts, 2)
     }
 
-    /// Servers crash at the same moment, each of which had begun to answer a prompt with one of these parts.
-    fn wave(&mut self, names: &[&str]) {
+    /// Servers crash at the same moment, each of which had just begun with one of these parts.
+    fn wave(&mut self, parts: &[Part]) {
         self.now = self.now.after(INTERVAL);
-        for (index, name) in names.iter().enumerate() {
+        for (index, part) in parts.iter().enumerate() {
             self.crashes += 1;
             let process = process(self.crashes);
             let registry = &mut self.registries[index % INSTANCES];
-            registry.record_break(self.now, &process, &parts([name]));
+            registry.record_break(self.now, &process, &[*part]);
             for witness in 0..2 {
                 let registry = &mut self.registries[(index + witness) % INSTANCES];
                 registry.record_end(self.now, &process, witness as u64, INSTANCES);
@@ -108,10 +108,13 @@
 
     /// Whether requests with a part are refused. All instances must agree.
     fn refuses(&self, name: &str) -> bool {
-        let refuse =
-            |registry: &Registry| registry.find_quarantined(self.now, &[part(name)]).is_some();
+        self.refuses_part(part(name))
+    }
+
+    fn refuses_part(&self, part: Part) -> bool {
+        let refuse = |registry: &Registry| registry.find_quarantined(self.now, &[part]).is_some();
         let refusing = self.registries.iter().filter(|one| refuse(one)).count();
-        assert!(refusing == 0 || refusing == INSTANCES, "{name}: {refusing}");
+        assert!(refusing == 0 || refusing == INSTANCES, "{part}: {refusing}");
         refusing > 0
     }
 }
@@ -238,11 +241,39 @@
 fn part_is_not_blamed_for_a_wave_of_crashes() {
     let mut fleet = Fleet::new();
     for _ in 0..2 {
-        fleet.wave(&["sound", "other0", "sound", "other1", "sound", "sound"]);
+        fleet.wave(&["sound", "other0", "sound", "other1", "sound", "other2"].map(part));
         assert!(!fleet.refuses("sound"));
     }
 }
 
+/// Guards against a model that is blamed for a wave of crashes, since most of the engines were just loading it.
+#[test]
+fn load_is_not_blamed_for_a_wave_of_crashes() {
+    let mut fleet = Fleet::new();
+    let load = Part::of_load("llm", "m1", None);
+    for _ in 0..2 {
+        fleet.wave(&[load, load, load, part("other")]);
+        assert!(!fleet.refuses_part(load));
+    }
+}
+
+/// Guards against a model on whose load engine after engine crashes while nothing else happens.
+#[test]
+fn load_of_three_crashes_is_blamed() {
+    let mut fleet = Fleet::new();
+    let load = Part::of_load("llm", "m1", None);
+    fleet.wave(&[load, load, load]);
+    assert!(fleet.refuses_part(load));
+}
+
+/// Guards against a part that is not blamed, since it isn't known yet what the last servers ran that it has crashed.
+#[test]
+fn part_is_blamed_before_all_is_known_of_the_last_crash() {
+    let mut fleet = Fleet::new();
+    fleet.wave(&["bad", "bad", "bad", "other"].map(part));
+    assert!(fleet.refuses("bad"));
+}
+
 /// Guards against a part that is not blamed, since another server crashes beside each of those that it crashes.
 #[test]
 fn part_is_blamed_beside_other_crashes() {
@@ -250,7 +281,7 @@
     for number in 0..3 {
         assert!(!fleet.refuses("bad"));
         let other = format!("other{number}");
-        fleet.wave(&["bad", &other]);
+        fleet.wave(&["bad", &other].map(part));
     }
     assert!(fleet.refuses("bad"));
 }
@@ -259,7 +290,7 @@
 #[test]
 fn part_that_crashes_servers_at_once_is_blamed() {
     let mut fleet = Fleet::new();
-    fleet.wave(&["bad", "bad", "bad"]);
+    fleet.wave(&["bad", "bad", "bad"].map(part));
     assert!(fleet.refuses("bad"));
 }
 
