ORDER: events of another process than the engine's entry tells are not forwarded

What callers saw: events of v1 followed by events of v2, where a server started again at its address and under its id with another version. Cause: until its first entry is known, the entry of the process before tells the version, and the header that names the server names the id only. Change: before the first event of a run of a resumable stream, the engine is asked when it started, over another connection and beside the run, unless it has answered that since the run's connection was opened. Another process's run ends without an event, the server counts as replaced until its next entry, and the stream begins or goes on elsewhere. Where the report doesn't tell, or not within 0.4 s, the stream goes on as before.

--- a/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/quarantine.rs
@@ -34,6 +34,8 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long the answer may take that tells which process listens.
 const IDENTITY_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long such a check may take before an event is forwarded.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum size in bytes of that answer.
 const MAX_IDENTITY_BYTES: usize = 1 << 20;
 /// How long to wait for the steward's answer to a trial request.
@@ -50,6 +52,8 @@
 const REEXAMINATION_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of these examinations.
 const MAX_REEXAMINATIONS: u32 = 6;
+/// How long checks of which process answers are kept.
+const CHECK_TTL: Duration = Duration::from_secs(60);
 /// Mean number of instances that verify a crash which a single instance has seen.
 const MEAN_VERIFIERS: f64 = 6.0;
 
@@ -60,6 +64,8 @@
     /// Processes that are being examined, with whether each has ended once that is known.
     examinations: BTreeMap<Process, watch::Receiver<Option<bool>>>,
     trial_requests: BTreeMap<Part, TrialRequest>,
+    /// The last check of each process.
+    checks: BTreeMap<Process, Check>,
     /// Whether the store or the steward has told what is quarantined.
     is_informed: bool,
 }
@@ -73,6 +79,14 @@
     waiting: usize,
 }
 
+/// A check of which process answers at an address.
+#[derive(Clone, Debug)]
+struct Check {
+    begun: clock::Instant,
+    /// Whether another process than expected answers, once that is known.
+    is_other: watch::Receiver<Option<bool>>,
+}
+
 /// Why a process is examined.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Doubt {
@@ -423,26 +437,95 @@
         let Ok(connection) = opened else {
             return Finding::Unknown;
         };
-        let Ok((response, _connection)) = connection.send(request).await else {
-            return Finding::Unknown;
+        let (finding, _) = self.identify_over(connection, target, request).await;
+        finding
+    }
+
+    /// The same over a connection, which is returned with how long the server keeps it open if it can carry another request.
+    async fn identify_over(
+        &self,
+        connection: pool::Connection,
+        target: &Target,
+        request: hyper::Request<Full<Bytes>>,
+    ) -> (Finding, Option<(pool::Connection, Option<Duration>)>) {
+        let Ok((response, connection)) = connection.send(request).await else {
+            return (Finding::Unknown, None);
         };
         let (head, body) = received::Body::split(response);
         let reply = self.platform.read_reply(&head);
         let Process { server, started_ms } = &target.process;
         let is_other = reply.server.is_some_and(|other| other != *server);
         if is_other || head.status == StatusCode::MISDIRECTED_REQUEST {
-            return Finding::Ended;
+            return (Finding::Ended, None);
         }
         let (body, ending) = body.collect(MAX_IDENTITY_BYTES).await;
         if ending != Ending::Complete {
-            return Finding::Unknown;
+            return (Finding::Unknown, None);
         }
         let report = self.platform.read_report(&body).ok();
-        match report.and_then(|report| report.started_ms) {
+        let finding = match report.and_then(|report| report.started_ms) {
             Some(answered) if answered == *started_ms => Finding::Lives,
             Some(_) => Finding::Ended,
             None => Finding::Unknown,
+        };
+        (finding, Some((connection, reply.keep_alive)))
+    }
+
+    /// Whether another process than the target's answers at its address, so that a connection which was opened at `opened` may
+    /// lead there. A process that lives has listened at its address until now. Answers false if it can't be found out.
+    pub async fn is_replaced(self: &Arc<Self>, target: Target, opened: clock::Instant) -> bool {
+        let begun = self.now();
+        let (check, sender) = {
+            let mut state = self.lock();
+            let checks = &mut state.quarantine.checks;
+            match checks.get(&target.process) {
+                Some(check) if check.begun >= opened => (check.clone(), None),
+                _ => {
+                    let (sender, is_other) = watch::channel(None);
+                    let check = Check { begun, is_other };
+                    checks.insert(target.process.clone(), check.clone());
+                    (check, Some(sender))
+                }
+            }
+        };
+        if let Some(sender) = sender {
+            let node = Arc::clone(self);
+            tokio::spawn(async move {
+                let checking = time::timeout(CHECK_TIMEOUT, node.check(&target));
+                let finding = checking.await.unwrap_or(Finding::Unknown);
+                if finding == Finding::Ended {
+                    log::info!(
+                        server = target.process.server.as_str();
+                        "another process answers at the address of a backend server"
+                    );
+                }
+                sender.send_replace(Some(finding == Finding::Ended));
+            });
+        }
+        let mut is_other = check.is_other;
+        is_other
+            .wait_for(Option::is_some)
+            .await
+            .is_ok_and(|is_other| *is_other == Some(true))
+    }
+
+    /// Asks which process answers, over a connection that requests may use as well.
+    async fn check(self: &Arc<Self>, target: &Target) -> Finding {
+        let Some(request) = self.build_identity_request(&target.process) else {
+            return Finding::Unknown;
+        };
+        let via = match self.is_path_lost(&target.process) {
+            true => pool::Via::Any,
+            false => pool::Via::Direct,
+        };
+        let Ok(connection) = self.connect(target, via).await else {
+            return Finding::Unknown;
+        };
+        let (finding, reusable) = self.identify_over(connection, target, request).await;
+        if let (Finding::Lives, Some((connection, keep_alive))) = (finding, reusable) {
+            self.pool.release(self.now(), connection, keep_alive);
         }
+        finding
     }
 
     /// Waits until it is known whether a request with these suspects may be sent to a server.
@@ -664,6 +747,8 @@
         let now = self.now();
         let mut state = self.lock();
         state.quarantine.registry.prune(now);
+        let checks = &mut state.quarantine.checks;
+        checks.retain(|_, check| now.since(check.begun) < CHECK_TTL);
     }
 
     /// Lets waiting requests and the operator find out what is known.
--- a/crates/fireflywheel_daemon/src/fleet/stream.rs
+++ b/crates/fireflywheel_daemon/src/fleet/stream.rs
@@ -12,7 +12,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::{HeaderMap, Response};
 use smol_str::SmolStr;
-use tokio::time;
+use tokio::{task, time};
 
 use super::attempt;
 use super::node;
@@ -62,7 +62,7 @@
         has_data: false,
         origin: Origin::new(job.queue.version.as_ref()),
         has_begun: false,
-        source: Source::new(upstream),
+        source: Source::new(node, &job, upstream),
         tried: Vec::new(),
         runs,
         job,
@@ -150,6 +150,8 @@
     target: node::Target,
     server: SmolStr,
     version: Option<SmolStr>,
+    /// Finds out whether another process answers than the one that the request was sent to.
+    check: Option<task::JoinHandle<bool>>,
     /// When the first byte of the body arrived, and the last one so far.
     data_at: Option<(clock::Instant, clock::Instant)>,
     _in_flight: node::InFlight<P>,
@@ -186,6 +188,8 @@
         is_stated: bool,
     },
     Broken(&'static str),
+    /// Another process answered, of which nothing was forwarded.
+    Replaced,
     /// No data arrived within the idle timeout; the run may still be in progress.
     Idle,
     /// The caller has disconnected.
@@ -200,8 +204,15 @@
 where
     P: platform::Platform,
 {
-    fn new(upstream: attempt::Response<P>) -> Self {
+    fn new(node: &Arc<node::Node<P>>, job: &attempt::Job, upstream: attempt::Response<P>) -> Self {
+        // Only a stream that may be resumed must not change its version, which the server's entry tells.
+        let check = (job.route.kind == config::Kind::Resumable).then(|| {
+            let opened = node.now().before(upstream.connection.age());
+            let (node, target) = (Arc::clone(node), upstream.target.clone());
+            tokio::spawn(async move { node.is_replaced(target, opened).await })
+        });
         Self {
+            check,
             body: upstream.body,
             connection: upstream.connection,
             keep_alive: upstream.reply.keep_alive,
@@ -235,6 +246,10 @@
                         self.node.examine(&self.source.target, suspects, doubt);
                     }
                 }
+                End::Replaced => {
+                    let outcome = node::ServerOutcome::Replaced;
+                    self.node.record_outcome(&self.source.server, outcome);
+                }
                 End::CallerGone | End::TimedOut | End::Unrecorded => break self.abort(end),
             }
             let source = if end == End::Idle {
@@ -245,7 +260,7 @@
                 self.end_run();
                 self.send(chosen).await
             } else {
-                self.resume().await
+                self.resume(end).await
             };
             let Some(source) = source else {
                 break self.abort(end);
@@ -282,6 +297,7 @@
         let why = match end {
             End::Complete { .. } => "complete",
             End::Broken(why) => why,
+            End::Replaced => "another process has the address",
             End::Idle => "silent",
             End::CallerGone => "the caller left",
             End::TimedOut => "out of time",
@@ -430,6 +446,11 @@
     }
 
     async fn forward(&mut self, bytes: Bytes) -> Result<(), End> {
+        if let Some(check) = self.source.check.take()
+            && check.await.unwrap_or(false)
+        {
+            return Err(End::Replaced);
+        }
         let splitter = match &mut self.content {
             Content::Resumable(splitter) => splitter,
             Content::Events(scanner) => {
@@ -512,8 +533,8 @@
     }
 
     /// Starts another run in place of one that broke off.
-    async fn resume(&mut self) -> Option<Source<P>> {
-        let is_at_beginning = self.is_at_beginning(node::Doubt::Break);
+    async fn resume(&mut self, end: End) -> Option<Source<P>> {
+        let is_at_beginning = end != End::Replaced && self.is_at_beginning(node::Doubt::Break);
         self.end_run();
         if !self.may_resume() {
             return None;
@@ -560,7 +581,7 @@
             match outcome {
                 attempt::Outcome::Response(upstream) if upstream.head.status.is_success() => {
                     self.runs += 1;
-                    return Some(Source::new(*upstream));
+                    return Some(Source::new(&self.node, &self.job, *upstream));
                 }
                 attempt::Outcome::NotRun(_)
                 | attempt::Outcome::Unsent(_)
