--- a/crates/fireflywheel_standin/src/main.rs
+++ b/crates/fireflywheel_standin/src/main.rs
@@ -416,6 +416,7 @@
         disk_load: duration_value(args, "disk-load-ms"),
         run: duration_value(args, "run-ms"),
         event_interval: duration_value(args, "step-ms"),
+        event_padding: 0,
         slots: usize_value(args, "slots"),
         queue: usize_value(args, "queue"),
         model_mb: u64_value(args, "model-mb"),
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -50,6 +50,8 @@
     pub run: Duration,
     /// Time between two events of a stream.
     pub event_interval: Duration,
+    /// Bytes of the data of an event beyond the few that name it.
+    pub event_padding: usize,
     /// Number of requests that run concurrently.
     pub slots: usize,
     /// Number of requests that may wait for a slot before further requests are refused.
@@ -110,6 +112,7 @@
             disk_load: Duration::ZERO,
             run: Duration::ZERO,
             event_interval: EVENT_INTERVAL,
+            event_padding: 0,
             slots: DEFAULT_SLOTS,
             queue: usize::MAX,
             model_mb: 0,
@@ -883,6 +886,7 @@
         DEFAULT_VERSION => String::new(),
         version => format!("version: {version}\n"),
     };
+    let padding = "x".repeat(options.event_padding);
     let cut = match faults.cut_streams {
         0 => delivery.cut,
         _ => Some(Cut::WithinEvent),
@@ -895,7 +899,7 @@
             if faults.pause_streams > 0 && id == after + 3 {
                 time::sleep(STREAM_PAUSE).await;
             }
-            let event = format!("id: {id}\n{mark}data: t{id}\n\n");
+            let event = format!("id: {id}\n{mark}data: t{id}{padding}\n\n");
             let kept = match cut {
                 Some(Cut::BeforeFirstByte) => Some(0),
                 Some(Cut::WithinEvent) if id == after + 3 => Some(5),
