Review, case 2: stewards take turns within a lease

Cause: a steward that is stopped hands its lease over to the strongest peer, also to one that handed it over less than a term before. Engines then get orders of two machines in turn.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,10 +2,12 @@
 //! process, and judges what callers and workers saw.
 
 mod deployment;
+mod engine;
 mod extra_answer;
 mod http;
 mod record;
 mod store;
+mod turns;
 mod worker;
 
 use std::path::PathBuf;
@@ -21,6 +23,7 @@
     let record = Record::new(&folder.join("record.txt"));
     let result = panic::catch_unwind(|| match case.as_str() {
         "extra-answer" => extra_answer::run(&record, has_trouble),
+        "turns" => turns::run(&record, has_trouble),
         _ => deployment::fail("no such case"),
     });
     let (code, text) = match result {
