--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod record;
 mod store;
+mod truncated_answer;
 mod turns;
 mod worker;
 
@@ -24,6 +25,7 @@
     let result = panic::catch_unwind(|| match case.as_str() {
         "extra-answer" => extra_answer::run(&record, has_trouble),
         "turns" => turns::run(&record, has_trouble),
+        "truncated-answer" => truncated_answer::run(&record, has_trouble),
         _ => deployment::fail("no such case"),
     });
     let (code, text) = match result {
