--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -89,8 +89,12 @@
         let _ = self.child.wait();
     }
 
-    /// Starts the process again with the same settings.
+    /// Starts the process again. It is not the first start of the system any more.
     pub fn start_again(&mut self, folder: &Folder) {
+        let path = settings_path(folder, self.index);
+        let settings = fs::read_to_string(&path).expect("the settings can be read");
+        let settings = settings.replace("first_start = yes", "first_start = no");
+        fs::write(&path, settings).expect("the settings can be written");
         self.child = spawn(folder, self.index);
     }
 
@@ -154,7 +158,8 @@
     panic!("the case could not run: {why}");
 }
 
-/// The operator's configuration: engines with these models, each with so many adapters, and a route to them.
+/// The operator's configuration: engines with these models, each with so many adapters, and two routes to them. Streams of
+/// the second one may be resumed.
 pub fn engine_configuration(models: &[&str], adapters: u64) -> String {
     let models: Vec<String> = models
         .iter()
@@ -165,14 +170,21 @@
             )
         })
         .collect();
+    let route = |name: &str, timeout: u32, attempts: u32, resumable: bool| {
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"desk.example\",\"pathPrefix\":\"/{name}/\",\"kind\":\"streaming\",\
+             \"timeoutMs\":{timeout},\"goalMs\":2500,\"priority\":2,\"service\":\"assistant\",\"attempts\":{attempts},\
+             \"sticky\":true,\"resumable\":{resumable},\"gapTargetMs\":250}}"
+        )
+    };
     format!(
-        "{{\"version\":3,\"routes\":[{{\"name\":\"draft\",\"host\":\"desk.example\",\"pathPrefix\":\"/draft/\",\
-         \"kind\":\"streaming\",\"timeoutMs\":5000,\"goalMs\":800,\"priority\":2,\"service\":\"assistant\",\
-         \"attempts\":1,\"sticky\":true,\"resumable\":false,\"gapTargetMs\":250}}],\
+        "{{\"version\":3,\"routes\":[{},{}],\
          \"services\":[{{\"name\":\"assistant\",\"healthPath\":\"/health\",\"maxConns\":720,\"engine\":{{\"slots\":64,\
          \"kvCapacity\":232000,\"models\":[{}],\"weightsMb\":200000,\"adapterSlots\":8,\"loadsPerS\":2.1}}}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
          \"idleTimeoutMs\":15000}}}}",
+        route("draft", 5000, 1, false),
+        route("deadline", 15000, 2, true),
         models.join(",")
     )
 }
--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -15,8 +15,6 @@
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// Time from the acceptance of an order for an adapter until it is carried out.
 const ADAPTER_TIME: Duration = Duration::from_millis(8);
-const EVENTS: u64 = 6;
-const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 const SLOTS: u32 = 64;
 
 /// An order as it arrived.
@@ -27,6 +25,22 @@
     pub fencing: u64,
 }
 
+/// What an engine's streams are like.
+#[derive(Clone, Copy, Debug)]
+pub struct Streams {
+    /// The version of the engine's software.
+    pub version: &'static str,
+    pub events: u64,
+    pub interval: Duration,
+}
+
+/// Streams that are over in a moment.
+pub const SHORT: Streams = Streams {
+    version: "v1",
+    events: 6,
+    interval: Duration::from_millis(10),
+};
+
 /// The orders of all engines, by engine.
 pub type Orders = Arc<Mutex<BTreeMap<String, Vec<Order>>>>;
 
@@ -36,6 +50,7 @@
     born: u128,
     record: Record,
     orders: Orders,
+    streams: Streams,
     state: Mutex<State>,
 }
 
@@ -47,7 +62,13 @@
 
 impl Engine {
     /// Creates an engine that holds these models.
-    pub fn new(id: &str, models: &[&str], orders: &Orders, record: &Record) -> Self {
+    pub fn new(
+        id: &str,
+        models: &[&str],
+        streams: Streams,
+        orders: &Orders,
+        record: &Record,
+    ) -> Self {
         let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let models = models
             .iter()
@@ -57,6 +78,7 @@
             born: born.unwrap_or_default().as_millis(),
             record: record.clone(),
             orders: Arc::clone(orders),
+            streams,
             state: Mutex::new(State {
                 accepted: 0,
                 models: models.collect(),
@@ -82,9 +104,10 @@
     fn publish(&self, store: &Store, address: SocketAddr) {
         for seq in 1_u64.. {
             let entry = format!(
-                "{{\"service\":\"assistant\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
+                "{{\"service\":\"assistant\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"{}\",\
                  \"slots\":{SLOTS},\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":{seq},\"born\":{},\"stage\":\"both\",\
                  \"models\":{},\"available\":{}}}",
+                self.streams.version,
                 self.born,
                 self.models(),
                 self.available()
@@ -165,7 +188,7 @@
             }
             _ => match self.holds(head.get("x-model").unwrap_or_default()) {
                 false => http::write(reader, "HTTP/1.1 421 Misdirected Request", &refused, b""),
-                true => self.stream(reader, id),
+                true => self.stream(reader, id, last_event(head)),
             },
         }
     }
@@ -219,16 +242,18 @@
         adapters.is_some_and(|adapters| adapter.is_empty() || adapters.contains(adapter))
     }
 
-    fn stream(&self, reader: &mut Reader, id: &str) -> io::Result<()> {
+    fn stream(&self, reader: &mut Reader, id: &str, after: u64) -> io::Result<()> {
+        self.record
+            .add(&format!("run {id} at {} after event {after}", self.id));
         let head = format!(
             "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-seal: seal.{}\r\nx-server-load: 1,0,{SLOTS}\r\n\
              content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
             self.id
         );
         reader.get_mut().write_all(head.as_bytes())?;
-        for event in 1..=EVENTS {
-            thread::sleep(EVENT_INTERVAL);
-            let text = format!("id: {event}\ndata: t{event}\n\n");
+        for event in after + 1..=self.streams.events {
+            thread::sleep(self.streams.interval);
+            let text = format!("id: {event}\ndata: {} t{event}\n\n", self.streams.version);
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             reader.get_mut().write_all(chunk.as_bytes())?;
         }
@@ -240,6 +265,12 @@
     }
 }
 
+/// The id of the event after which a stream begins.
+fn last_event(head: &Head) -> u64 {
+    let id = head.get("last-event-id");
+    id.and_then(|id| id.parse().ok()).unwrap_or_default()
+}
+
 /// Returns the value of a field of a flat JSON object.
 fn field<'a>(body: &'a str, name: &str) -> Option<&'a str> {
     let rest = body.split_once(&format!("\"{name}\":"))?.1.trim_start();
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod extra_answer;
 mod http;
+mod origins;
 mod record;
 mod store;
 mod truncated_answer;
@@ -24,6 +25,7 @@
     let record = Record::new(&folder.join("record.txt"));
     let result = panic::catch_unwind(|| match case.as_str() {
         "extra-answer" => extra_answer::run(&record, has_trouble),
+        "origins" => origins::run(&record, has_trouble),
         "turns" => turns::run(&record, has_trouble),
         "truncated-answer" => truncated_answer::run(&record, has_trouble),
         _ => deployment::fail("no such case"),
--- a/review/standin/src/turns.rs
+++ b/review/standin/src/turns.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::deployment::{Folder, Instance, engine_configuration};
-use crate::engine::{Engine, Order, Orders};
+use crate::engine::{Engine, Order, Orders, SHORT};
 use crate::http;
 use crate::record::Record;
 use crate::store::Store;
@@ -35,7 +35,7 @@
     let _ = store.append("keyed.op", "config", configuration.as_bytes(), None);
     let orders = Orders::default();
     for index in 0..ENGINES {
-        Engine::new(&format!("i-{index}"), &MODELS, &orders, record).start(&store);
+        Engine::new(&format!("i-{index}"), &MODELS, SHORT, &orders, record).start(&store);
     }
     let folder = Folder::new();
     let mut instances: Vec<Instance> = CPU_SHARES
@@ -69,7 +69,8 @@
     while started.elapsed() < DURATION {
         thread::sleep(Duration::from_millis(20));
         let first = instances[0].name().to_owned();
-        if !has_trouble || stops == STOPS || last_holder(&orders).as_deref() != Some(first.as_str()) {
+        if !has_trouble || stops == STOPS || last_holder(&orders).as_deref() != Some(first.as_str())
+        {
             continue;
         }
         thread::sleep(STOP_DELAY);
