Lease: an instance that gets it again sends no order within a term of its last one

What callers saw: nothing by themselves.

Cause: the term is kept where the lease is taken over through the store. A hand-over by link ends it early, which is safe once, and not twice. hand_over_if_needed waits for a term in office; a steward that stops doesn't, and nobody knew when an instance had last sent orders, least of all a process that had just started under its name. Ruled out: late orders of an earlier steward (no lower number after a higher one in the script's record).

Change: Lease records the last orders of instances, HandOver tells them, and order_fencing gives no number until a term after the own last order under an earlier number. The steward acts in all else meanwhile. A steward that stops hands over to an instance that need not wait. Log lines "lease handed over" and "lease received" have order_delay_ms.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -18,9 +18,14 @@
 //! lapsed; all other instances wait longer before they try. If all of them tried at once, a takeover in a
 //! fleet of 136 instances would cost 800 calls to the store, and the instance that won might be too weak to
 //! serve that many links.
+//!
+//! Two instances must not send orders by turns within a term. An instance that gets the lease again is steward at once,
+//! but sends its first order only a term after its last one under an earlier fencing number. A steward hands over to an
+//! instance that need not wait, if there is one.
 
 mod record;
 mod succession;
+mod turns;
 
 use std::time::Duration;
 
@@ -29,7 +34,7 @@
 use super::era::{Era, Position};
 use crate::clock;
 
-pub use record::{Attachment, HandOver, Reading, Record};
+pub use record::{Attachment, HandOver, LastOrder, Reading, Record};
 
 /// Durations that govern the lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -76,6 +81,7 @@
     era: Option<Era>,
     /// The store was restored from an older copy while this instance ran.
     store_restored: bool,
+    turns: turns::Turns,
 }
 
 /// What an instance without the lease knows of it.
@@ -149,6 +155,7 @@
             max_ceded_fencing: None,
             era: None,
             store_restored: false,
+            turns: turns::Turns::default(),
         }
     }
 
@@ -451,6 +458,9 @@
         if record.era != Some(position.era) || self.era != Some(position.era) {
             return;
         }
+        if held.is_none() {
+            self.record_predecessor(sent);
+        }
         let fencing = held.unwrap_or_else(|| record::takeover_fencing(position));
         self.held = Some(Tenure {
             fencing,
@@ -500,7 +510,7 @@
         renewed_at.is_some_and(|sent| now < sent.after(usable_term))
     }
 
-    /// The fencing number for orders; `None` while this instance may not send any.
+    /// The fencing number of an active steward; `None` while this instance is none.
     #[must_use]
     pub fn fencing(&self, now: clock::Instant) -> Option<u64> {
         let held = self.held.filter(|held| self.era == Some(held.era))?;
--- a/crates/fireflywheel/src/fleet/lease/record.rs
+++ b/crates/fireflywheel/src/fleet/lease/record.rs
@@ -87,8 +87,17 @@
     }
 }
 
+/// When an instance last sent orders to engines.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LastOrder {
+    /// The instance's name, which its processes have in common.
+    pub instance: SmolStr,
+    /// The time since then, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// A transfer of the lease from its holder to a successor, without the store.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HandOver {
     /// The successor's fencing number.
     pub fencing: u64,
@@ -98,6 +107,9 @@
     /// since.
     #[serde(default)]
     pub incarnation: u64,
+    /// The instances that have sent orders within a term, including the one that hands over.
+    #[serde(default)]
+    pub last_orders: Vec<LastOrder>,
 }
 
 /// The fencing number of a takeover: above those of all earlier eras and of all earlier offsets of its own
--- a/crates/fireflywheel/src/fleet/lease/succession.rs
+++ b/crates/fireflywheel/src/fleet/lease/succession.rs
@@ -30,6 +30,7 @@
             fencing: held.fencing + 1,
             end: held.end,
             incarnation: self.own_record.incarnation,
+            last_orders: self.last_orders(now),
         })
     }
 
@@ -37,11 +38,12 @@
     /// only once it is renewed, because the rest of the holder's term cannot be compared across clocks. In
     /// that case a lease handed over in an earlier era is void: others may have taken it before the store
     /// was restored.
-    pub fn accept_hand_over(&mut self, now: clock::Instant, hand_over: HandOver) {
+    pub fn accept_hand_over(&mut self, now: clock::Instant, hand_over: &HandOver) {
         self.enter_era(now, hand_over.end.era);
         if !self.fenced && self.era != Some(hand_over.end.era) {
             return;
         }
+        self.extend_last_orders(now, &hand_over.last_orders);
         self.held = Some(Tenure {
             fencing: hand_over.fencing,
             end: hand_over.end,
--- a/crates/fireflywheel/src/fleet/successor.rs
+++ b/crates/fireflywheel/src/fleet/successor.rs
@@ -30,6 +30,8 @@
     pub read_age: Duration,
     /// Whether the instance doesn't reach the engines of a group.
     pub is_partitioned: bool,
+    /// How long the instance would wait before it sends orders.
+    pub order_delay: Duration,
 }
 
 /// The steward itself.
@@ -45,11 +47,14 @@
     pub is_partitioned: bool,
 }
 
-/// The successor of a steward that is being stopped: the strongest instance that stays. Returns its index
-/// in `peers`.
+/// The successor of a steward that is being stopped: the strongest instance that stays and can send orders at once, or else
+/// the one that can send them first. Returns its index in `peers`.
 #[must_use]
 pub fn for_stopping(peers: &[Peer]) -> Option<usize> {
-    strongest(peers, |peer| !peer.is_partitioned).or_else(|| strongest(peers, |_| true))
+    let ready = strongest(peers, |peer| !peer.is_partitioned);
+    ready
+        .or_else(|| first_to_order(peers))
+        .or_else(|| strongest_of_all(peers))
 }
 
 /// The successor of a steward that stays, if it should hand the lease over. Changes must be applied within
@@ -96,13 +101,32 @@
     share >= other * MUCH_STRONGER_RATIO
 }
 
+/// The strongest suitable instance that stays and need not wait before it sends orders.
 fn strongest<F>(peers: &[Peer], is_suitable: F) -> Option<usize>
 where
     F: Fn(&Peer) -> bool,
 {
-    let staying = peers.iter().enumerate().filter(|(_, peer)| !peer.leaving);
-    staying
+    let ready = staying(peers).filter(|(_, peer)| peer.order_delay.is_zero());
+    ready
         .filter(|(_, peer)| is_suitable(peer))
         .max_by(|(_, a), (_, b)| a.cpu_share.total_cmp(&b.cpu_share))
         .map(|(index, _)| index)
 }
+
+/// The instance that stays, isn't partitioned and waits least before it sends orders.
+fn first_to_order(peers: &[Peer]) -> Option<usize> {
+    staying(peers)
+        .filter(|(_, peer)| !peer.is_partitioned)
+        .min_by_key(|(_, peer)| peer.order_delay)
+        .map(|(index, _)| index)
+}
+
+fn strongest_of_all(peers: &[Peer]) -> Option<usize> {
+    staying(peers)
+        .max_by(|(_, a), (_, b)| a.cpu_share.total_cmp(&b.cpu_share))
+        .map(|(index, _)| index)
+}
+
+fn staying(peers: &[Peer]) -> impl Iterator<Item = (usize, &Peer)> {
+    peers.iter().enumerate().filter(|(_, peer)| !peer.leaving)
+}
--- a/crates/fireflywheel/tests/fleet/lease.rs
+++ b/crates/fireflywheel/tests/fleet/lease.rs
@@ -3,6 +3,7 @@
 
 mod eras;
 mod rig;
+mod turns;
 
 use arbtest::arbtest;
 use fireflywheel::fleet::lease::{Lease, Record};
@@ -290,7 +291,7 @@
     let mut second = lease("b", true);
     second.accept_hand_over(
         at(1510),
-        first.hand_over(at(1505), successor()).expect("it holds it"),
+        &first.hand_over(at(1505), successor()).expect("it holds it"),
     );
     let offset = log.write(end, renewal.clone()).expect("nobody else wrote");
     first.record_accepted(at(1500), offset, &renewal);
@@ -323,12 +324,12 @@
     let mut second = lease("b", true);
     second.accept_hand_over(
         at(10),
-        first.hand_over(at(10), successor()).expect("it holds it"),
+        &first.hand_over(at(10), successor()).expect("it holds it"),
     );
     let back = second
         .hand_over(at(20), first.own_record().clone())
         .expect("it holds it");
-    first.accept_hand_over(at(20), back);
+    first.accept_hand_over(at(20), &back);
     act(&mut first, &mut log, 30);
     assert_eq!(first.fencing(at(1000)), Some(2));
     first.record_reading(at(1100), log.read());
@@ -342,7 +343,7 @@
     assert_eq!(first.fencing(at(1)), None);
     assert_eq!(first.proposal(at(1)), None);
     let mut second = lease("b", true);
-    second.accept_hand_over(at(10), hand_over);
+    second.accept_hand_over(at(10), &hand_over);
     assert_eq!(second.fencing(at(10)), Some(1));
     act(&mut second, &mut log, 20);
     assert_eq!(second.fencing(at(2000)), Some(1));
@@ -361,7 +362,7 @@
         .hand_over(at(0), successor())
         .expect("it holds it");
     let mut second = lease("b", false);
-    second.accept_hand_over(at(10), hand_over);
+    second.accept_hand_over(at(10), &hand_over);
     assert_eq!(second.fencing(at(10)), None);
     act(&mut second, &mut log, 20);
     assert_eq!(second.fencing(at(20)), Some(1));
@@ -376,7 +377,7 @@
     other.record_reading(at(0), log.read());
     act(&mut other, &mut log, 3000);
     let mut second = lease("b", false);
-    second.accept_hand_over(at(3500), hand_over);
+    second.accept_hand_over(at(3500), &hand_over);
     act(&mut second, &mut log, 3500);
     assert_eq!(second.fencing(at(3500)), None);
 }
@@ -387,7 +388,7 @@
     let mut second = lease("b", true);
     second.accept_hand_over(
         at(10),
-        first.hand_over(at(10), successor()).expect("it holds it"),
+        &first.hand_over(at(10), successor()).expect("it holds it"),
     );
     second.record_reading(at(12), log.read());
     assert!(
--- a/crates/fireflywheel/tests/fleet/lease/eras.rs
+++ b/crates/fireflywheel/tests/fleet/lease/eras.rs
@@ -164,7 +164,7 @@
     let hand_over = first.hand_over(at(10), second.own_record().clone());
     log.restore(&copy);
     second.enter_era(at(20), log.era);
-    second.accept_hand_over(at(30), hand_over.expect("it holds it"));
+    second.accept_hand_over(at(30), &hand_over.expect("it holds it"));
     assert_eq!(second.fencing(at(30)), None);
     assert!(second.needs_read());
     second.record_reading(at(40), log.read());
@@ -183,7 +183,7 @@
     let copy = log.clone();
     log.restore(&copy);
     second.enter_era(at(8000), log.era);
-    second.accept_hand_over(at(8010), hand_over.expect("it holds it"));
+    second.accept_hand_over(at(8010), &hand_over.expect("it holds it"));
     second.record_reading(at(8020), log.read());
     act(&mut second, &mut log, 8030);
     assert_eq!(second.fencing(at(8030)), None);
@@ -273,7 +273,7 @@
             _ => {
                 if let Some(handed) = in_transit.iter().position(|(to, _)| *to == index) {
                     let (_, handed) = in_transit.remove(handed);
-                    leases[index].accept_hand_over(at(now), handed);
+                    leases[index].accept_hand_over(at(now), &handed);
                 }
                 if leases[index].needs_read() {
                     leases[index].enter_era(at(now), log.era);
--- a/crates/fireflywheel/tests/fleet/successor.rs
+++ b/crates/fireflywheel/tests/fleet/successor.rs
@@ -14,6 +14,14 @@
         cpu_share,
         leaving: false,
         read_age: Duration::from_millis(read_ms),
+        order_delay: Duration::ZERO,
+    }
+}
+
+fn waiting(cpu_share: f64, order_delay_ms: u64) -> Peer {
+    Peer {
+        order_delay: Duration::from_millis(order_delay_ms),
+        ..peer(cpu_share, 0)
     }
 }
 
@@ -105,4 +113,12 @@
     strong_peer_is_partitioned => assert_successor_for_running(own(0.1, false, 0), &[partitioned(0.9)], None);
     /// Guards against a planned stop that hands the lease to an instance that can't send orders.
     planned_stop_beside_a_partition => assert_successor_for_stopping(&[partitioned(0.9), peer(0.1, 0)], Some(1));
+    /// Guards against stewards that take turns: the strongest instance has sent orders less than a term ago.
+    planned_stop_beside_a_recent_steward => assert_successor_for_stopping(&[waiting(0.9, 1500), peer(0.1, 0)], Some(1));
+    /// Guards against a stop after which nobody is steward, since all others were within a term.
+    planned_stop_beside_recent_stewards => assert_successor_for_stopping(&[waiting(0.9, 1500), waiting(0.1, 500), leaving(0.9)], Some(1));
+    /// Guards against a successor that can't send orders at all where another one can after a while.
+    planned_stop_beside_a_recent_steward_and_a_partition => assert_successor_for_stopping(&[partitioned(0.9), waiting(0.1, 1500)], Some(1));
+    /// Guards against stewards that take turns: the store refuses the steward, and the other instance was one a moment ago.
+    store_refuses_steward_beside_a_recent_one => assert_successor_for_running(own(0.5, true, 3_000), &[waiting(0.5, 800)], None);
 }
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -464,7 +464,7 @@
         frame::Frame::Load(loads) => steward.node.replace_loads(&loads),
         frame::Frame::Forecast(forecasts) => steward.node.replace_forecasts(forecasts),
         frame::Frame::HandOver(hand_over) => {
-            steward.accept_hand_over(hand_over);
+            steward.accept_hand_over(&hand_over);
             anyhow::bail!("the steward handed the lease over");
         }
         frame::Frame::Moved(holder) => {
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -399,14 +399,16 @@
     }
 
     /// Accepts the lease that the steward hands over to this instance.
-    pub fn accept_hand_over(&self, hand_over: HandOver) {
+    pub fn accept_hand_over(&self, hand_over: &HandOver) {
         let now = self.node.now();
+        let fencing = hand_over.fencing;
         let mut state = self.lock();
         state.lease.accept_hand_over(now, hand_over);
         state.read_groups = None;
         state.lease_known = true;
+        let order_delay = state.lease.order_delay(now);
         drop(state);
-        log::info!(fencing = hand_over.fencing; "lease received");
+        log::info!(fencing = fencing, order_delay_ms = clock::millis(order_delay); "lease received");
         self.lease_wake.notify_one();
         self.plan_wake.notify_one();
     }
@@ -567,6 +569,7 @@
         state.engine_groups = engines(&config).map(|(name, _)| name.clone()).collect();
         state.placement.set_in_force(self.node.parts().placement);
         let has_quarantined = self.node.has_quarantined();
+        let may_order = state.lease.order_fencing(now).is_some();
         for (name, engine) in engines(&config) {
             if version != tracked_versions {
                 state.update_engines(name, self.node.engines(name));
@@ -574,7 +577,12 @@
             let may_load = |model: &str, adapter: Option<&str>| {
                 !has_quarantined || self.node.may_load(name, model, adapter)
             };
-            orders.extend(state.plan(now, name, engine, fencing, may_load, &mut forecasts));
+            let planned = state.plan(now, name, engine, may_order, may_load, &mut forecasts);
+            orders.extend(planned.into_iter().map(|(server, step)| state::Order {
+                server,
+                fencing,
+                step,
+            }));
         }
         if state.placement.is_in_force() {
             self.node.metrics.set_replicas(state.placement.needs());
@@ -638,7 +646,7 @@
             read_age: self.node.read_age(),
             standbys_must_read: successor::needs_standby_reads(
                 self.own_candidate(&state.engine_groups),
-                &lease::successor_candidates(state).1,
+                &lease::successor_candidates(now, state).1,
             ),
         }
     }
@@ -664,8 +672,9 @@
     fn is_busy(&self) -> bool {
         let state = self.lock();
         let has_pending = state.pacer.has_waiting() || state.limits_changed;
+        let has_order_delay = !state.lease.order_delay(self.node.now()).is_zero();
         state.active_fencing.is_some()
-            && (has_pending || state.trackers.values().any(Tracker::is_busy))
+            && (has_pending || has_order_delay || state.trackers.values().any(Tracker::is_busy))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -35,10 +35,17 @@
 const MIN_CPU_SHARE: f64 = 0.05;
 
 /// The steward's links, and what the choice of a successor needs to know of each.
-pub(super) fn successor_candidates(state: &State) -> (Vec<u64>, Vec<successor::Peer>) {
+pub(super) fn successor_candidates(
+    now: clock::Instant,
+    state: &State,
+) -> (Vec<u64>, Vec<successor::Peer>) {
     let links = state.links.iter();
     links
-        .map(|(number, link)| (*number, link.successor_candidate(&state.engine_groups)))
+        .map(|(number, link)| {
+            let order_delay = state.lease.order_delay_of(now, &link.peer.instance);
+            let candidate = link.successor_candidate(&state.engine_groups, order_delay);
+            (*number, candidate)
+        })
         .unzip()
 }
 
@@ -56,7 +63,8 @@
     };
     log::info!(
         instance = successor.peer.instance.as_str(), fencing = hand_over.fencing, cpu_share = successor.cpu_share,
-        read_ms = clock::millis(successor.read_age);
+        read_ms = clock::millis(successor.read_age),
+        order_delay_ms = clock::millis(state.lease.order_delay_of(now, &successor.peer.instance));
         "lease handed over"
     );
     // A successor that does not read loses its link, and the lease lapses as if this instance had died.
@@ -140,7 +148,7 @@
     fn hand_over_by_link(&self) -> bool {
         let now = self.node.now();
         let mut state = self.lock();
-        let (numbers, peers) = successor_candidates(&state);
+        let (numbers, peers) = successor_candidates(now, &state);
         let successor = successor::for_stopping(&peers).map(|index| numbers[index]);
         let handed_over = successor.is_some_and(|number| hand_over_to(now, &mut state, number));
         drop(state);
@@ -158,7 +166,7 @@
         let own = self.own_candidate(&state.engine_groups);
         let settings = &self.node.settings;
         let deadline = settings.leaving_deadline.min(settings.config_deadline);
-        let (numbers, peers) = successor_candidates(state);
+        let (numbers, peers) = successor_candidates(now, state);
         let successor = successor::for_running(own, &peers, deadline).map(|index| numbers[index]);
         successor.is_some_and(|number| hand_over_to(now, state, number))
     }
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -83,8 +83,12 @@
 }
 
 impl Link {
-    /// What the choice of a successor needs to know of it.
-    pub(super) fn successor_candidate(&self, engine_groups: &BTreeSet<SmolStr>) -> successor::Peer {
+    /// What the choice of a successor needs to know of it. `order_delay` is how long it would wait before it sends orders.
+    pub(super) fn successor_candidate(
+        &self,
+        engine_groups: &BTreeSet<SmolStr>,
+        order_delay: Duration,
+    ) -> successor::Peer {
         let unreached_groups = self.unreached_groups.as_ref();
         successor::Peer {
             cpu_share: self.cpu_share,
@@ -92,6 +96,7 @@
             read_age: self.read_age,
             is_partitioned: unreached_groups
                 .is_some_and(|groups| !groups.is_disjoint(engine_groups)),
+            order_delay,
         }
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -116,8 +116,7 @@
             return;
         };
         // The process may have been suspended since the plan was made, so the lease is checked last.
-        let fencing = self.lock().lease.fencing(self.node.now());
-        if fencing != Some(order.fencing) {
+        if !self.may_send(&order) {
             return;
         }
         let request = self.node.platform.build_order(&platform::Order {
@@ -132,11 +131,24 @@
             self.withhold_order(&order);
             return;
         }
+        let now = self.node.now();
+        self.lock().lease.record_order(now, order.fencing);
         self.examine_after(&server, &answer);
         let status = answer.as_ref().ok().map(|(status, _)| *status);
         self.handle_order_answer(&order, status);
     }
 
+    /// Whether this instance may still send an order, which is then recorded as its last one.
+    fn may_send(&self, order: &state::Order) -> bool {
+        let now = self.node.now();
+        let mut state = self.lock();
+        let may_send = state.lease.order_fencing(now) == Some(order.fencing);
+        if may_send {
+            state.lease.record_order(now, order.fencing);
+        }
+        may_send
+    }
+
     /// Records that an order was not sent because the engine wants nothing more.
     fn withhold_order(&self, order: &state::Order) {
         let now = self.node.now();
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -229,16 +229,17 @@
         }
     }
 
-    /// Plans the orders that are due in a group, and counts them as sent.
+    /// Plans the orders that are due in a group, by server, and counts them as sent. There are none while this instance may not
+    /// send any.
     pub(super) fn plan<F>(
         &mut self,
         now: clock::Instant,
         group: &SmolStr,
         engine: &config::Engine,
-        fencing: u64,
+        may_order: bool,
         may_load: F,
         forecasts: &mut Vec<frame::Forecast>,
-    ) -> Vec<Order>
+    ) -> Vec<(SmolStr, plan::Step)>
     where
         F: Fn(&str, Option<&str>) -> bool,
     {
@@ -302,18 +303,21 @@
         }));
         log_delays(&view, &mut self.delays_logged_at);
         let mut steps = self.placement.steps(group, &view);
-        steps.retain(|step| match step {
-            plan::Step::Load { model, .. } => may_load(model, None),
-            plan::Step::LoadAdapter { model, adapter, .. } => may_load(model, Some(adapter)),
-            plan::Step::Unload { .. } | plan::Step::UnloadAdapter { .. } => true,
+        steps.retain(|step| {
+            may_order
+                && match step {
+                    plan::Step::Load { model, .. } => may_load(model, None),
+                    plan::Step::LoadAdapter { model, adapter, .. } => {
+                        may_load(model, Some(adapter))
+                    }
+                    plan::Step::Unload { .. } | plan::Step::UnloadAdapter { .. } => true,
+                }
         });
         self.count_as_sent(now, &ids, &steps);
-        let orders = steps.into_iter().map(|step| Order {
-            server: ids[step.engine()].clone(),
-            fencing,
-            step,
-        });
-        orders.collect()
+        let orders = steps.into_iter();
+        orders
+            .map(|step| (ids[step.engine()].clone(), step))
+            .collect()
     }
 
     /// Counts the orders of a plan for these engines as sent.
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -145,9 +145,19 @@
     state: Mutex<State>,
 }
 
+/// An order that a worker has accepted.
+#[derive(Clone, Debug)]
+pub struct AcceptedOrder {
+    /// When it arrived.
+    pub at: time::Instant,
+    /// The lease holder that sent it.
+    pub holder: SmolStr,
+}
+
 #[derive(Debug, Default)]
 struct State {
     orders: u64,
+    accepted_orders: Vec<AcceptedOrder>,
     /// The highest fencing token seen.
     highest_fencing: u64,
     /// Whether a load is in progress.
@@ -515,6 +525,12 @@
         self.lock().runs.get(id).copied().unwrap_or_default()
     }
 
+    /// Returns the accepted orders, the oldest first.
+    #[must_use]
+    pub fn accepted_orders(&self) -> Vec<AcceptedOrder> {
+        self.lock().accepted_orders.clone()
+    }
+
     /// Returns the requests that have run, in order of their start.
     #[must_use]
     pub fn taken(&self) -> Vec<Taken> {
@@ -571,6 +587,10 @@
             return StatusCode::CONFLICT;
         }
         state.orders += 1;
+        state.accepted_orders.push(AcceptedOrder {
+            at: time::Instant::now(),
+            holder: order.holder.clone(),
+        });
         self.print(&Line::Order(order.holder.clone(), order.fencing_token));
         match (order.operation.as_str(), &order.adapter) {
             ("load", None) => {
