Streams: none is joined or lost by what a new instance concludes after a loss of all

Cause: each conclusion of a new instance rests on knowing all versions that can have begun a stream, which then is the lease's record. Its age is unknown, later records may be lost, and its writer may know less than others: the steward confirmed streams of a version that its record didn't name. A steward's versions counted as of now however old its reading was, and a first reading continued what had been told at any time before. Ruled out: servers of the old version that leave before the kill or while no instance runs (two tests, not red before).

Change: no stream begins at a version that the lease's record doesn't name (origin::Named); a steward writes it as soon as one appears. A record of an earlier era covers no time. Where the record names one version alone, unreported streams began there, whatever came meanwhile.

--- a/crates/fireflywheel/src/fleet/origin.rs
+++ b/crates/fireflywheel/src/fleet/origin.rs
@@ -9,8 +9,13 @@
 //! ([`Registry`]). Until all streams from before are over, one that was not reported began at the version that was alone
 //! before: at any other version, the first event leaves an instance only once the steward has recorded the stream. Where
 //! nothing tells, the stream does not go on.
+//!
+//! No stream begins at a version before the lease's record names it ([`Named`]). After a loss of all instances, the record
+//! therefore tells all versions that can have begun a stream, whatever has come and gone since it was written.
+
+mod named;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -19,6 +24,8 @@
 use super::frame;
 use crate::clock;
 
+pub use named::Named;
+
 /// How long after the start of a stream its caller may come back for it: twice the usual timeout of a route.
 pub const RETURN_TIME: Duration = Duration::from_secs(45);
 
@@ -105,12 +112,46 @@
 pub struct Versions {
     /// Each version of each group.
     pub seen: Vec<(SmolStr, SmolStr, u32)>,
-    /// For how long the steward has seen all versions, in milliseconds.
+    /// For how long the steward had seen all versions when it last read them, in milliseconds.
     pub covered_ms: u32,
+    /// The time since then, in milliseconds.
+    #[serde(default)]
+    pub read_age_ms: u32,
     /// The groups in which streams that nobody reported may still go on, with the version that was alone before; `None` if
     /// the sender doesn't know it.
     #[serde(default)]
     pub releases: Vec<(SmolStr, Option<SmolStr>)>,
+    /// The versions of groups that the lease's record names, as a steward tells them; `None` if its release names none, and in
+    /// the record itself, which names those that it has seen.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub named: Option<Vec<(SmolStr, SmolStr)>>,
+}
+
+impl Versions {
+    /// The groups and versions that the sender has seen.
+    #[must_use]
+    pub fn names(&self) -> Vec<(SmolStr, SmolStr)> {
+        let seen = self.seen.iter();
+        seen.map(|(group, version, _)| (group.clone(), version.clone()))
+            .collect()
+    }
+
+    /// The groups in which a single version can have begun a stream whose caller may still come back, with that version.
+    fn alone(&self) -> BTreeMap<SmolStr, SmolStr> {
+        if Duration::from_millis(self.covered_ms.into()) < RETURN_TIME {
+            return BTreeMap::new();
+        }
+        let mut alone: BTreeMap<SmolStr, SmolStr> = BTreeMap::new();
+        let mut others: BTreeSet<SmolStr> = BTreeSet::new();
+        others.extend(self.releases.iter().map(|(group, _)| group.clone()));
+        for (group, version, _) in &self.seen {
+            if alone.insert(group.clone(), version.clone()).is_some() {
+                others.insert(group.clone());
+            }
+        }
+        alone.retain(|group, _| !others.contains(group));
+        alone
+    }
 }
 
 /// The versions of groups, and for how long they are known.
@@ -119,6 +160,8 @@
     groups: BTreeMap<SmolStr, BTreeMap<SmolStr, Seen>>,
     /// For how long all versions are known; `None` before the first reading.
     coverage: Option<Coverage>,
+    /// The last time as of which all versions are known, by a reading or as the steward tells.
+    known_at: Option<clock::Instant>,
     /// When they were last read.
     read_at: Option<clock::Instant>,
     /// When they were read before that.
@@ -126,6 +169,8 @@
     /// Whether the whole system started for the first time when this instance did.
     is_first_start: bool,
     releases: BTreeMap<SmolStr, Release>,
+    /// The groups of which the lease's record named a single version when it was read, with that version and the time.
+    alone: BTreeMap<SmolStr, (SmolStr, clock::Instant)>,
 }
 
 /// The time after a second version of a group has appeared in which streams from before may go on.
@@ -135,7 +180,7 @@
     base: Option<SmolStr>,
     /// When the second version was first seen.
     seen_at: clock::Instant,
-    /// A time at which it was not there yet; `None` if that isn't known.
+    /// A time at which no stream had begun at it yet; `None` if that isn't known.
     absent_at: Option<clock::Instant>,
 }
 
@@ -173,6 +218,7 @@
             since: now,
             before: RETURN_TIME,
         });
+        self.known_at = Some(now);
         self.is_first_start = true;
         self
     }
@@ -227,6 +273,7 @@
             seen.is_some_and(|seen| seen.first.after(YOUNG_TIME) <= *absent_at)
         };
         let absent_at = self.previous_read_at.filter(|at| is_base && is_older(at));
+        let absent_at = absent_at.or_else(|| self.alone_at(now, group, other).filter(|_| is_sole));
         let release = Release {
             base: absent_at.map(|_| other.clone()),
             seen_at: now,
@@ -238,14 +285,14 @@
     /// Records that all versions that serve at `as_of` have been observed. After a gap in which versions may have come and
     /// gone, what is known begins anew.
     pub fn record_read(&mut self, as_of: clock::Instant) {
-        let is_continued = self.read_at.is_some_and(|at| as_of.since(at) <= MAX_AGE);
-        let is_first = self.read_at.is_none() && self.coverage.is_some();
-        if !is_continued && !is_first {
+        let is_continued = self.known_at.is_some_and(|at| as_of.since(at) <= MAX_AGE);
+        if !is_continued {
             self.coverage = Some(Coverage {
                 since: as_of,
                 before: Duration::ZERO,
             });
         }
+        self.known_at = self.known_at.max(Some(as_of));
         if self.read_at < Some(as_of) {
             self.previous_read_at = self.read_at.replace(as_of);
         }
@@ -253,6 +300,75 @@
 
     /// Adds what the steward has seen.
     pub fn extend(&mut self, now: clock::Instant, versions: &Versions) {
+        self.extend_seen(now, versions);
+        let read_at = now.before(Duration::from_millis(versions.read_age_ms.into()));
+        let before = Duration::from_millis(versions.covered_ms.into());
+        let told = Coverage {
+            since: read_at,
+            before,
+        };
+        // Otherwise, versions may have come and gone between the steward's reading and the own one.
+        let is_continued = self.known_at.is_none_or(|at| at.since(read_at) <= MAX_AGE);
+        let known = self
+            .coverage
+            .filter(|known| known.length(now) >= told.length(now));
+        if known.is_none() && is_continued {
+            self.coverage = Some(told);
+            self.known_at = self.known_at.max(Some(read_at));
+        }
+        self.extend_releases(now, versions);
+    }
+
+    /// Adds what the lease's record names, which was read at `read_at`. `recorded_groups` are those in which streams of other
+    /// versions may have been recorded since it was written; `None` if that isn't known.
+    pub fn extend_by_record(
+        &mut self,
+        read_at: clock::Instant,
+        versions: &Versions,
+        recorded_groups: Option<&BTreeSet<SmolStr>>,
+    ) {
+        // Since no stream begins at a version that the record doesn't name, its age doesn't matter.
+        let versions = Versions {
+            read_age_ms: 0,
+            ..versions.clone()
+        };
+        self.extend(read_at, &versions);
+        let is_unrecorded = |group: &SmolStr| {
+            recorded_groups.is_some_and(|recorded_groups| !recorded_groups.contains(group))
+        };
+        let alone = versions.alone().into_iter();
+        self.alone = alone
+            .filter(|(group, _)| is_unrecorded(group))
+            .map(|(group, version)| (group, (version, read_at)))
+            .collect();
+        for (group, (base, at)) in &self.alone {
+            // The directory was read before the record.
+            let release = self.releases.get_mut(group);
+            if let Some(release) = release.filter(|release| release.base.is_none()) {
+                release.base = Some(base.clone());
+                release.absent_at = Some(*at);
+            }
+        }
+    }
+
+    /// Adds the versions of a record that may have been followed by others which are lost.
+    pub fn extend_by_lost_record(&mut self, now: clock::Instant, versions: &Versions) {
+        self.extend_seen(now, versions);
+    }
+
+    /// When the lease's record was read, if it named this version of a group alone, and so recently that all streams which
+    /// have begun since at other versions are still recorded.
+    fn alone_at(
+        &self,
+        now: clock::Instant,
+        group: &SmolStr,
+        version: &SmolStr,
+    ) -> Option<clock::Instant> {
+        let (alone, at) = self.alone.get(group)?;
+        (alone == version && now.since(*at) < RELEASE_TIME).then_some(*at)
+    }
+
+    fn extend_seen(&mut self, now: clock::Instant, versions: &Versions) {
         for (group, version, age_ms) in &versions.seen {
             self.begin_release(now, group, version);
             let at = now.before(Duration::from_millis((*age_ms).into()));
@@ -264,11 +380,6 @@
             seen.first = seen.first.min(at);
             seen.last = seen.last.max(at);
         }
-        let before = Duration::from_millis(versions.covered_ms.into());
-        let told = Coverage { since: now, before };
-        let known = self.coverage.filter(|known| known.length(now) >= before);
-        self.coverage = Some(known.unwrap_or(told));
-        self.extend_releases(now, versions);
     }
 
     /// Adds the releases that the steward has seen, and forgets those of groups whose versions have long been there.
@@ -311,12 +422,14 @@
                 )
             })
         });
-        let covered = self
-            .coverage
-            .map_or(Duration::ZERO, |known| known.length(now));
+        let known = self.coverage.zip(self.known_at);
+        let covered = known.map_or(Duration::ZERO, |(coverage, at)| coverage.length(at));
+        let read_age = self.known_at.map_or(Duration::ZERO, |at| now.since(at));
         Versions {
             seen: seen.collect(),
             covered_ms: frame::millis(covered.min(RETURN_TIME)),
+            read_age_ms: frame::millis(read_age),
+            named: None,
             releases: self
                 .releases
                 .iter()
--- a/crates/fireflywheel/tests/fleet/origin.rs
+++ b/crates/fireflywheel/tests/fleet/origin.rs
@@ -1,10 +1,12 @@
 //! Tests of what is known of the versions at which streams began.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fireflywheel::clock::Instant;
+
 use fireflywheel::fleet::origin::{
-    Answer, History, Query, RELEASE_TIME, RETURN_TIME, Record, Registry, Versions,
+    Answer, History, Named, Query, RELEASE_TIME, RETURN_TIME, Record, Registry, Versions,
 };
 use smol_str::SmolStr;
 
@@ -219,6 +221,101 @@
     assert!(history.needs_record(START, GROUP, "v1"));
 }
 
+fn versions_are_not_known_after_a_gap_before_the_first_reading() {
+    let mut history = History::default();
+    history.extend(START, &settled(&["v1"]).versions(START));
+    let after_gap = START.after(RETURN_TIME + Duration::from_secs(1));
+    observe(&mut history, after_gap, &["v2"]);
+    assert_eq!(sole(&history, after_gap), None);
+}
+
+fn steward_whose_reading_is_old_tells_of_the_past_only() {
+    let steward = settled(&["v1"]);
+    let later = START.after(RETURN_TIME / 2);
+    let mut history = History::default();
+    observe(&mut history, later, &["v1"]);
+    history.extend(later, &steward.versions(later));
+    assert_eq!(sole(&history, later), None);
+}
+
+/// A fleet has known a version alone, and all instances are killed. What a new instance knows after it has read the record
+/// and the directory, in either order.
+fn restarted(served: &[&str], reads_directory_first: bool) -> History {
+    let record = settled(&["v1"]).versions(START);
+    let mut history = History::default();
+    if reads_directory_first {
+        observe(&mut history, START, served);
+    }
+    history.extend_by_record(START, &record, Some(&BTreeSet::new()));
+    if !reads_directory_first {
+        observe(&mut history, START, served);
+    }
+    history
+}
+
+fn streams_from_before_a_loss_of_all_began_at_the_named_version() {
+    for reads_directory_first in [false, true] {
+        for served in [&["v1", "v2"][..], &["v2"]] {
+            let history = restarted(served, reads_directory_first);
+            let now = START.after(Duration::from_secs(4));
+            let concluded = history.unreported(now, GROUP, START, false);
+            assert_eq!(concluded.map(SmolStr::as_str), Some("v1"), "{served:?}");
+            assert_eq!(sole(&history, now), None);
+            assert!(history.needs_record(now, GROUP, "v2"));
+            let later = START.after(RELEASE_TIME);
+            assert_eq!(history.unreported(later, GROUP, START, false), None);
+        }
+    }
+}
+
+fn record_tells_nothing_of_what_it_does_not_know() {
+    let two = settled(&["v1", "v2"]).versions(START);
+    let (steward, released_at) = releasing();
+    let released = steward.versions(released_at);
+    let mut young = History::default();
+    observe(&mut young, START, &["v1"]);
+    let one = settled(&["v1"]).versions(START);
+    let none = BTreeSet::new();
+    let recorded = BTreeSet::from([GROUP.into()]);
+    let cases = [
+        (two, Some(&none)),
+        (released, Some(&none)),
+        (young.versions(START), Some(&none)),
+        (one.clone(), Some(&recorded)),
+        (one, None),
+    ];
+    for (record, recorded_groups) in cases {
+        let mut history = History::default();
+        history.extend_by_record(START, &record, recorded_groups);
+        observe(&mut history, START, &["v3"]);
+        assert_eq!(
+            history.unreported(START, GROUP, START, false),
+            None,
+            "{record:?}"
+        );
+    }
+}
+
+fn lost_record_covers_nothing() {
+    let record = settled(&["v1"]).versions(START);
+    let mut history = History::default();
+    history.extend_by_lost_record(START, &record);
+    observe(&mut history, START, &["v1"]);
+    assert_eq!(sole(&history, START), None);
+    observe(&mut history, START, &["v1", "v2"]);
+    assert_eq!(history.unreported(START, GROUP, START, false), None);
+}
+
+fn unknown_record_names_nothing() {
+    let mut named = Named::default();
+    let (group, version) = (GROUP.into(), SmolStr::new("v1"));
+    assert!(!named.is_known() && !named.contains(&group, &version));
+    named.replace(settled(&["v1"]).versions(START).names());
+    assert!(named.contains(&group, &version));
+    assert!(!named.contains(&group, &"v2".into()));
+    assert_eq!(named.list(), Some(vec![(group, version)]));
+}
+
 fn record(attempt: &str) -> Record {
     Record {
         attempt: attempt.into(),
@@ -301,4 +398,16 @@
     unknown_streams_are_told_from_known_ones => registry_answers();
     /// More streams begin than are remembered.
     forgotten_streams_are_unknown => full_registry_does_not_deny_what_it_forgot();
+    /// A version comes and goes before an instance reads the directory for the first time.
+    gap_before_the_first_reading => versions_are_not_known_after_a_gap_before_the_first_reading();
+    /// A steward that can't read the directory any more takes what it knew for what there is.
+    old_reading_of_the_steward => steward_whose_reading_is_old_tells_of_the_past_only();
+    /// All instances are killed, and a second version comes before they run again: streams of the first one are refused.
+    version_that_comes_while_no_instance_runs => streams_from_before_a_loss_of_all_began_at_the_named_version();
+    /// All instances are killed, and streams of several versions are taken for those of one.
+    record_of_several_versions => record_tells_nothing_of_what_it_does_not_know();
+    /// The store is restored from a copy from before a version came, whose streams are taken for those of the one before.
+    record_of_a_restored_store => lost_record_covers_nothing();
+    /// An instance begins streams though it doesn't know the record.
+    record_is_not_known => unknown_record_names_nothing();
 }
--- a/crates/fireflywheel_daemon/src/fleet/node/origin.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/origin.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use fireflywheel::clock;
-use fireflywheel::fleet::origin::{self, Answer, History, Query, Record, Registry};
+use fireflywheel::fleet::lease;
+use fireflywheel::fleet::origin::{self, Answer, History, Named, Query, Record, Registry};
 use smol_str::SmolStr;
 use tokio::time;
 
@@ -37,6 +38,10 @@
 #[derive(Debug)]
 pub(super) struct Origins {
     history: History,
+    /// The versions that the lease's record names.
+    named: Named,
+    /// Whether the whole system starts for the first time, by the settings.
+    is_first_start: bool,
     /// Streams that began at this instance.
     own: Registry,
     /// Streams that the steward is to be told and hasn't been.
@@ -62,6 +67,8 @@
     fn default() -> Self {
         Self {
             history: History::default(),
+            named: Named::default(),
+            is_first_start: false,
             own: Registry::new(MAX_OWN_STREAMS),
             unreported: VecDeque::new(),
             releasing: BTreeSet::new(),
@@ -76,6 +83,7 @@
     pub(super) fn record_first_start(&mut self, now: clock::Instant) {
         let history = std::mem::take(&mut self.history);
         self.history = history.with_first_start(now);
+        self.is_first_start = true;
     }
 
     /// Records a version of a group that serves or has just left.
@@ -94,6 +102,36 @@
     /// Adds the versions that the steward has seen.
     fn extend(&mut self, now: clock::Instant, versions: &origin::Versions) {
         self.history.extend(now, versions);
+        // A steward of an earlier release names what it has seen.
+        let named = versions.named.clone().unwrap_or_else(|| versions.names());
+        self.named.replace(named);
+        self.report_releases(now, versions);
+    }
+
+    /// Adds the versions that the lease's record names. A record that isn't current may have been followed by others, which
+    /// are lost.
+    fn extend_by_record(
+        &mut self,
+        read_at: clock::Instant,
+        attachment: &lease::Attachment,
+        is_current: bool,
+    ) {
+        let Some(versions) = &attachment.versions else {
+            return;
+        };
+        if is_current {
+            let recorded_groups = attachment.recorded_groups.as_ref();
+            self.history
+                .extend_by_record(read_at, versions, recorded_groups);
+            self.named.replace(versions.names());
+        } else {
+            self.history.extend_by_lost_record(read_at, versions);
+        }
+        self.report_releases(read_at, versions);
+    }
+
+    /// Reports the streams of groups of which a second version has appeared.
+    fn report_releases(&mut self, now: clock::Instant, versions: &origin::Versions) {
         let groups: BTreeSet<&SmolStr> = versions.seen.iter().map(|(group, ..)| group).collect();
         for group in groups {
             if self.history.is_releasing(now, group) && self.releasing.insert(group.clone()) {
@@ -159,7 +197,21 @@
         let version = known.server.version.clone().unwrap_or_default();
         let can_record = has_steward && now >= self.unrecorded_until;
         self.history.youth(now, group, &version).is_zero()
-            && (can_record || !self.history.needs_record(now, group, &version))
+            && (can_record || !self.needs_record(now, group, &version))
+    }
+
+    /// Whether the first event of a stream that begins at a version waits for the steward: until the stream is recorded if it
+    /// would be taken for one of another version otherwise, and until the lease's record names the version.
+    fn needs_record(&self, now: clock::Instant, group: &SmolStr, version: &SmolStr) -> bool {
+        !self.named.contains(group, version) || self.history.needs_record(now, group, version)
+    }
+
+    /// The only version that can have begun a stream, if that is known. At the first start of the whole system there are no
+    /// streams from before, but only the lease's record shows that this is one.
+    fn sole(&self, now: clock::Instant, group: &str, is_not_reported: bool) -> Option<&SmolStr> {
+        let is_known = !self.is_first_start || self.named.is_known();
+        let sole = self.history.sole(now, group, is_not_reported);
+        sole.filter(|_| is_known)
     }
 
     fn remove_waiter(&mut self, query: &Query) {
@@ -276,10 +328,7 @@
         let slow_at = started.after(SLOW_CONFIRMATION_TIME);
         loop {
             let now = self.now();
-            let is_needed = {
-                let state = self.lock();
-                state.origins.history.needs_record(now, group, version)
-            };
+            let is_needed = self.lock().origins.needs_record(now, group, version);
             if !is_needed {
                 return true;
             }
@@ -289,7 +338,11 @@
             if now >= slow_at {
                 self.lock().origins.unrecorded_until = now.after(UNRECORDED_TIME);
             }
-            match self.ask(query.clone()).await {
+            let answer = tokio::select! {
+                answer = self.ask(query.clone()) => answer,
+                () = self.record_unneeded(group, version) => return true,
+            };
+            match answer {
                 Some(Answer::Version(recorded)) => return recorded == *version,
                 Some(Answer::NotReported | Answer::Unknown) | None => {}
             }
@@ -297,6 +350,16 @@
         }
     }
 
+    /// Waits until streams begin at a version without the steward's confirmation.
+    async fn record_unneeded(&self, group: &SmolStr, version: &SmolStr) {
+        let mut changed = self.changed.subscribe();
+        while self.lock().origins.needs_record(self.now(), group, version) {
+            if changed.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     fn own_origin(&self, query: &Query) -> Option<SmolStr> {
         let state = self.lock();
         state
@@ -347,7 +410,6 @@
         let sole = self
             .lock()
             .origins
-            .history
             .sole(now, group, is_not_reported)
             .cloned();
         let wait = (!is_not_reported).then_some(origin::SETTLING_TIME);
@@ -387,8 +449,9 @@
             group: group.clone(),
             version: version.clone(),
         };
-        let is_sole = origins.history.sole(now, group, true) == Some(version);
-        if !origins.own.insert(now, record.clone()) || is_sole {
+        let is_reported = !origins.named.contains(group, version)
+            || origins.history.sole(now, group, true) != Some(version);
+        if !origins.own.insert(now, record.clone()) || !is_reported {
             return;
         }
         // Its first event may wait for the record.
@@ -440,18 +503,79 @@
         state.origins.extend(now, versions);
         let has_news = state.origins.has_news();
         drop(state);
+        self.wake();
         if has_news {
             self.demand_changed.notify_one();
         }
     }
 
-    /// The versions that this instance has seen, for other instances.
+    /// Adds the versions that the lease's record names.
+    pub fn extend_versions_by_record(
+        &self,
+        read_at: clock::Instant,
+        attachment: &lease::Attachment,
+        is_current: bool,
+    ) {
+        let mut state = self.lock();
+        state
+            .origins
+            .extend_by_record(read_at, attachment, is_current);
+        let has_news = state.origins.has_news();
+        drop(state);
+        self.wake();
+        if has_news {
+            self.demand_changed.notify_one();
+        }
+    }
+
+    /// Records that the lease's record now names these versions, as this instance has written it.
+    pub fn record_named(&self, versions: &origin::Versions) {
+        self.lock().origins.named.replace(versions.names());
+        self.wake();
+    }
+
+    /// Whether the lease's record lacks a version at which streams may begin.
+    #[must_use]
+    pub fn has_unnamed_versions(&self) -> bool {
+        let now = self.now();
+        let state = self.lock();
+        let Origins { history, named, .. } = &state.origins;
+        let names = history.versions(now).names();
+        names
+            .iter()
+            .any(|(group, version)| !named.contains(group, version))
+    }
+
+    /// Whether the lease's record names a version of a group.
+    #[must_use]
+    pub fn is_named(&self, group: &SmolStr, version: &SmolStr) -> bool {
+        self.lock().origins.named.contains(group, version)
+    }
+
+    /// Records that another instance has seen a version of a group.
+    pub fn observe_version(&self, group: &SmolStr, version: &SmolStr) {
+        let now = self.now();
+        self.lock().origins.observe(now, group, version);
+    }
+
+    /// The versions that this instance has seen, for the lease's record.
     #[must_use]
     pub fn versions(&self) -> origin::Versions {
         let now = self.now();
         self.lock().origins.history.versions(now)
     }
 
+    /// The versions that this instance has seen and those that the lease's record names, for other instances.
+    #[must_use]
+    pub fn told_versions(&self) -> origin::Versions {
+        let now = self.now();
+        let origins = &self.lock().origins;
+        origin::Versions {
+            named: origins.named.list().or_else(|| Some(Vec::new())),
+            ..origins.history.versions(now)
+        }
+    }
+
     /// The version at which a stream of a group began that was not reported to this instance as steward since `since`;
     /// `None` if that isn't known. `recorded_before` says whether an earlier steward may have recorded streams of other
     /// versions.
@@ -481,7 +605,7 @@
     #[must_use]
     pub fn has_sole_version(&self, group: &str) -> bool {
         let now = self.now();
-        self.lock().origins.history.sole(now, group, true).is_some()
+        self.lock().origins.sole(now, group, true).is_some()
     }
 
     /// Records the versions of the servers that are there, and forgets what no caller comes back for.
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -337,7 +337,7 @@
             }
             if heartbeat.active && demand.origins.is_some() && !link.knows_versions {
                 link.knows_versions = true;
-                let _ = link.send(&frame::Frame::Versions(self.node.versions()));
+                let _ = link.send(&frame::Frame::Versions(self.node.told_versions()));
             }
             // The configuration is sent before a heartbeat announces it, upon which the instance would wait for it
             // and then read the store.
@@ -600,7 +600,10 @@
         } else if state.entries.is_some() {
             state.send_whole_directory();
         }
-        state.send_versions(now, self.node.versions());
+        if self.node.has_unnamed_versions() {
+            self.lease_wake.notify_one();
+        }
+        state.send_versions(now, self.node.told_versions());
         state.send_config(self.node.configs());
         state.send_heartbeat(now, &heartbeat);
         let gateways = state.send_gateways(now, &self.own_gateway());
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -73,13 +73,18 @@
     true
 }
 
+/// Whether no later record can have been lost.
+fn is_current(reading: &lease::Reading) -> bool {
+    let record = reading.record.as_ref();
+    record.is_some_and(|(_, record)| record.era == Some(reading.end.era))
+}
+
 /// The groups in which earlier stewards may have recorded streams of other versions; `None` if a reading doesn't tell.
 fn recorded_groups(reading: &lease::Reading, is_first_start: bool) -> Option<BTreeSet<SmolStr>> {
     match &reading.record {
         None if is_first_start && reading.end == Position::default() => Some(BTreeSet::new()),
         None => None,
-        // An older copy of the store may have lost a later record.
-        Some((_, record)) if record.era != Some(reading.end.era) => None,
+        Some(_) if !is_current(reading) => None,
         Some(_) => reading.attachment.recorded_groups.clone(),
     }
 }
@@ -212,7 +217,7 @@
             state
                 .lease
                 .early_renewal()
-                .filter(|_| state.has_unwritten_groups())
+                .filter(|_| state.has_unwritten_groups() || self.node.has_unnamed_versions())
         };
         match state.lease.proposal(now).or_else(early) {
             Some((end, record)) if known => Task::Write(end, record),
@@ -259,9 +264,8 @@
             Ok(reading) => {
                 let attachment = &reading.attachment;
                 self.node.set_tunnel_secret(attachment.secret.clone());
-                if let Some(versions) = &attachment.versions {
-                    self.node.extend_versions(versions);
-                }
+                self.node
+                    .extend_versions_by_record(requested_at, attachment, is_current(&reading));
                 self.node.merge_verdicts(&attachment.quarantined);
                 let mut state = self.lock();
                 self.update_era(self.node.now(), &mut state);
@@ -300,6 +304,9 @@
                 state.lease.record_accepted(sent_at, position, record);
                 state.written_groups = attachment.recorded_groups;
                 drop(state);
+                if let Some(versions) = &attachment.versions {
+                    self.node.record_named(versions);
+                }
                 if is_takeover {
                     log::info!(offset = position.offset, era = position.era.0; "lease taken");
                 }
--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -63,14 +63,14 @@
             }
         });
         let replies = replies.collect();
-        if state.has_unwritten_groups() {
+        if state.has_unwritten_groups() || self.node.has_unnamed_versions() {
             self.lease_wake.notify_one();
         }
         replies
     }
 
-    /// The answer about a new stream that was recorded. One that would be taken for a stream of another version if its record
-    /// were lost is confirmed once a later steward knows that there are such streams.
+    /// The answer about a new stream that was recorded. It is confirmed once the lease's record names its version, and one that
+    /// would be taken for a stream of another version if its record were lost, once that record tells of such streams.
     fn confirm(
         &self,
         now: clock::Instant,
@@ -78,6 +78,11 @@
         group: &SmolStr,
         version: SmolStr,
     ) -> Answer {
+        if !self.node.is_named(group, &version) {
+            // The reporting instance may have read the directory first.
+            self.node.observe_version(group, &version);
+            return Answer::Unknown;
+        }
         if self.node.is_base_version(group, &version) {
             return Answer::Version(version);
         }
@@ -269,13 +274,10 @@
     /// Sends the versions of groups' servers when one has come or gone, and at intervals: instances that don't receive all
     /// engines count the time since a version was last seen from the last frame that has it.
     pub(super) fn send_versions(&mut self, now: clock::Instant, versions: origin::Versions) {
-        let names = |versions: &origin::Versions| {
-            let seen = versions.seen.iter();
-            seen.map(|(group, version, _)| (group.clone(), version.clone()))
-                .collect::<Vec<_>>()
-        };
         let is_due = now.since(self.versions_sent_at) >= RESEND_INTERVAL;
-        if !is_due && names(&versions) == names(&self.versions) {
+        let is_changed =
+            versions.names() != self.versions.names() || versions.named != self.versions.named;
+        if !is_due && !is_changed {
             return;
         }
         self.versions_sent_at = now;
