Streams: a stream whose first event waits for a record is reported

What callers saw: 45 s after all servers of a version were replaced within some seconds, new resumable streams ended without an event after 5 s each, for up to 20 s.

Cause: whether a stream is reported to the steward, and whether its first event waits for the steward's record, were two conditions. Between 45 s after the last server of the earlier version and 65 s after the first one of the next, a stream waited for a record that nobody had asked for. Ruled out: a steward that has forgotten the release (the same one answers all the while).

Change: History::is_reported decides, for new streams and for those that are told again to a new steward.

Evidence: origin::records_after_a_quick_release fails with the condition as it was.

--- a/crates/fireflywheel/src/fleet/origin.rs
+++ b/crates/fireflywheel/src/fleet/origin.rs
@@ -483,6 +483,14 @@
         release.is_some_and(|release| release.base.as_deref() != Some(version))
     }
 
+    /// Whether the steward is told of a stream that begins at a version: its record is needed, or not every instance can tell
+    /// the version without it.
+    #[must_use]
+    pub fn is_reported(&self, now: clock::Instant, group: &str, version: &str) -> bool {
+        let sole = self.sole(now, group, true).map(SmolStr::as_str);
+        sole != Some(version) || self.needs_record(now, group, version)
+    }
+
     /// Whether a stream of a group that nobody reported may be taken for one of this version, so that it needs no record.
     #[must_use]
     pub fn is_base(&self, now: clock::Instant, group: &str, version: &SmolStr) -> bool {
--- a/crates/fireflywheel/tests/fleet/origin.rs
+++ b/crates/fireflywheel/tests/fleet/origin.rs
@@ -306,6 +306,18 @@
     assert_eq!(history.unreported(START, GROUP, START, false), None);
 }
 
+fn streams_that_need_records_are_reported() {
+    let mut history = settled(&["v1"]);
+    let before = read_for(&mut history, START, STEADY_TIME, &["v1"]);
+    let mut now = before;
+    while now < before.after(2 * RELEASE_TIME) {
+        now = read_for(&mut history, now, Duration::from_secs(1), &["v2"]);
+        let is_reported = history.is_reported(now, GROUP, "v2");
+        assert!(is_reported || !history.needs_record(now, GROUP, "v2"));
+    }
+    assert!(!history.is_reported(now, GROUP, "v2"));
+}
+
 fn unknown_record_names_nothing() {
     let mut named = Named::default();
     let (group, version) = (GROUP.into(), SmolStr::new("v1"));
@@ -408,6 +420,8 @@
     record_of_several_versions => record_tells_nothing_of_what_it_does_not_know();
     /// The store is restored from a copy from before a version came, whose streams are taken for those of the one before.
     record_of_a_restored_store => lost_record_covers_nothing();
+    /// The last server of the earlier version leaves early in a release, and streams wait for records that nobody asks for.
+    records_after_a_quick_release => streams_that_need_records_are_reported();
     /// An instance begins streams though it doesn't know the record.
     record_is_not_known => unknown_record_names_nothing();
 }
--- a/crates/fireflywheel_daemon/src/fleet/node/origin.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/origin.rs
@@ -150,9 +150,11 @@
     /// Handles a new link to the steward, which may be another one: it is told everything again, but for streams whose
     /// version every instance can tell.
     pub(super) fn link_opened(&mut self, now: clock::Instant) {
-        let records = self.own.records();
-        let records =
-            records.filter(|record| self.history.sole(now, &record.group, true).is_none());
+        let is_reported = |record: &&Record| {
+            self.history
+                .is_reported(now, &record.group, &record.version)
+        };
+        let records = self.own.records().filter(is_reported);
         self.unreported = records.cloned().collect();
         for pending in self.queries.values_mut() {
             pending.is_sent = false;
@@ -450,7 +452,7 @@
             version: version.clone(),
         };
         let is_reported = !origins.named.contains(group, version)
-            || origins.history.sole(now, group, true) != Some(version);
+            || origins.history.is_reported(now, group, version);
         if !origins.own.insert(now, record.clone()) || !is_reported {
             return;
         }
