Streams: the steward keeps those of groups with several versions in the store

Cause: which version began a stream was known in memory only, to its instance, the steward and two keepers. The lease's record tells that there are such streams, not which. Ruled out: a steward that isn't there yet (the refusals come from one that is settled), servers without room or model.

Change: the steward writes what it is told in batches to slots of a topic of the store, at most one call in a quarter of a second whatever the number of instances and streams, and none while a group has a single version. A new steward reads them once, if a group has several versions, before it says that a stream wasn't reported. No event waits for the store.

--- a/crates/fireflywheel/src/fleet/origin.rs
+++ b/crates/fireflywheel/src/fleet/origin.rs
@@ -11,8 +11,10 @@
 //! nothing tells, the stream does not go on.
 //!
 //! No stream begins at a version before the lease's record names it ([`Named`]). After a loss of all instances, the record
-//! therefore tells all versions that can have begun a stream, whatever has come and gone since it was written.
+//! therefore tells all versions that can have begun a stream, whatever has come and gone since it was written. Which of several
+//! versions began a stream is in the store as well ([`Journal`]), a moment after its first event has left.
 
+mod journal;
 mod named;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -24,6 +26,7 @@
 use super::frame;
 use crate::clock;
 
+pub use journal::{Batch, Journal, WRITE_INTERVAL};
 pub use named::Named;
 
 /// How long after the start of a stream its caller may come back for it: twice the usual timeout of a route.
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod freshness;
 mod gateway;
 mod held_bytes;
+mod journal;
 mod lease;
 mod limit;
 mod link;
--- a/crates/fireflywheel_daemon/src/fleet/daemon.rs
+++ b/crates/fireflywheel_daemon/src/fleet/daemon.rs
@@ -112,6 +112,7 @@
         tasks.spawn(gossip::ask_origins(Arc::clone(&steward)));
         tasks.spawn(links::follow_steward(Arc::clone(&steward)));
         tasks.spawn(Arc::clone(&steward).keep_lease());
+        tasks.spawn(Arc::clone(&steward).keep_journal());
         tasks.spawn(Arc::clone(&steward).run());
         log::info!(
             instance = node.settings.instance.as_str(), incarnation = node.incarnation,
--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -96,6 +96,7 @@
     version_labels: Labels,
     remembered_streams: IntGauge,
     reported_streams: IntCounter,
+    stored_streams: IntCounter,
     served_tunnels: IntCounterVec,
     replicas: IntGaugeVec,
     quarantined_parts: IntGauge,
@@ -224,6 +225,10 @@
                 "fleet_remembered_streams",
                 "Streams that began at this instance and whose callers may come back to another",
             )?,
+            stored_streams: builder.plain_counter(
+                "fleet_stored_streams_total",
+                "Streams that this instance has written to the store as steward.",
+            )?,
             reported_streams: builder.plain_counter(
                 "fleet_reported_streams_total",
                 "Streams that a steward was told",
@@ -440,6 +445,11 @@
         self.quarantined_parts.set(count as i64);
     }
 
+    /// Counts streams that were written to the store.
+    pub fn count_stored_streams(&self, count: usize) {
+        self.stored_streams.inc_by(count as u64);
+    }
+
     /// Sets the number of remembered streams.
     pub fn set_remembered_streams(&self, count: usize) {
         self.remembered_streams.set(count as i64);
--- a/crates/fireflywheel_daemon/src/fleet/node/origin.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/origin.rs
@@ -104,7 +104,10 @@
         self.history.extend(now, versions);
         // A steward of an earlier release names what it has seen.
         let named = versions.named.clone().unwrap_or_else(|| versions.names());
-        self.named.replace(named);
+        // A steward that doesn't know the record names none.
+        if !named.is_empty() {
+            self.named.replace(named);
+        }
         self.report_releases(now, versions);
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/platform.rs
+++ b/crates/fireflywheel_daemon/src/fleet/platform.rs
@@ -9,7 +9,7 @@
 use fireflywheel::clock;
 use fireflywheel::fleet::config::{self, update};
 use fireflywheel::fleet::era::{Era, Position};
-use fireflywheel::fleet::{announcement, lease, organisation, prefix, routing, server};
+use fireflywheel::fleet::{announcement, lease, organisation, origin, prefix, routing, server};
 use http_body_util::Full;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request};
@@ -269,4 +269,13 @@
         record: &lease::Record,
         attachment: &lease::Attachment,
     ) -> impl Future<Output = Result<WriteOutcome, StoreError>> + Send;
+
+    /// Reads the newest batch of streams of each slot.
+    fn read_streams(&self) -> impl Future<Output = Result<Vec<origin::Batch>, StoreError>> + Send;
+
+    /// Writes a batch of streams, in place of the one in its slot.
+    fn write_streams(
+        &self,
+        batch: &origin::Batch,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -2,6 +2,7 @@
 
 mod broadcast;
 mod gateways;
+mod journal;
 mod lease;
 mod limits;
 mod link;
@@ -81,6 +82,8 @@
     pub plan_wake: Notify,
     /// Notified when the lease should be checked.
     pub lease_wake: Notify,
+    /// Notified when there may be streams to read from the store or to write to it.
+    pub journal_wake: Notify,
     state: Mutex<State>,
 }
 
@@ -130,6 +133,7 @@
             changes_as_of: None,
             own_gateway: None,
             origins: origin::Registry::new(origins::MAX_STREAMS),
+            journal: origin::Journal::default(),
             recorded_groups: BTreeMap::new(),
             written_groups: Some(BTreeSet::new()),
             inherited_groups: None,
@@ -156,6 +160,7 @@
             node,
             plan_wake: Notify::new(),
             lease_wake: Notify::new(),
+            journal_wake: Notify::new(),
             state: Mutex::new(state),
         }
     }
@@ -546,6 +551,7 @@
             self.node
                 .steward_reads
                 .send_replace(node::StewardReads::default());
+            self.journal_wake.notify_one();
             log::info!(acts = active_fencing.is_some(), fencing = active_fencing.unwrap_or_default(); "stewardship changed");
         }
         let heartbeat = self.heartbeat(&state, now);
--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -54,7 +54,12 @@
                     self.confirm(now, state, &query.group, version)
                 }
                 Answer::NotReported if query.is_confirmation => Answer::Unknown,
-                Answer::NotReported => self.conclude_origin(now, state, query),
+                Answer::NotReported => match self.conclude_origin(now, state, query) {
+                    Answer::NotReported if self.is_journal_missing(state, &query.group) => {
+                        Answer::Unknown
+                    }
+                    other => other,
+                },
                 other => other,
             };
             origin::Reply {
@@ -66,6 +71,9 @@
         if state.has_unwritten_groups() || self.node.has_unnamed_versions() {
             self.lease_wake.notify_one();
         }
+        if state.journal.next_write_in(now).is_some() {
+            self.journal_wake.notify_one();
+        }
         replies
     }
 
@@ -201,6 +209,11 @@
         if new.is_empty() {
             return;
         }
+        if self.active_fencing.is_some() {
+            for record in &new {
+                self.journal.add(now, record.clone(), MAX_STREAMS);
+            }
+        }
         let frame = frame::Frame::Streams(new).encode();
         for number in &self.keepers {
             let is_known = known.contains(number);
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -100,6 +100,8 @@
     pub(super) prefixes: prefix::news::Collector,
     /// The streams that instances have reported.
     pub(super) origins: origin::Registry,
+    /// The same in the store, in this stewardship.
+    pub(super) journal: origin::Journal,
     /// Groups in which streams were recorded that nobody would take for those from before a release, and when the last one was.
     pub(super) recorded_groups: BTreeMap<SmolStr, clock::Instant>,
     /// Those that the lease's record has, as this instance has written it; `None` if it says that they aren't known.
@@ -162,6 +164,7 @@
         self.tracked_versions = (0, 0);
         self.versions = origin::Versions::default();
         self.keepers.clear();
+        self.journal = origin::Journal::default();
         self.recorded_groups.clear();
         self.written_groups = Some(BTreeSet::new());
         self.inherited_groups = self.read_groups.take();
