Attempts: a refusal of another request says nothing of this one

Cause: a late second answer of the request before on a connection, a refusal with that request's id, was acted on before its id was compared. The instance concluded that the booking had not run, and sent it to the next server. Ruled out: a repeat after a lost answer of its own (the test loses none).

Change: the id is compared first. What may not be repeated is then answered 502.

--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -231,14 +231,15 @@
         authentic: reply.authentic,
     };
     node.observe_limit(server, limit);
-    if reply.not_run {
+    let id_matches = reply.id.as_ref().is_none_or(|id| *id == job.call.id);
+    // A refusal of another request says nothing of this one.
+    if reply.not_run && id_matches {
         let refusal = handle_refusal(node, job, chosen, head.status, &reply);
         if refusal == Refusal::NoRoom && chosen.brittle.is_some() {
             connection.close_rejected();
         }
         return Outcome::NotRun(refusal.as_str());
     }
-    let id_matches = reply.id.as_ref().is_none_or(|id| *id == job.call.id);
     if !id_matches || !reply.authentic {
         // The response belongs to another request, or no backend server produced it. Whether this request has run
         // is unknown.
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -203,6 +203,8 @@
     pub fail: u32,
     /// Number of responses with the attempt id of another request.
     pub cross: u32,
+    /// Number of requests that run and are answered with the refusal of another request.
+    pub cross_refusals: u32,
     /// Number of responses without the worker's seal.
     pub unsealed: u32,
 }
@@ -717,6 +719,11 @@
         self.print(&Line::Run(id.clone()));
         let (faults, delivery) = self.start_run(&id, request);
         time::sleep(self.inner.options.run).await;
+        if faults.cross_refusals > 0 {
+            let mut answer = not_executed();
+            set_header(&mut answer, "x-attempt-id", "another");
+            return Some(answer);
+        }
         let mut answer = if self.crashes_on(request) {
             self.begin_and_crash(request, running)
         } else if faults.fail > 0 {
@@ -813,6 +820,7 @@
             refuse: 0,
             fail: u32::from(fail),
             cross: u32::from(try_consume(&mut state.switches.cross)),
+            cross_refusals: u32::from(try_consume(&mut state.switches.cross_refusals)),
             unsealed: u32::from(try_consume(&mut state.switches.unsealed)),
         };
         (faults, delivery)
