Door: an answer without a stated end is reset until all of it was written

Cause: the option that resets the connection was cleared as the HTTP library took the last part of the body. It writes that part later, as fast as the caller reads; a whole answer is one part, so the option was never set for it. Ruled out: a kernel that ends the connection in order in spite of the option.

Change: the option stays until the library flushes, which it does once its own buffer is empty.

All of site::endings passes.

--- a/crates/fireflywheel_daemon/src/door/body.rs
+++ b/crates/fireflywheel_daemon/src/door/body.rs
@@ -221,7 +221,7 @@
 impl Tracked {
     pub(super) fn new(inner: Body, requests: Arc<gate::Requests>) -> Self {
         if inner.framing == Framing::UntilClose {
-            requests.set_end_unstated(true);
+            requests.begin_unstated();
         }
         requests.set_hold(inner.hold.clone());
         Self { inner, requests }
@@ -245,7 +245,7 @@
     ) -> Poll<Option<Result<body::Frame<Bytes>, Aborted>>> {
         let frame = ready!(Pin::new(&mut self.inner).poll_frame(context));
         if frame.is_none() || self.inner.is_end_stream() {
-            self.requests.set_end_unstated(false);
+            self.requests.record_whole_body();
         }
         Poll::Ready(frame)
     }
--- a/crates/fireflywheel_daemon/src/door/gate.rs
+++ b/crates/fireflywheel_daemon/src/door/gate.rs
@@ -59,6 +59,8 @@
     answered: AtomicU64,
     /// Whether an answer is in progress that doesn't state where its body ends.
     end_unstated: AtomicBool,
+    /// Whether the server has taken the whole body of that answer. It may not have written it yet.
+    has_whole_body: AtomicBool,
     /// The account of the answer in progress.
     hold: Mutex<Option<Arc<held::Hold>>>,
 }
@@ -113,9 +115,21 @@
 }
 
 impl Requests {
-    /// Sets whether an answer is in progress that doesn't state where its body ends.
-    pub(super) fn set_end_unstated(&self, end_unstated: bool) {
-        self.end_unstated.store(end_unstated, Ordering::Release);
+    /// Records that an answer begins that doesn't state where its body ends.
+    pub(super) fn begin_unstated(&self) {
+        self.end_unstated.store(true, Ordering::Release);
+    }
+
+    /// Records that the server has taken the whole body of an answer.
+    pub(super) fn record_whole_body(&self) {
+        self.has_whole_body.store(true, Ordering::Release);
+    }
+
+    /// Records that the server has written all that it took.
+    fn record_written(&self) {
+        if self.has_whole_body.load(Ordering::Acquire) {
+            self.end_unstated.store(false, Ordering::Release);
+        }
     }
 
     /// Sets the account of the answer in progress.
@@ -352,6 +366,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP library flushes once its own buffer is empty. Until then, a kill loses what is in it.
+        self.requests.record_written();
+        self.update_reset_on_close();
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -172,6 +172,8 @@
     taken: Vec<Taken>,
     switches: Switches,
     deliveries: Deliveries,
+    /// Bytes of the answers of a plain service beyond the few that name the worker.
+    answer_padding: usize,
     /// Limit in requests per second that answers contain, if any.
     limit: Option<f64>,
     /// The number of rejections in a second that a brittle worker tolerates, which all answers contain; `None` if it is
@@ -438,6 +440,13 @@
         self
     }
 
+    /// Sets the bytes of the answers of a plain service beyond the few that name the worker.
+    #[must_use]
+    pub fn with_answer_padding(self, bytes: usize) -> Self {
+        self.lock().answer_padding = bytes;
+        self
+    }
+
     /// Sets the limit in requests per second that all further answers contain; `None` removes it.
     pub fn set_limit(&self, per_second: Option<f64>) {
         self.lock().limit = per_second;
@@ -737,7 +746,8 @@
                 running,
             )
         } else {
-            let body = json!({"by": self.inner.id, "body": request.body.len()});
+            let padding = "x".repeat(self.lock().answer_padding);
+            let body = json!({"by": self.inner.id, "body": request.body.len(), "padding": padding});
             deliver(http::json(StatusCode::OK, &body), delivery)
         };
         let echoed_id = if faults.cross > 0 { "another" } else { &id };
