Streams in the store: only groups to which resumable routes lead, and whose versions are known

Found while the diff was read: a group without engines whose streams may be resumed was answered "unknown" for good, since its streams were looked for in the store and never read; and a new steward read the store once before it knew the directory, also with one version. Whether the lease's record lacks a version is looked up only for demands with questions.

--- a/crates/fireflywheel/src/fleet/lease.rs
+++ b/crates/fireflywheel/src/fleet/lease.rs
@@ -81,6 +81,7 @@
     era: Option<Era>,
     /// The store was restored from an older copy while this instance ran.
     store_restored: bool,
+    /// Which instances have sent orders within a term.
     turns: turns::Turns,
 }
 
--- a/crates/fireflywheel_daemon/src/fleet/node/origin.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/origin.rs
@@ -613,6 +613,16 @@
         self.lock().origins.sole(now, group, true).is_some()
     }
 
+    /// Whether streams of a group may have begun at several versions, or at others than those that are known.
+    #[must_use]
+    pub fn has_several_versions(&self, group: &str) -> bool {
+        let now = self.now();
+        let state = self.lock();
+        let origins = &state.origins;
+        let is_known = origins.history.recent(now, group).next().is_some();
+        is_known && origins.sole(now, group, true).is_none()
+    }
+
     /// Records the versions of the servers that are there, and forgets what no caller comes back for.
     pub fn sweep_origins(&self) {
         let now = self.now();
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -116,6 +116,7 @@
             subscriptions: subscription::Registry::default(),
             groups: BTreeSet::new(),
             engine_groups: BTreeSet::new(),
+            stream_groups: BTreeSet::new(),
             tracked_versions: (0, 0),
             sends_all_engines: true,
             all_engines_limit: settings.all_engines_limit,
@@ -573,6 +574,9 @@
         let tracked_versions = std::mem::replace(&mut state.tracked_versions, version);
         state.groups = config.groups.keys().cloned().collect();
         state.engine_groups = engines(&config).map(|(name, _)| name.clone()).collect();
+        if version.0 != tracked_versions.0 {
+            state.stream_groups = stream_groups(&config);
+        }
         state.placement.set_in_force(self.node.parts().placement);
         let has_quarantined = self.node.has_quarantined();
         let may_order = state.lease.order_fencing(now).is_some();
@@ -691,6 +695,14 @@
     }
 }
 
+/// The groups to which routes lead whose streams may be resumed.
+fn stream_groups(config: &config::Config) -> BTreeSet<SmolStr> {
+    let routes = config.routes.iter();
+    let resumable = routes.filter(|route| route.kind == config::Kind::Resumable);
+    let targets = resumable.flat_map(|route| &route.targets);
+    targets.map(|target| target.group.clone()).collect()
+}
+
 fn engines(config: &config::Config) -> impl Iterator<Item = (&SmolStr, &config::Engine)> {
     let groups = config.groups.iter();
     groups.filter_map(|(name, group)| Some((name, group.engine.as_ref()?)))
--- a/crates/fireflywheel_daemon/src/fleet/steward/journal.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/journal.rs
@@ -48,22 +48,18 @@
     fn journal_work(&self) -> (bool, Option<Duration>) {
         let now = self.node.now();
         let state = self.lock();
-        if state.active_fencing.is_none() || !self.has_several_versions(&state) {
+        let mut groups = state.stream_groups.iter();
+        let is_needed = groups.any(|group| self.node.has_several_versions(group));
+        if state.active_fencing.is_none() || !is_needed {
             return (false, None);
         }
         let next_write_in = state.journal.next_write_in(now);
         (!state.journal.is_loaded(), next_write_in)
     }
 
-    /// Whether a group of engines may have streams of several versions.
-    fn has_several_versions(&self, state: &State) -> bool {
-        let mut groups = state.engine_groups.iter();
-        groups.any(|group| !self.node.has_sole_version(group))
-    }
-
     /// Whether a stream of a group that this steward doesn't know may still be found in the store.
     pub(super) fn is_journal_missing(&self, state: &State, group: &str) -> bool {
-        !state.journal.is_loaded() && !self.node.has_sole_version(group)
+        !state.journal.is_loaded() && self.node.has_several_versions(group)
     }
 
     /// Reads the streams that earlier stewards have written. Returns whether the store has answered.
@@ -105,7 +101,7 @@
     /// Writes the next batch of streams. Returns whether the store has answered.
     async fn write_journal(&self) -> bool {
         let now = self.node.now();
-        let is_needed = |group: &str| !self.node.has_sole_version(group);
+        let is_needed = |group: &str| self.node.has_several_versions(group);
         let Some(batch) = self.lock().journal.take(now, is_needed) else {
             return true;
         };
--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -68,7 +68,8 @@
             }
         });
         let replies = replies.collect();
-        if state.has_unwritten_groups() || self.node.has_unnamed_versions() {
+        let is_asked = !report.queries.is_empty();
+        if state.has_unwritten_groups() || (is_asked && self.node.has_unnamed_versions()) {
             self.lease_wake.notify_one();
         }
         if state.journal.next_write_in(now).is_some() {
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -67,6 +67,8 @@
     pub(super) groups: BTreeSet<SmolStr>,
     /// Groups that consist of engines.
     pub(super) engine_groups: BTreeSet<SmolStr>,
+    /// Groups whose streams callers may take up again.
+    pub(super) stream_groups: BTreeSet<SmolStr>,
     /// The versions of configuration and directory that the trackers correspond to.
     pub(super) tracked_versions: (u64, u64),
     /// Whether all instances receive all engines.
