Door: a whole answer doesn't count for the next one on its connection

Found while the change was read again: kept "the body was taken" for the rest of the connection. A stream without a stated end that followed a whole answer there lost the reset option with its first flush, and looked complete as its instance was killed; had reset it.

Change: an answer without a stated end begins with its body not taken.

All of site::endings passes.

--- a/crates/fireflywheel_daemon/src/door/gate.rs
+++ b/crates/fireflywheel_daemon/src/door/gate.rs
@@ -117,6 +117,7 @@
 impl Requests {
     /// Records that an answer begins that doesn't state where its body ends.
     pub(super) fn begin_unstated(&self) {
+        self.has_whole_body.store(false, Ordering::Release);
         self.end_unstated.store(true, Ordering::Release);
     }
 
