--- a/crates/fireflywheel_daemon/src/fleet/node/origin.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/origin.rs
@@ -539,16 +539,16 @@
         self.wake();
     }
 
-    /// Whether the lease's record lacks a version at which streams may begin.
+    /// Whether the lease's record lacks a version of one of these groups.
     #[must_use]
-    pub fn has_unnamed_versions(&self) -> bool {
+    pub fn has_unnamed_versions(&self, groups: &BTreeSet<SmolStr>) -> bool {
         let now = self.now();
         let state = self.lock();
         let Origins { history, named, .. } = &state.origins;
-        let names = history.versions(now).names();
-        names
-            .iter()
-            .any(|(group, version)| !named.contains(group, version))
+        groups.iter().any(|group| {
+            let mut versions = history.recent(now, group);
+            versions.any(|version| !named.contains(group, version))
+        })
     }
 
     /// Whether the lease's record names a version of a group.
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -610,7 +610,7 @@
         } else if state.entries.is_some() {
             state.send_whole_directory();
         }
-        if self.node.has_unnamed_versions() {
+        if self.node.has_unnamed_versions(&state.stream_groups) {
             self.lease_wake.notify_one();
         }
         state.send_versions(now, self.node.told_versions());
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -214,10 +214,9 @@
             return Task::Read;
         }
         let early = || {
-            state
-                .lease
-                .early_renewal()
-                .filter(|_| state.has_unwritten_groups() || self.node.has_unnamed_versions())
+            let lacks_versions = || self.node.has_unnamed_versions(&state.stream_groups);
+            let renewal = state.lease.early_renewal();
+            renewal.filter(|_| state.has_unwritten_groups() || lacks_versions())
         };
         match state.lease.proposal(now).or_else(early) {
             Some((end, record)) if known => Task::Write(end, record),
--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -68,8 +68,8 @@
             }
         });
         let replies = replies.collect();
-        let is_asked = !report.queries.is_empty();
-        if state.has_unwritten_groups() || (is_asked && self.node.has_unnamed_versions()) {
+        let lacks_versions = || self.node.has_unnamed_versions(&state.stream_groups);
+        if state.has_unwritten_groups() || (!report.queries.is_empty() && lacks_versions()) {
             self.lease_wake.notify_one();
         }
         if state.journal.next_write_in(now).is_some() {
