Relay: a stream that is taken up again goes to the service that began it

What callers would see: where two services share a route, a stream that broke off goes on at the other one in about half of the cases, its events joined from two services. No kill is needed.

Cause: the service of each attempt is drawn by its own id, and the version that began a stream is looked for, or concluded from there being one, in the service that was drawn.

Change: an attempt that takes up a stream is drawn by the id of the one that began it, which each instance gets from the caller.

Evidence: stream_goes_on_at_the_service_that_began_it is red before, green now. Left, as read: a route that the operator moves to another service meanwhile.

--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -465,7 +465,10 @@
     route: &config::Route,
     call: &platform::Call,
 ) -> node::QueueKey {
-    let draw = xxh3::xxh3_64(call.id.as_bytes()) as f64 / u64::MAX as f64;
+    // A stream that is taken up again goes to the group that began it.
+    let first = call.resumes.as_ref().filter(|_| call.last_event.is_some());
+    let id = first.unwrap_or(&call.id);
+    let draw = xxh3::xxh3_64(id.as_bytes()) as f64 / u64::MAX as f64;
     let group = route.group(draw).cloned().unwrap_or_default();
     let engine = config
         .groups
