Tests of rests: a rest counts as told by whatever call is turned away

Traced with the logs of a failing run: a request of the steward for a report, as a load ended, was turned away first. The instance then rightly sends no request, and the preparation waits for 30 s.

Change: the preparation ends once any call was turned away, and waits for calls on their way. What is asserted stays: no call arrives afterwards. Three tests use it; two of them had the same race.

--- a/crates/fireflywheel_standin/src/site/worker.rs
+++ b/crates/fireflywheel_standin/src/site/worker.rs
@@ -186,6 +186,8 @@
     leaving: bool,
     /// The rest that the worker asks for when it turns a call away; `None` while it accepts calls.
     rest: Option<Duration>,
+    /// Number of calls that were turned away because of a rest.
+    turned_away: usize,
     /// Requests that arrived, including refused ones.
     arrivals: Vec<Arrival>,
     /// Times at which any calls arrived: requests, orders and requests for reports.
@@ -486,6 +488,12 @@
         self.lock().rest = rest;
     }
 
+    /// Returns the number of calls that were turned away because of a rest.
+    #[must_use]
+    pub fn turned_away(&self) -> usize {
+        self.lock().turned_away
+    }
+
     /// Returns the times at which any calls arrived: requests, orders and requests for reports.
     #[must_use]
     pub fn calls(&self) -> Vec<time::Instant> {
@@ -693,7 +701,10 @@
 
     /// Turns a call away while the worker asks for a rest.
     fn shed(&self) -> Option<http::Answer> {
-        let rest = self.lock().rest?;
+        let mut state = self.lock();
+        let rest = state.rest?;
+        state.turned_away += 1;
+        drop(state);
         let mut answer = not_executed();
         set_header(&mut answer, "retry-after", &rest.as_secs_f64().to_string());
         Some(answer)
