Steward: it counts as an instance with a steward while it is in office

What callers see: at the steward's own instance, requests can go by entries of the directory that are older than what it has heard from engines, and new resumable streams avoid versions whose streams must be recorded, for as long as it is in office.

Cause: the planning pass and the task of links set one mark. An instance that asks a standby for the steward and takes the lease meanwhile lost it as that link ended. Ruled out: an instance whose links fail (no attempt fails once 99 of 100 are linked).

Change: whether there is a steward is derived from the link and from the office. fleet_stewardships_total counts takings of office.

--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -134,7 +134,7 @@
     P: platform::Platform,
 {
     steward.set_linked(false);
-    steward.node.set_has_steward(false);
+    steward.node.set_linked(false);
 }
 
 fn retry_delay(instances: usize) -> Duration {
@@ -453,7 +453,7 @@
             steward.node.extend_shares(clock::Instant(stamp_ms));
             steward.node.update_instance_count(instances as usize);
             steward.set_linked(true);
-            steward.node.set_has_steward(true);
+            steward.node.set_linked(true);
             steward.node.record_informed();
         }
         frame::Frame::Held(holdings) => steward.node.update_holdings(holdings),
--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -110,6 +110,7 @@
     prefix_tokens: IntCounterVec,
     prefix_choices: IntCounterVec,
     steward: IntGauge,
+    stewardships: IntCounter,
     linked: IntGauge,
 }
 
@@ -285,6 +286,10 @@
                 &["reason"],
             )?,
             steward: builder.gauge("fleet_steward", "1 while this instance orders engines")?,
+            stewardships: builder.plain_counter(
+                "fleet_stewardships_total",
+                "Times that this instance has become the active steward",
+            )?,
             linked: builder.gauge(
                 "fleet_steward_linked",
                 "1 while this instance has a link to the steward, or is it",
@@ -516,6 +521,11 @@
         self.linked.set(linked.into());
     }
 
+    /// Counts that this instance becomes the active steward.
+    pub fn count_stewardship(&self) {
+        self.stewardships.inc();
+    }
+
     /// Sets whether this instance is the active steward, which sends orders to engines.
     pub fn set_steward(&self, active: bool) {
         self.steward.set(active.into());
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -409,18 +409,6 @@
         self.lock().is_acting_steward
     }
 
-    /// Sets whether this instance is the active steward.
-    pub fn set_acting_steward(&self, is_acting: bool) {
-        let now = self.now();
-        let mut state = self.lock();
-        state.is_acting_steward = is_acting;
-        if is_acting {
-            state.subscriptions = None;
-            state.pending_subscriptions.clear();
-            state.tell_steward_again(now);
-        }
-    }
-
     /// Number of instances that share limits, as far as it is known.
     #[must_use]
     pub fn instance_count(&self) -> usize {
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -103,7 +103,9 @@
     pub(super) directory_version: u64,
     /// Time until responses begin, by route.
     pub(super) response_times: BTreeMap<SmolStr, adaptive_timeout::Estimator>,
-    /// Whether there is a link to a steward, or this instance is steward.
+    /// Whether there is a link to another instance that is the active steward.
+    pub(super) is_linked: bool,
+    /// Whether there is such a link, or this instance is the active steward.
     pub(super) has_steward: bool,
     /// Whether this instance is one of those that take over from the steward.
     pub(super) is_standby: bool,
@@ -247,6 +249,7 @@
             pending_subscriptions: BTreeMap::new(),
             all_engines: false,
             directory_version: 0,
+            is_linked: false,
             has_steward: false,
             is_standby: false,
             store_backoff: backoff::Backoff::default(),
@@ -568,6 +571,32 @@
         }
     }
 
+    /// Derives whether there is a steward. Of the links that an instance tries before it takes office, the last one may end
+    /// afterwards, so neither fact replaces the other.
+    pub(super) fn update_has_steward(&mut self, now: clock::Instant) {
+        self.has_steward = self.is_linked || self.is_acting_steward;
+        if !self.has_steward {
+            self.subscriptions = None;
+            self.all_engines = false;
+            self.pending_subscriptions.clear();
+            // Nobody takes back that there is no server of a version.
+            self.forecasts.retain(|_, at| at.is_some());
+        }
+        match (self.has_steward, self.directory_catches_up_at) {
+            (true, _) => {
+                if !self.all_engines && !self.is_acting_steward && self.subscriptions.is_none() {
+                    self.subscriptions = Some(BTreeMap::new());
+                    self.remove_idle_engines();
+                }
+                self.directory_catches_up_at = None;
+            }
+            (false, None) => {
+                self.directory_catches_up_at = Some(now.after(DIRECTORY_CATCH_UP_TIME));
+            }
+            (false, Some(_)) => {}
+        }
+    }
+
     /// Whether what the steward sent takes precedence over the directory's entries. Without a link it does
     /// until the directory was read after it had become more recent: while the store is unreachable, the
     /// instance would otherwise use entries from before most swaps.
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -198,30 +198,31 @@
         self.wake();
     }
 
-    /// Sets whether there is a link to a steward, or this instance is the steward.
-    pub fn set_has_steward(&self, has_steward: bool) {
-        self.metrics.set_linked(has_steward);
-        let catches_up_at = self.now().after(state::DIRECTORY_CATCH_UP_TIME);
+    /// Sets whether there is a link to another instance that is the active steward.
+    pub fn set_linked(&self, is_linked: bool) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.is_linked = is_linked;
+        state.update_has_steward(now);
+        self.metrics.set_linked(state.has_steward);
+    }
+
+    /// Sets whether this instance is the active steward.
+    pub fn set_acting_steward(&self, is_acting: bool) {
+        let now = self.now();
         let mut state = self.lock();
-        state.has_steward = has_steward;
-        if !has_steward {
+        if is_acting && !state.is_acting_steward {
+            self.metrics.count_stewardship();
+        }
+        self.metrics.set_steward(is_acting);
+        state.is_acting_steward = is_acting;
+        if is_acting {
             state.subscriptions = None;
-            state.all_engines = false;
             state.pending_subscriptions.clear();
-            // Nobody takes back that there is no server of a version.
-            state.forecasts.retain(|_, at| at.is_some());
-        }
-        match (has_steward, state.directory_catches_up_at) {
-            (true, _) => {
-                if !state.all_engines && !state.is_acting_steward && state.subscriptions.is_none() {
-                    state.subscriptions = Some(BTreeMap::new());
-                    state.remove_idle_engines();
-                }
-                state.directory_catches_up_at = None;
-            }
-            (false, None) => state.directory_catches_up_at = Some(catches_up_at),
-            (false, Some(_)) => {}
+            state.tell_steward_again(now);
         }
+        state.update_has_steward(now);
+        self.metrics.set_linked(state.has_steward);
     }
 
     /// Stores when models become available, as forecast by the steward; replaces its earlier forecasts.
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -546,9 +546,7 @@
         let active_fencing = state.lease.fencing(now);
         if active_fencing != state.active_fencing {
             state.change_role(now, active_fencing);
-            self.node.metrics.set_steward(active_fencing.is_some());
             self.node.set_acting_steward(active_fencing.is_some());
-            self.node.set_has_steward(active_fencing.is_some());
             self.node
                 .steward_reads
                 .send_replace(node::StewardReads::default());
