Steward: streams that are reported in a lapse of the lease are recorded

What callers see: after the steward's renewal was late for a moment, some streams that began then can't be taken up at another instance while several versions serve; they are refused (LOST).

Cause: a steward that isn't active ignored reports of streams. An instance takes what it reports out of its queue, and tells it again on a new link only; if the lease is renewed before the next planning pass, the link stays. Ruled out: streams that the steward knows and doesn't write (its counter equals the store's content), broken links.

A log line in a trial shows such reports at a process in office that isn't renewed.

--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -396,6 +396,9 @@
                 .node
                 .decide_trials(&demand.quarantine.trial_requests, is_settled);
             state.send_trials(number, trials);
+        } else if let Some(report) = &demand.origins {
+            // If the link outlasts a lapse of the lease, the streams are not reported again.
+            state.record_streams(now, &report.begun);
         }
         let arrived = demand.arrived.iter().map(|count| &count.model);
         for model in arrived.chain(demand.queues.iter().map(|queue| &queue.model)) {
--- a/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/origins.rs
@@ -198,11 +198,14 @@
         written.is_none_or(|written| written.contains(group))
     }
 
-    /// Records streams, and has other instances keep them as well.
-    fn record_streams(&mut self, now: clock::Instant, records: &[Record]) {
+    /// Records streams. The active steward has other instances keep them as well.
+    pub(super) fn record_streams(&mut self, now: clock::Instant, records: &[Record]) {
         let origins = &mut self.origins;
         let is_new = |record: &&Record| origins.insert(now, (*record).clone());
         let new: Vec<Record> = records.iter().filter(is_new).cloned().collect();
+        if self.active_fencing.is_none() {
+            return;
+        }
         let known = self.keepers.clone();
         if !records.is_empty() {
             self.select_keepers(now);
@@ -210,10 +213,8 @@
         if new.is_empty() {
             return;
         }
-        if self.active_fencing.is_some() {
-            for record in &new {
-                self.journal.add(now, record.clone(), MAX_STREAMS);
-            }
+        for record in &new {
+            self.journal.add(now, record.clone(), MAX_STREAMS);
         }
         let frame = frame::Frame::Streams(new).encode();
         for number in &self.keepers {
