Store: its return is dated by its first answer to anyone

Cause: an instance whose own read of the directory had failed took its next own read for the store's return, although the steward had read the store for it meanwhile. Servers whose entries were missing were then kept for 2.3 s. A log line at each read shows outages of 2.0 to 2.6 s taken for up to 12.8 s. A restored store was dated the same way, by the next own read in a later era.

Change: `fleet::availability` keeps the spans in which the store has answered anyone. Heartbeats and demands carry the latest one. The store was down only between two spans that are a heartbeat of the servers apart, if a call has failed meanwhile, and it is back since the second. Missing servers are kept by that alone, until a read of 2.3 s after the return lacks them. Before, any news of the steward dropped them at once, and without news nothing did.

Tests, red before: server_that_leaves_long_after_an_outage_gets_no_requests (18 and 14 requests late), server_that_leaves_long_after_a_restore_gets_no_requests (12). return_of_the_store_is_told_by_the_steward is red with the report left out.

--- a/crates/fireflywheel/src/fleet/demand.rs
+++ b/crates/fireflywheel/src/fleet/demand.rs
@@ -8,7 +8,9 @@
 
 use super::config::update;
 use super::era::{Era, Position};
-use super::{announcement, limit, load, origin, prefix, quarantine, quota, rate, speed};
+use super::{
+    announcement, availability, limit, load, origin, prefix, quarantine, quota, rate, speed,
+};
 use crate::clock;
 
 /// The half-life of arrival rates. Demand moves within seconds, and a rarely used model receives a request
@@ -49,6 +51,9 @@
     /// The latest era of the store that the instance knows.
     #[serde(default)]
     pub era: Option<Era>,
+    /// When the store has answered in that era. It is absent before it has, and from releases that don't tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store: Option<availability::Report>,
     /// The limits that servers' answers have reported since the last report.
     #[serde(default, rename = "limits")]
     pub limit_notices: Vec<limit::Notice>,
--- a/crates/fireflywheel/src/fleet/frame.rs
+++ b/crates/fireflywheel/src/fleet/frame.rs
@@ -12,8 +12,8 @@
 use super::config::update;
 use super::era::{Era, Position};
 use super::{
-    announcement, config, demand, gateway, lease, limit, load, origin, quarantine, quota, server,
-    tunnel,
+    announcement, availability, config, demand, gateway, lease, limit, load, origin, quarantine,
+    quota, server, tunnel,
 };
 use crate::clock;
 
@@ -89,6 +89,9 @@
         /// the configuration.
         #[serde(default)]
         config: Option<update::Revision>,
+        /// When the store has answered. It is absent before it has, and from releases that don't tell.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        store: Option<availability::Report>,
     },
     /// The newest configuration that the sender knows, from releases that send no updates.
     Configuration(Arc<config::Config>),
--- a/crates/fireflywheel/src/fleet/mod.rs
+++ b/crates/fireflywheel/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 //! | [`directory`] | the directory of backend servers, merged from several sources |
 //! | [`server`] | a backend server: its directory entry and what it holds |
 //! | [`era`] | detection of a store that was restored from an older copy |
+//! | [`availability`] | when the store has answered, and until when entries may be missing though their servers run |
 //! | [`lease`] | which instance is steward, and for how long it may act |
 //! | [`successor`] | the choice of the instance to which a steward hands over the lease |
 //! | [`demand`] | the demand that instances report to the steward, and the rates estimated from it |
@@ -48,6 +49,7 @@
 
 pub mod adaptive_timeout;
 pub mod announcement;
+pub mod availability;
 pub mod backoff;
 pub mod config;
 pub mod demand;
--- a/crates/fireflywheel/src/fleet/settings.rs
+++ b/crates/fireflywheel/src/fleet/settings.rs
@@ -58,6 +58,7 @@
 ];
 const ADDRESS_RULE: &str = "an IP address with a port";
 const LEASE_MS_RANGE: RangeInclusive<u64> = 500..=60_000;
+const HEARTBEAT_MS_RANGE: RangeInclusive<u64> = 50..=600_000;
 const OBEY_MS_RANGE: RangeInclusive<u64> = 100..=60_000;
 const GRACE_MS_RANGE: RangeInclusive<u64> = 500..=600_000;
 const WINDOW_MS_RANGE: RangeInclusive<u64> = 100..=600_000;
@@ -100,6 +101,8 @@
     /// `[platform] apply_ms`, 2,000 if left out: the time from a configuration's acceptance within which it
     /// must be in force.
     pub config_deadline: Duration,
+    /// `[platform] heartbeat_ms`, 1,200 if left out: the interval at which backend servers write their entries.
+    pub heartbeat: Duration,
     /// `[steward] lease_ms`, 3,000 if left out: the durations of the steward's lease, derived from its
     /// term.
     pub lease: lease::Options,
@@ -183,7 +186,7 @@
     let find = |name| ini_text::find(sections, name);
     let (instance, failure_domain, cpu_share) = read_instance(&find("instance"), faults);
     let ([callers, ready, peers], peers_advertised) = read_listen(&find("listen"), faults);
-    let (store, config_deadline) = read_platform(&find("platform"), faults);
+    let (store, config_deadline, heartbeat) = read_platform(&find("platform"), faults);
     let steward = read_steward(&find("steward"), faults);
     let retry_budget = read_retry_budget(&find("repeats"), faults);
     let quotas = read_quotas(&find("quotas"), faults);
@@ -201,6 +204,7 @@
         peers_advertised,
         store,
         config_deadline,
+        heartbeat,
         lease: steward.lease,
         fenced: steward.fenced,
         first_start: steward.first_start,
@@ -238,12 +242,20 @@
     (addresses, advertised.unwrap_or(addresses[2]))
 }
 
-fn read_platform(section: &ini_text::Section, faults: &mut fault::List) -> (SocketAddr, Duration) {
+fn read_platform(
+    section: &ini_text::Section,
+    faults: &mut fault::List,
+) -> (SocketAddr, Duration, Duration) {
     let mut reader = field::Reader::new(section, faults);
     let store = reader.required("store", ADDRESS_RULE, PLACEHOLDER_ADDRESS, field::parse);
     let config_deadline = reader.optional_millis("apply_ms", OBEY_MS_RANGE);
+    let heartbeat = reader.optional_millis("heartbeat_ms", HEARTBEAT_MS_RANGE);
     reader.finish();
-    (store, config_deadline.unwrap_or(Duration::from_secs(2)))
+    (
+        store,
+        config_deadline.unwrap_or(Duration::from_secs(2)),
+        heartbeat.unwrap_or(Duration::from_millis(1200)),
+    )
 }
 
 /// The settings of section `[steward]`.
--- a/crates/fireflywheel/tests/fleet/main.rs
+++ b/crates/fireflywheel/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod adaptive_timeout;
 mod announcement;
+mod availability;
 mod backoff;
 mod concurrency;
 mod config;
--- a/crates/fireflywheel_daemon/src/fleet/links.rs
+++ b/crates/fireflywheel_daemon/src/fleet/links.rs
@@ -7,6 +7,7 @@
 use anyhow::Context as _;
 use bytes::Bytes;
 use fireflywheel::clock;
+use fireflywheel::fleet::availability;
 use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::era::{Era, Position};
 use fireflywheel::fleet::frame;
@@ -236,6 +237,9 @@
                 match frame {
                     Ok(frame::Frame::Demand(demand)) => {
                         observe_era(steward, demand.era);
+                        // A demand that was longer on its way would have ended the link.
+                        let earliest = last_received.before(LINK_TIMEOUT);
+                        steward.node.merge_store_report(earliest, demand.era, demand.store);
                         steward.handle_demand(link_id, &demand);
                         steward.update_demand(&process_key, demand);
                     }
@@ -426,9 +430,15 @@
             stamp_ms,
             standbys_must_read,
             config,
+            store,
             ..
         } => {
             observe_era(steward, era);
+            let demand_sent = clock::Instant(stamp_ms);
+            if stamp_ms > 0 {
+                let report = store.or_else(|| read_report(read_age_ms));
+                steward.node.merge_store_report(demand_sent, era, report);
+            }
             let end = Position {
                 era: lease_era,
                 offset: lease_end,
@@ -447,10 +457,9 @@
                 steward.node.set_steward_reads(announced);
             } else {
                 let read_age = Duration::from_millis(read_age_ms.into());
-                let demand_sent = clock::Instant(stamp_ms);
                 update_steward_reads(steward, announced, read_age, demand_sent);
             }
-            steward.node.extend_shares(clock::Instant(stamp_ms));
+            steward.node.extend_shares(demand_sent);
             steward.node.update_instance_count(instances as usize);
             steward.set_linked(true);
             steward.node.set_linked(true);
@@ -500,6 +509,15 @@
     Ok(())
 }
 
+/// What a steward whose release reports nothing of the store tells by the age of its reads; `None` if it has made none.
+fn read_report(read_age_ms: u32) -> Option<availability::Report> {
+    (read_age_ms < u32::MAX).then_some(availability::Report {
+        since_ms: read_age_ms,
+        last_ms: read_age_ms,
+        is_after_outage: false,
+    })
+}
+
 /// Records the steward's reads of the store, which replace this instance's own as long as they are recent.
 fn update_steward_reads<P>(
     steward: &steward::Steward<P>,
--- a/crates/fireflywheel_daemon/src/fleet/metrics.rs
+++ b/crates/fireflywheel_daemon/src/fleet/metrics.rs
@@ -112,6 +112,7 @@
     steward: IntGauge,
     stewardships: IntCounter,
     linked: IntGauge,
+    kept_servers: IntCounter,
 }
 
 impl Metrics {
@@ -290,6 +291,10 @@
                 "fleet_stewardships_total",
                 "Times that this instance has become the active steward",
             )?,
+            kept_servers: builder.plain_counter(
+                "fleet_kept_servers_total",
+                "Servers that were kept though their entries were missing, as the store had just returned",
+            )?,
             linked: builder.gauge(
                 "fleet_steward_linked",
                 "1 while this instance has a link to the steward, or is it",
@@ -521,6 +526,11 @@
         self.linked.set(linked.into());
     }
 
+    /// Counts servers that are kept though their entries are missing.
+    pub fn count_kept_servers(&self, servers: usize) {
+        self.kept_servers.inc_by(servers as u64);
+    }
+
     /// Counts that this instance becomes the active steward.
     pub fn count_stewardship(&self) {
         self.stewardships.inc();
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -168,7 +168,7 @@
         let clock = Clock::new();
         let started = clock.now();
         let memory = door::Memory::new(clock, settings.memory_bytes);
-        let mut state = State::new(started, settings.retry_budget.window);
+        let mut state = State::new(started, settings.retry_budget.window, settings.heartbeat);
         if settings.first_start {
             state.origins.record_first_start(started);
         }
@@ -325,6 +325,7 @@
         if let Some(read) = reads.read {
             state.origins.record_read(read);
         }
+        state.steward_read_at = state.steward_read_at.max(reads.read);
         drop(state);
         self.steward_reads.send_replace(reads);
     }
--- a/crates/fireflywheel_daemon/src/fleet/node/demand.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/demand.rs
@@ -99,6 +99,7 @@
             servers_to_check: servers_to_check.into_iter().collect(),
             usage,
             era,
+            store: state.availability.report(now),
             limit_notices,
             leaving_servers,
             permit_requests,
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -7,11 +7,12 @@
 use fireflywheel::clock;
 use fireflywheel::fleet::adaptive_timeout;
 use fireflywheel::fleet::announcement;
+use fireflywheel::fleet::availability;
 use fireflywheel::fleet::backoff;
 use fireflywheel::fleet::config;
 use fireflywheel::fleet::config::{history, update};
 use fireflywheel::fleet::directory;
-use fireflywheel::fleet::era::Position;
+use fireflywheel::fleet::era::{Era, Position};
 use fireflywheel::fleet::frame;
 use fireflywheel::fleet::limit::gate as limit;
 use fireflywheel::fleet::load;
@@ -111,6 +112,12 @@
     pub(super) is_standby: bool,
     /// Delays between calls to the store while it fails.
     pub(super) store_backoff: backoff::Backoff,
+    /// When the store has answered this instance or others.
+    pub(super) availability: availability::Availability,
+    /// The store's era in which that was; `None` before any is known.
+    pub(super) availability_era: Option<Era>,
+    /// When the store was last read by the steward for this instance, or a later time.
+    pub(super) steward_read_at: Option<clock::Instant>,
     pub(super) config_read_at: Option<clock::Instant>,
     /// Whether the store did not answer the last read of the configuration.
     pub(super) needs_config: bool,
@@ -144,7 +151,7 @@
     pub(super) limit: limit::Gate,
     /// This instance's own requests in flight, by model and adapter.
     pub(super) running: BTreeMap<(SmolStr, Option<SmolStr>), Running>,
-    /// Since when the server's entry is gone; it may only have expired while the store was unreachable.
+    /// Since when the server's entry is gone; it may only have expired while the store was down.
     pub(super) missing_since: Option<clock::Instant>,
 }
 
@@ -221,8 +228,9 @@
 }
 
 impl State {
-    /// Creates the state of an instance that knows nothing yet; `window` is the window of its retry budgets.
-    pub(super) fn new(now: clock::Instant, window: Duration) -> Self {
+    /// Creates the state of an instance that knows nothing yet; `window` is the window of its retry budgets. Servers write
+    /// their entries every `heartbeat`.
+    pub(super) fn new(now: clock::Instant, window: Duration, heartbeat: Duration) -> Self {
         Self {
             configs: history::History::default(),
             announced_config: 0,
@@ -253,6 +261,9 @@
             has_steward: false,
             is_standby: false,
             store_backoff: backoff::Backoff::default(),
+            availability: availability::Availability::new(heartbeat),
+            availability_era: None,
+            steward_read_at: None,
             config_read_at: None,
             needs_config: false,
             directory_read_at: None,
@@ -455,22 +466,50 @@
         oldest.map_or(Duration::MAX, |at| now.since(at))
     }
 
-    pub(super) fn mark_missing(&mut self, id: &str, now: clock::Instant) {
+    /// Records that this instance has read that a server's entry is gone. Returns whether the server is kept, because the
+    /// entry may come back, and wasn't before.
+    pub(super) fn mark_missing(&mut self, id: &str, now: clock::Instant) -> bool {
         self.directory_version += 1;
-        if let Some(known) = self.servers.get_mut(id) {
-            known.missing_since.get_or_insert(now);
+        let may_come_back = self.may_entries_come_back();
+        let Some(known) = self.servers.get_mut(id) else {
+            return false;
+        };
+        let is_new = known.missing_since.is_none();
+        known.missing_since.get_or_insert(now);
+        let is_kept = is_new && may_come_back;
+        if is_kept {
+            log::info!(server = id, group = known.server.group.as_str(); "backend server kept; its entry may come back");
         }
+        is_kept
+    }
+
+    /// Whether entries that were missing when the directory was last read may come back.
+    fn may_entries_come_back(&self) -> bool {
+        let read_at = self.directory_read_at.max(self.steward_read_at);
+        read_at.is_some_and(|read_at| self.availability.may_come_back(read_at))
     }
 
-    pub(super) fn remove_missing(&mut self, now: clock::Instant, missing_timeout: Duration) {
+    /// Removes a server that the steward no longer lists.
+    pub(super) fn remove_server(&mut self, id: &str, now: clock::Instant) {
+        // It was there until now.
+        self.observe_versions(now);
+        self.directory_version += 1;
+        if let Some(known) = self.servers.remove(id) {
+            log_gone(id, &known, now);
+        }
+    }
+
+    /// Removes the servers whose entries are missing, unless the entries may come back.
+    pub(super) fn remove_missing(&mut self, now: clock::Instant) {
         // Servers that are removed now were there until now.
         self.observe_versions(now);
         let before = self.servers.len();
         self.directory.prune(now);
+        let may_come_back = self.may_entries_come_back();
         self.servers.retain(|id, known| {
-            let stays = known.missing_since.is_none_or(|since| now < since.after(missing_timeout));
+            let stays = known.missing_since.is_none() || may_come_back;
             if !stays {
-                log::info!(server = id.as_str(), group = known.server.group.as_str(); "backend server is gone");
+                log_gone(id, known, now);
             }
             stays
         });
@@ -617,3 +656,11 @@
             .or_insert_with(new_budget)
     }
 }
+
+fn log_gone(id: &str, known: &ServerState, now: clock::Instant) {
+    let missing = known.missing_since.map(|since| now.since(since));
+    log::info!(
+        server = id, group = known.server.group.as_str(), missing_ms = clock::millis(missing.unwrap_or_default());
+        "backend server is gone"
+    );
+}
--- a/crates/fireflywheel_daemon/src/fleet/node/store.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/store.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
+use fireflywheel::clock::{self, Instant};
+use fireflywheel::fleet::availability;
+use fireflywheel::fleet::era::Era;
 use tokio::time;
 
 use super::Node;
+use super::state::State;
 
 /// Maximum delay between attempts of the steward and its standbys to call the store while it fails, so that
 /// several attempts fit into a lease term. The steward's reads and renewals serve the whole fleet, and its
@@ -64,12 +68,20 @@
         self.lock().store_backoff.long_poll_wait(usual_wait)
     }
 
-    /// Records whether a call to the store had a usable answer.
-    pub fn record_store_call(&self, call: &str, answered: bool) {
+    /// Records whether a call to the store had a usable answer. `era` is the store's, as far as it is known.
+    pub fn record_store_call(&self, call: &str, answered: bool, era: Option<Era>) {
         self.metrics.count_store_call(call, answered);
         let now = self.now();
         let max_delay = self.max_retry_delay();
         let mut state = self.lock();
+        state.observe_store(now, "own call", |state| {
+            state.enter_era(now, era);
+            if answered {
+                state.availability.record_answer(now);
+            } else {
+                state.availability.record_failure(now);
+            }
+        });
         if !answered {
             state
                 .store_backoff
@@ -80,6 +92,30 @@
         }
     }
 
+    /// Merges what another instance has reported of the store in this era, at some time since `earliest`.
+    pub fn merge_store_report(
+        &self,
+        earliest: Instant,
+        era: Option<Era>,
+        report: Option<availability::Report>,
+    ) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.observe_store(now, "report", |state| {
+            state.enter_era(now, era);
+            if let Some(report) = report.filter(|_| era == state.availability_era) {
+                state.availability.merge(earliest, now, &report);
+            }
+        });
+    }
+
+    /// What other instances should know of the store's answers.
+    #[must_use]
+    pub fn store_report(&self) -> Option<availability::Report> {
+        let now = self.now();
+        self.lock().availability.report(now)
+    }
+
     /// Records that the store has recovered, since the steward reads it, whatever the result of this
     /// instance's last call.
     pub fn record_store_recovery(&self) {
@@ -108,3 +144,42 @@
         }
     }
 }
+
+impl State {
+    /// Records the store's era. Without a known one before, a later one is no restore.
+    fn enter_era(&mut self, now: Instant, era: Option<Era>) {
+        if era <= self.availability_era {
+            return;
+        }
+        if self.availability_era.is_some() {
+            self.availability.record_restore(now);
+        }
+        self.availability_era = era;
+    }
+
+    /// Applies news of the store, and logs once if they show that it is back, and if they refute that.
+    fn observe_store<F>(&mut self, now: Instant, source: &str, apply: F)
+    where
+        F: FnOnce(&mut Self),
+    {
+        let was_back = self.availability.may_come_back(now);
+        let before = self.availability.last_return();
+        apply(self);
+        let after = self.availability.last_return();
+        match (was_back, self.availability.may_come_back(now)) {
+            (false, true) => {
+                let since = after.map_or(Duration::ZERO, |known| now.since(known.at));
+                let outage = after.and_then(|known| known.outage);
+                log::info!(
+                    source = source, since_ms = clock::millis(since), outage_ms = outage.map_or(0, clock::millis);
+                    "store is back; entries may be missing"
+                );
+            }
+            (true, false) => {
+                let outage = before.and_then(|known| known.outage);
+                log::info!(source = source, outage_ms = outage.map_or(0, clock::millis); "store was not away, or is back for longer");
+            }
+            (true, true) | (false, false) => {}
+        }
+    }
+}
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -22,12 +22,13 @@
 where
     P: Send + Sync,
 {
-    /// Applies an update of the directory. Servers whose entries are gone are kept for `missing_timeout`, in
-    /// case the entries expired only because the store was unreachable.
-    pub fn update_directory(&self, update: platform::DirectoryUpdate, missing_timeout: Duration) {
+    /// Applies an update of the directory. Servers whose entries are gone are kept if the entries may have expired only
+    /// because the store was down.
+    pub fn update_directory(&self, update: platform::DirectoryUpdate) {
         let now = self.now();
         let source = state::EntrySource::OwnRead;
         let mut state = self.lock();
+        let mut kept = 0;
         match update {
             platform::DirectoryUpdate::Full(servers, read_to) => {
                 let (verdicts, gone) = state.directory.merge_all(now, &servers, read_to);
@@ -35,7 +36,7 @@
                     state.apply_verdict(verdict, server, source);
                 }
                 for id in gone {
-                    state.mark_missing(&id, now);
+                    kept += usize::from(state.mark_missing(&id, now));
                 }
             }
             platform::DirectoryUpdate::Partial(changes, read_to) => {
@@ -46,7 +47,7 @@
                             state.apply_verdict(verdict, server, source);
                         }
                         None if state.directory.merge_read_removal(now, &id, read_to) => {
-                            state.mark_missing(&id, now);
+                            kept += usize::from(state.mark_missing(&id, now));
                         }
                         None => {}
                     }
@@ -54,16 +55,29 @@
                 state.directory.advance(read_to);
             }
         }
-        self.finish_directory_update(now, state, missing_timeout);
+        self.metrics.count_kept_servers(kept);
+        self.finish_directory_update(now, state);
+    }
+
+    /// Removes the servers whose entries are missing, once they can't be back any more by what is known of the store.
+    pub fn remove_missing_servers(&self) {
+        let now = self.now();
+        let state = self.lock();
+        let has_missing = state
+            .servers
+            .values()
+            .any(|known| known.missing_since.is_some());
+        if has_missing {
+            self.finish_directory_update(now, state);
+        }
     }
 
     fn finish_directory_update(
         &self,
         now: clock::Instant,
         mut state: MutexGuard<'_, state::State>,
-        missing_timeout: Duration,
     ) {
-        state.remove_missing(now, missing_timeout);
+        state.remove_missing(now);
         let has_news = state.origins.has_news();
         drop(state);
         if has_news {
@@ -117,9 +131,9 @@
             state.apply_verdict(verdict, server, state::EntrySource::StewardDirectory);
         }
         for id in merged.removed {
-            state.mark_missing(&id, now);
+            state.remove_server(&id, now);
         }
-        self.finish_directory_update(now, state, Duration::ZERO);
+        self.finish_directory_update(now, state);
     }
 
     /// Whether the steward knows less of the directory than this instance does.
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -658,6 +658,7 @@
             era: self.node.platform.era(),
             config: self.node.config_revision(),
             read_age: self.node.read_age(),
+            store: self.node.store_report(),
             standbys_must_read: successor::needs_standby_reads(
                 self.own_candidate(&state.engine_groups),
                 &lease::successor_candidates(now, state).1,
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -255,10 +255,15 @@
         self.lease_wake.notify_one();
     }
 
+    fn record_store_call(&self, call: &str, answered: bool) {
+        let era = self.node.platform.era();
+        self.node.record_store_call(call, answered, era);
+    }
+
     async fn read_lease(&self) {
         let requested_at = self.node.now();
         let result = self.node.platform.read_lease().await;
-        self.node.record_store_call("read lease", result.is_ok());
+        self.record_store_call("read lease", result.is_ok());
         match result {
             Ok(reading) => {
                 let attachment = &reading.attachment;
@@ -294,7 +299,7 @@
         let attachment = self.attachment();
         let written = self.node.platform.write_lease(end, record, &attachment);
         let result = written.await;
-        self.node.record_store_call("write lease", result.is_ok());
+        self.record_store_call("write lease", result.is_ok());
         let is_takeover = record.fencing.is_none();
         match result {
             Ok(platform::WriteOutcome::Stored(position)) => {
--- a/crates/fireflywheel_daemon/src/fleet/steward/link.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/link.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use fireflywheel::clock;
+use fireflywheel::fleet::availability;
 use fireflywheel::fleet::config::update;
 use fireflywheel::fleet::demand;
 use fireflywheel::fleet::era::{Era, Position};
@@ -80,6 +81,7 @@
     pub(super) config: Option<update::Revision>,
     pub(super) read_age: Duration,
     pub(super) standbys_must_read: bool,
+    pub(super) store: Option<availability::Report>,
 }
 
 impl Link {
@@ -190,6 +192,7 @@
             stamp_ms,
             standbys_must_read: self.standbys_must_read,
             config: self.config,
+            store: self.store,
         }
     }
 }
--- a/crates/fireflywheel_daemon/src/fleet/store_watch.rs
+++ b/crates/fireflywheel_daemon/src/fleet/store_watch.rs
@@ -9,16 +9,12 @@
 use std::time::Duration;
 
 use fireflywheel::clock;
-use fireflywheel::fleet::era::Era;
 use fireflywheel::fleet::freshness;
 use tokio::time;
 
 use super::node;
 use super::platform;
 
-/// Entries that expired while the store was unreachable, or that are missing because the store was restored from an
-/// older copy, are written again within this time after the store's return.
-const REREGISTRATION_TIMEOUT: Duration = Duration::from_millis(2300);
 /// Number of reads of the directory within the leaving deadline.
 const READS_PER_LEAVING_DEADLINE: u32 = 3;
 /// Number of long polls for the configuration that fit into the configuration deadline. A store that is about to drop
@@ -34,27 +30,21 @@
 /// Interval at which expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Tracks whether a dependency is reachable, and logs each loss and recovery once.
-struct Reachability {
+/// Logs once when the reads of a dependency begin to fail, and when they work again.
+struct ReadLog {
     name: &'static str,
     lost: Option<clock::Instant>,
-    regained: Option<clock::Instant>,
 }
 
-impl Reachability {
+impl ReadLog {
     fn new(name: &'static str) -> Self {
-        Self {
-            name,
-            lost: None,
-            regained: None,
-        }
+        Self { name, lost: None }
     }
 
     fn record_success(&mut self, now: clock::Instant) {
         if let Some(lost) = self.lost.take() {
             let away = clock::millis(now.since(lost));
             log::info!(dependency = self.name, away_ms = away; "dependency regained");
-            self.regained = Some(now);
         }
     }
 
@@ -65,32 +55,9 @@
         }
     }
 
-    /// Returns whether the dependency became reachable again less than the re-registration timeout ago.
-    fn was_regained_recently(&self, now: clock::Instant) -> bool {
-        self.regained
-            .is_some_and(|at| now.since(at) < REREGISTRATION_TIMEOUT)
-    }
-}
-
-/// Detects that the store was restored from an older copy, after which the servers write their entries again.
-#[derive(Default)]
-struct Restoration {
-    era: Option<Era>,
-    since: Option<clock::Instant>,
-}
-
-impl Restoration {
-    fn observe_era(&mut self, now: clock::Instant, era: Era) {
-        let previous = self.era.replace(era);
-        if previous.is_some_and(|previous| previous < era) {
-            self.since = Some(now);
-        }
-    }
-
-    /// Returns whether the store was restored less than the re-registration timeout ago.
-    fn is_recent(&self, now: clock::Instant) -> bool {
-        self.since
-            .is_some_and(|since| now.since(since) < REREGISTRATION_TIMEOUT)
+    /// Records that the steward reads the dependency for this instance, whose next own read may be much later.
+    fn record_steward_read(&mut self) {
+        self.lost = None;
     }
 }
 
@@ -99,9 +66,12 @@
 where
     P: platform::Platform,
 {
-    let mut reachability = Reachability::new("configuration");
+    let mut read_log = ReadLog::new("configuration");
     let mut has_changed = false;
     loop {
+        if node.steward_reads_valid() {
+            read_log.record_steward_read();
+        }
         let wait = wait_until_read_needed(&node, true).await;
         node.wait_for_store().await;
         // A read that returns a change counts as of its start, which may be most of the deadline ago. The next one
@@ -122,10 +92,10 @@
             result = node.platform.poll_config(&mut cursor, wait, timeout) => result,
             () = wait_for_steward_config(&node) => continue,
         };
-        node.record_store_call("configuration", result.is_ok());
+        node.record_store_call("configuration", result.is_ok(), node.platform.era());
         match result {
             Ok(config) => {
-                reachability.record_success(node.now());
+                read_log.record_success(node.now());
                 let read = freshness::Read {
                     started: read_started,
                     ended: node.now(),
@@ -139,7 +109,7 @@
                 node.record_config_read(read.as_of(), from, cursor.next);
             }
             Err(error) => {
-                reachability.record_failure(node.now(), &error.to_string());
+                read_log.record_failure(node.now(), &error.to_string());
                 node.config_read_failed();
             }
         }
@@ -152,13 +122,13 @@
     P: platform::Platform,
 {
     let mut cursor = P::DirectoryCursor::default();
-    let mut reachability = Reachability::new("directory");
+    let mut read_log = ReadLog::new("directory");
     let mut first = true;
-    let mut restoration = Restoration::default();
     let interval = node.settings.leaving_deadline / READS_PER_LEAVING_DEADLINE;
     loop {
         let had_steward_reads = has_steward_directory(&node);
         if had_steward_reads {
+            read_log.record_steward_read();
             wait_until_read_needed(&node, false).await;
         }
         // The whole directory is read again in these cases. After a time of steward reads, the missed changes
@@ -180,26 +150,19 @@
             result = node.platform.read_directory(&mut cursor, read_started, timeout, || page_delay(&node, first)) => result,
             () = wait_for_steward_reads(&node) => continue,
         };
-        node.record_store_call("directory", result.is_ok());
+        node.record_store_call("directory", result.is_ok(), node.platform.era());
         let now = node.now();
         match result {
             Ok(update) => {
-                reachability.record_success(now);
+                read_log.record_success(now);
                 first = false;
                 let era = node.platform.era().unwrap_or_default();
                 node.record_directory_read(read_started, era);
-                restoration.observe_era(now, era);
-                let missing_grace =
-                    if reachability.was_regained_recently(now) || restoration.is_recent(now) {
-                        REREGISTRATION_TIMEOUT
-                    } else {
-                        Duration::ZERO
-                    };
-                node.update_directory(update, missing_grace);
+                node.update_directory(update);
                 time::sleep(interval.saturating_sub(now.since(read_started))).await;
             }
             Err(error) => {
-                reachability.record_failure(now, &error.to_string());
+                read_log.record_failure(now, &error.to_string());
             }
         }
     }
@@ -326,6 +289,7 @@
     loop {
         time::sleep(SWEEP_INTERVAL).await;
         node.pool.sweep(node.now());
+        node.remove_missing_servers();
         node.sweep_origins();
         node.sweep_quarantine();
         node.probe_failing_paths();
