Directory: what a new steward lacks after an outage drops no server

Callers were refused after outages in which entries of servers expired and the steward was killed: all instances dropped servers that were back within 0.2 s, and four of twelve went without eight of them for 15 s.

Cause: the new steward was a process that had started in the outage. Its first read lacked the entries, or hadn't ended, and its directory was taken for what is there by instances that knew better. An empty directory without a position also made the steward's next one count as older than what was known.

Change: a server that the steward no longer lists is kept like one that an own read lacks, while the store seems down and for 2.3 s after its return. A steward sends its directory once it has read or received one. Reports of the store whose time isn't known within a second are ignored, and the others don't date the return earlier than it was.

--- a/crates/fireflywheel/src/fleet/availability.rs
+++ b/crates/fireflywheel/src/fleet/availability.rs
@@ -22,6 +22,8 @@
 pub const REREGISTRATION_TIMEOUT: Duration = Duration::from_millis(2300);
 /// Spans that ended this long before the latest one began are forgotten. Reports are seldom that late.
 const SPAN_TTL: Duration = Duration::from_secs(10);
+/// A report is used if it is known within this time when it was made. It is longer than frames take on a link that works.
+const MAX_UNCERTAINTY: Duration = Duration::from_secs(1);
 /// Maximum number of spans that are kept.
 const MAX_SPANS: usize = 32;
 /// Maximum number of failed calls that are kept.
@@ -30,9 +32,7 @@
 /// A time in which the store answered without a gap that is long enough for an entry to expire.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Span {
-    /// When it began, at the latest.
     from: clock::Instant,
-    /// When its last answer was, at the earliest. That is before `from` if a single answer is known and its time isn't.
     to: clock::Instant,
     /// Until when entries that expired before may be missing; `None` if the store was neither down nor restored before, as
     /// far as it is known.
@@ -115,14 +115,19 @@
         })
     }
 
-    /// Adds what another instance has reported in the same era of the store, at some time from `earliest` to `latest`.
+    /// Adds what another instance has reported in the same era of the store, at some time from `earliest` to `latest`. A
+    /// report whose time is too uncertain is ignored.
     pub fn merge(&mut self, earliest: clock::Instant, latest: clock::Instant, report: &Report) {
-        let to = earliest.before(Duration::from_millis(report.last_ms.into()));
+        if latest.since(earliest) > MAX_UNCERTAINTY {
+            return;
+        }
+        let last = Duration::from_millis(report.last_ms.into());
         let since = Duration::from_millis(report.since_ms.into());
         // The span may have begun before this process.
         let settles_at = latest.after(REREGISTRATION_TIMEOUT).before(since);
         let settles_at = report.is_after_outage.then_some(settles_at);
-        self.insert(latest.before(since), to, settles_at);
+        let from = latest.before(since);
+        self.insert(from, earliest.before(last).max(from), settles_at);
     }
 
     /// The latest return of the store, if entries can have expired before it.
@@ -140,6 +145,14 @@
         })
     }
 
+    /// Whether the store seems to be down.
+    #[must_use]
+    pub fn is_down(&self, now: clock::Instant) -> bool {
+        let answered_at = self.spans.last().map(|span| span.to);
+        let has_failure = self.failures.last() > answered_at.as_ref();
+        has_failure && answered_at.is_none_or(|at| at.after(self.heartbeat) <= now)
+    }
+
     /// Whether an entry that was missing at this time may come back, since the store had just returned.
     #[must_use]
     pub fn may_come_back(&self, missing_at: clock::Instant) -> bool {
--- a/crates/fireflywheel/tests/fleet/availability.rs
+++ b/crates/fireflywheel/tests/fleet/availability.rs
@@ -14,8 +14,10 @@
 const READ_MS: u64 = 600;
 /// How long after the store's return an entry is back at the latest, in milliseconds.
 const MAX_RETURN_MS: u64 = 2000;
-/// How long ago a report may have been made, in milliseconds.
-const MAX_TRANSIT_MS: u64 = 900;
+/// How much earlier a report may have been made than it was, in milliseconds.
+const MAX_UNCERTAINTY_MS: u64 = 900;
+/// How long a report may be on its way, in milliseconds.
+const MAX_TRANSIT_MS: u64 = 7000;
 const TIMEOUT_MS: u64 = REREGISTRATION_TIMEOUT.as_millis() as u64;
 /// The number of drawn outages, and the number of random bytes for each.
 const SEEDS: u64 = 300;
@@ -120,6 +122,19 @@
     assert!(!keeps(&availability, 60_300));
 }
 
+fn store_is_down_until_it_answers_anyone() {
+    let mut availability = reader(6000);
+    availability.record_failure(at(7000));
+    assert!(!availability.is_down(at(7000)));
+    assert!(availability.is_down(at(7200)));
+    availability.merge(at(7900), at(8000), &report(60_000, 100, false));
+    assert!(!availability.is_down(at(8000)));
+    let mut availability = Availability::new(HEARTBEAT);
+    assert!(!availability.is_down(at(100)));
+    availability.record_failure(at(100));
+    assert!(availability.is_down(at(100)));
+}
+
 fn first_answer_after_failures_is_a_return() {
     let mut availability = Availability::new(HEARTBEAT);
     availability.record_failure(at(100));
@@ -156,15 +171,28 @@
     assert_eq!(known.at, at(9000));
 }
 
-fn delayed_report_shows_no_later_answer() {
+fn late_report_is_ignored() {
     let mut availability = regained(6000, 12_000);
     // It was made at 7 s at the earliest and arrives at 13 s.
     availability.merge(at(7000), at(13_000), &report(60_000, 100, false));
     assert!(keeps(&availability, 12_100));
+    let mut availability = reader(30_000);
+    availability.record_failure(at(31_000));
+    availability.merge(at(20_000), at(31_000), &report(1000, 100, true));
+    assert!(!availability.is_down(at(31_100)));
+    assert_eq!(availability.last_return(), None);
+}
+
+/// A report on its way to a reader.
+struct Sent {
+    reader: usize,
+    earliest: u64,
+    arrives: u64,
+    report: Report,
 }
 
-/// Servers write their entries, the store is down once, and two readers read it, one of which tells the other. Checks that
-/// whoever reads lets no entry go that expired in the outage, and that none believes in a return much later than it was.
+/// Servers write their entries, the store is down once, and two readers read it and tell each other. Checks that whoever reads
+/// lets no entry go that expired in the outage, and that none believes in a return much later than it was.
 fn check_drawn_outage(seed: u64) {
     let property = arbtest::arbtest(|u| {
         let down = u.int_in_range(5000..=6200)?;
@@ -173,12 +201,21 @@
         let back = up + u.int_in_range(0..=MAX_RETURN_MS)?;
         let offset = u.int_in_range(1..=READ_MS)?;
         let told_from = u.int_in_range(0..=12_000)?;
-        let transit_ms = u.int_in_range(0..=MAX_TRANSIT_MS)?;
         let told_to = told_from + u.int_in_range(0..=12_000)?;
+        let uncertainty_ms = u.int_in_range(0..=MAX_UNCERTAINTY_MS)?;
+        let transit_ms = u.int_in_range(0..=MAX_TRANSIT_MS)?;
         let mut readers = [Availability::new(HEARTBEAT), Availability::new(HEARTBEAT)];
+        let mut sent: Vec<Sent> = Vec::new();
         for step in 0..60 {
             for (index, shift) in [0, offset].into_iter().enumerate() {
                 let now = step * READ_MS + shift;
+                for report in sent.extract_if(.., |report| report.arrives <= now) {
+                    readers[report.reader].merge(
+                        at(report.earliest),
+                        at(report.arrives),
+                        &report.report,
+                    );
+                }
                 let answers = now < down || up <= now;
                 match answers {
                     true => readers[index].record_answer(at(now)),
@@ -189,13 +226,18 @@
                     !answers || !is_missing || keeps(&readers[index], now),
                     "down {down} to {up}, written {written} and {back}, read at {now}"
                 );
+                assert!(!answers || !readers[index].is_down(at(now)));
                 let latest = up + READ_MS + TIMEOUT_MS;
                 assert!(now <= latest || !keeps(&readers[index], now));
                 if (told_from..told_to).contains(&now)
-                    && let Some(told) = readers[index].report(at(now))
+                    && let Some(report) = readers[index].report(at(now))
                 {
-                    let earliest = at(now.saturating_sub(transit_ms));
-                    readers[1 - index].merge(earliest, at(now), &told);
+                    sent.push(Sent {
+                        reader: 1 - index,
+                        earliest: now.saturating_sub(uncertainty_ms),
+                        arrives: now + transit_ms,
+                        report,
+                    });
                 }
             }
         }
@@ -220,6 +262,8 @@
     late_report => late_report_moves_the_return();
     /// A restore counts from when an instance hears of it, however late.
     restore_heard_of_late => restore_is_dated_by_those_who_noticed();
+    /// An instance believes a steward that has just started and lacks entries, before it knows that the store is back.
+    store_that_is_down => store_is_down_until_it_answers_anyone();
     /// An instance that starts while the store is down drops servers that a steward has told it of.
     start_in_an_outage => first_answer_after_failures_is_a_return();
     /// An instance that starts after an outage drops servers whose entries are missing.
@@ -228,8 +272,8 @@
     return_before_the_start => report_from_before_the_start_keeps_its_age();
     /// The return is dated before it was, since a report may have been long on its way.
     uncertain_report => report_of_uncertain_age_moves_no_return();
-    /// A report that was long on its way hides an outage.
-    delayed_report => delayed_report_shows_no_later_answer();
+    /// A report that was long on its way hides an outage, or makes one.
+    delayed_report => late_report_is_ignored();
     /// Outages at random: entries that expired are kept, and none for long after the return.
     drawn_outages => (0..SEEDS).for_each(check_drawn_outage);
 }
--- a/crates/fireflywheel_daemon/src/fleet/node/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/state.rs
@@ -466,11 +466,11 @@
         oldest.map_or(Duration::MAX, |at| now.since(at))
     }
 
-    /// Records that this instance has read that a server's entry is gone. Returns whether the server is kept, because the
-    /// entry may come back, and wasn't before.
+    /// Records that a server's entry is gone. Returns whether the server is kept, because the entry may come back, and wasn't
+    /// before.
     pub(super) fn mark_missing(&mut self, id: &str, now: clock::Instant) -> bool {
         self.directory_version += 1;
-        let may_come_back = self.may_entries_come_back();
+        let may_come_back = self.may_entries_come_back(now);
         let Some(known) = self.servers.get_mut(id) else {
             return false;
         };
@@ -484,28 +484,21 @@
     }
 
     /// Whether entries that were missing when the directory was last read may come back.
-    fn may_entries_come_back(&self) -> bool {
+    fn may_entries_come_back(&self, now: clock::Instant) -> bool {
+        if self.availability.is_down(now) {
+            return true;
+        }
         let read_at = self.directory_read_at.max(self.steward_read_at);
         read_at.is_some_and(|read_at| self.availability.may_come_back(read_at))
     }
 
-    /// Removes a server that the steward no longer lists.
-    pub(super) fn remove_server(&mut self, id: &str, now: clock::Instant) {
-        // It was there until now.
-        self.observe_versions(now);
-        self.directory_version += 1;
-        if let Some(known) = self.servers.remove(id) {
-            log_gone(id, &known, now);
-        }
-    }
-
     /// Removes the servers whose entries are missing, unless the entries may come back.
     pub(super) fn remove_missing(&mut self, now: clock::Instant) {
         // Servers that are removed now were there until now.
         self.observe_versions(now);
         let before = self.servers.len();
         self.directory.prune(now);
-        let may_come_back = self.may_entries_come_back();
+        let may_come_back = self.may_entries_come_back(now);
         self.servers.retain(|id, known| {
             let stays = known.missing_since.is_none() || may_come_back;
             if !stays {
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -86,12 +86,16 @@
         self.wake();
     }
 
-    /// All entries of the directory, for other instances, and the position up to which they are known. Entries that went
-    /// missing a moment ago are included: the other instances remove a server at once if the steward's entries lack it.
+    /// All entries of the directory, for other instances, and the position up to which they are known; `None` before this
+    /// instance has read or received the directory. Entries that went missing a moment ago are included: the other instances
+    /// remove a server if the steward's entries lack it.
     #[must_use]
-    pub fn entries(&self) -> (BTreeMap<SmolStr, frame::Entry>, Option<Position>) {
+    pub fn entries(&self) -> Option<(BTreeMap<SmolStr, frame::Entry>, Option<Position>)> {
         let now = self.now();
         let state = self.lock();
+        if state.directory_read_at.is_none() && state.directory.position().is_none() {
+            return None;
+        }
         let servers = state.servers.iter();
         let entries = servers
             .map(|(id, known)| {
@@ -101,7 +105,7 @@
                 (id.clone(), entry)
             })
             .collect();
-        (entries, state.directory.position())
+        Some((entries, state.directory.position()))
     }
 
     /// Applies the changes of the directory that the steward has sent.
@@ -130,9 +134,12 @@
             let server = entry.server(now);
             state.apply_verdict(verdict, server, state::EntrySource::StewardDirectory);
         }
+        let mut kept = 0;
+        // The steward may know less than this instance: its own first read came after the entries had expired.
         for id in merged.removed {
-            state.remove_server(&id, now);
+            kept += usize::from(state.mark_missing(&id, now));
         }
+        self.metrics.count_kept_servers(kept);
         self.finish_directory_update(now, state);
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -606,8 +606,9 @@
             self.node.settings.quotas.window,
         );
         if version != tracked_versions {
-            let (entries, as_of) = self.node.entries();
-            state.send_directory(entries, as_of);
+            if let Some((entries, as_of)) = self.node.entries() {
+                state.send_directory(entries, as_of);
+            }
         } else if state.entries.is_some() {
             state.send_whole_directory();
         }
