Stand-ins: the proxy passes a reset on that a failed write has taken

Report (MIXED): a worker answers a long upload at once without a length, sends a part and resets the connection, and the caller gets that part as a whole answer. Tried at the socket, it happens through the proxy of this repository's tests: 3 and 4 of 24 calls. System calls of a run show why: the proxy's write to the worker fails with the reset, the read that follows reports an end in order, and the proxy passes that on.

A failed write ends the connection in the HTTP library and a tunnel at its gateway before another read.

Change: each direction of the proxy tells the other that a write to its source has failed. Tests: early_answers, directly, through the proxy (red before) and through a tunnel.

--- a/crates/fireflywheel_standin/src/trial/proxy.rs
+++ b/crates/fireflywheel_standin/src/trial/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
@@ -191,12 +192,23 @@
     let _ = server.set_nodelay(true);
     let (client_read, client_write) = client.split();
     let (server_read, server_write) = server.split();
-    let upstream = copy(client_read, server_write, link.clone(), initial, |link| {
-        link.upstream
-    });
-    let downstream = copy(server_read, client_write, link.clone(), initial, |link| {
-        link.downstream
-    });
+    let [client_failed, server_failed] = [AtomicBool::new(false), AtomicBool::new(false)];
+    let upstream = Direction {
+        link: link.clone(),
+        initial,
+        flow: |link| link.upstream,
+        source_failed: &client_failed,
+        target_failed: &server_failed,
+    };
+    let downstream = Direction {
+        link: link.clone(),
+        initial,
+        flow: |link| link.downstream,
+        source_failed: &server_failed,
+        target_failed: &client_failed,
+    };
+    let upstream = upstream.copy(client_read, server_write);
+    let downstream = downstream.copy(server_read, client_write);
     let ended = tokio::select! {
         // Each direction that ends in order is shut down on its own.
         ended = async { tokio::try_join!(upstream, downstream) } => ended.ok(),
@@ -208,40 +220,53 @@
     }
 }
 
-/// Forwards one direction to its end, and returns the error if the connection that it reads from fails. A failure of the
-/// other connection is left to the other direction, which has read all of it by then.
-async fn copy<R, W>(
-    mut from: R,
-    mut to: W,
-    mut link: watch::Receiver<Link>,
+/// One direction of a connection.
+struct Direction<'a> {
+    link: watch::Receiver<Link>,
     initial: Link,
     flow: fn(&Link) -> Flow,
-) -> io::Result<()>
-where
-    R: AsyncRead + Unpin,
-    W: AsyncWrite + Unpin,
-{
-    let mut chunk = vec![0; MAX_CHUNK_BYTES];
-    loop {
-        let read = from.read(&mut chunk).await;
-        let delay = link.borrow().delay;
-        time::sleep(delay).await;
-        let open = link.wait_for(|link| {
-            flow(link) == Flow::Open && link.silence_count == initial.silence_count
-        });
-        if open.await.is_err() {
-            return Ok(());
-        }
-        let written = match read? {
-            0 => {
-                // The other side may have ended already.
-                let _ = to.shutdown().await;
+    /// Whether a write of the other direction to this one's source has failed.
+    source_failed: &'a AtomicBool,
+    /// Whether a write to the target has failed.
+    target_failed: &'a AtomicBool,
+}
+
+impl Direction<'_> {
+    /// Forwards it to its end, and returns an error if the connection that it reads from fails. A failure of the other
+    /// connection is left to the other direction, which has read all of it by then.
+    async fn copy<R, W>(mut self, mut from: R, mut to: W) -> io::Result<()>
+    where
+        R: AsyncRead + Unpin,
+        W: AsyncWrite + Unpin,
+    {
+        let mut chunk = vec![0; MAX_CHUNK_BYTES];
+        let silence_count = self.initial.silence_count;
+        loop {
+            let read = from.read(&mut chunk).await;
+            let delay = self.link.borrow().delay;
+            time::sleep(delay).await;
+            let open = self.link.wait_for(|link| {
+                (self.flow)(link) == Flow::Open && link.silence_count == silence_count
+            });
+            if open.await.is_err() {
+                return Ok(());
+            }
+            let written = match read? {
+                // The operating system reports a reset once, and the failed write has taken it.
+                0 if self.source_failed.load(Ordering::Relaxed) => {
+                    return Err(io::ErrorKind::ConnectionReset.into());
+                }
+                0 => {
+                    // The other side may have ended already.
+                    let _ = to.shutdown().await;
+                    return Ok(());
+                }
+                count => to.write_all(&chunk[..count]).await,
+            };
+            if written.is_err() {
+                self.target_failed.store(true, Ordering::Relaxed);
                 return Ok(());
             }
-            count => to.write_all(&chunk[..count]).await,
-        };
-        if written.is_err() {
-            return Ok(());
         }
     }
 }
