Attempts: a status that is no answer is a failure of the server

Tried: 000, 099 and 2000 give 502. But 101, which no request asks for, and 600 and 999, which no class of statuses holds, were passed on as they came.

A caller can't tell whether such an answer is a success, and after 101 what follows is no HTTP. It now gets 502, or another server's answer if the request may run again. 418 and 599 are still passed on.

--- a/crates/fireflywheel_daemon/src/fleet/attempt.rs
+++ b/crates/fireflywheel_daemon/src/fleet/attempt.rs
@@ -219,6 +219,10 @@
         }
     };
     let (head, body) = received::Body::split(response);
+    if !is_final(head.status) {
+        node.record_outcome(server, node::ServerOutcome::Failed);
+        return Outcome::Lost("no final status");
+    }
     let reply = node.platform.read_reply(&head);
     node.observe_announcement(&target.process, &reply);
     if let Some(load) = reply.load {
@@ -329,6 +333,15 @@
     Ok((response.head, body))
 }
 
+/// Whether a status is that of an answer. A switch of protocols isn't, as no request asks for it, and a status that no class
+/// holds says nothing of success.
+fn is_final(status: StatusCode) -> bool {
+    status.is_success()
+        || status.is_redirection()
+        || status.is_client_error()
+        || status.is_server_error()
+}
+
 fn build_request<P>(
     platform: &P,
     job: &Job,
