Planned stops: requests that can't end in time are refused or answered

Callers got no answer from an instance that stopped as planned: requests whose bodies ended late were passed on and cut as the grace ended, as were requests that last longer than what is left. Requests of another instance's callers were cut when the one that carried their connection had no callers of its own left (soak, planned).

Cause: a stop waited for what is in progress and cut the rest.

Change: with less left than responses of its route usually take (1.5 s if unknown), a request is refused as not run, when its head and again when its body has arrived. 0.1 s before the end, what wasn't sent gets 503 and what was sent 504. A stop waits for served tunnels, whose openers are told to send no further request through them; earlier releases ignore that.

--- a/crates/fireflywheel/src/fleet/adaptive_timeout.rs
+++ b/crates/fireflywheel/src/fleet/adaptive_timeout.rs
@@ -11,6 +11,8 @@
 /// The number of deviations above the mean at which a response counts as lost. Response times have a long
 /// tail, and a second run costs a server as much as the first.
 const TIMEOUT_DEVIATIONS: f64 = 8.0;
+/// The number of deviations above the mean within which most responses begin.
+const USUAL_DEVIATIONS: f64 = 2.0;
 /// The minimum time-out, since servers that usually answer at once may pause for this long.
 const MIN_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -37,6 +39,16 @@
         self.samples = self.samples.saturating_add(1);
     }
 
+    /// Returns the time within which most responses begin, or `None` while there are too few samples.
+    #[must_use]
+    pub fn usual(&self) -> Option<Duration> {
+        if self.samples < MIN_SAMPLES {
+            return None;
+        }
+        let usual = self.mean + self.deviation * USUAL_DEVIATIONS;
+        Some(Duration::from_secs_f64(usual))
+    }
+
     /// Returns the time after which a missing response counts as lost, or `None` while there are too few
     /// samples.
     #[must_use]
--- a/crates/fireflywheel/tests/fleet/adaptive_timeout.rs
+++ b/crates/fireflywheel/tests/fleet/adaptive_timeout.rs
@@ -55,7 +55,20 @@
     assert!(late.count() <= 200 / 20);
 }
 
+fn check_usual<I>(times: I, min: u64, max: u64)
+where
+    I: IntoIterator<Item = u64>,
+{
+    let usual = estimator(times).usual();
+    let usual = usual.expect("there are enough samples");
+    assert!((millis(min)..=millis(max)).contains(&usual), "{usual:?}");
+}
+
 cases! {
+    /// A planned stop refuses requests by what a few of them took.
+    too_few_samples_are_not_usual => assert_eq!(estimator([40; 15]).usual(), None);
+    /// A planned stop refuses requests that would end in time: the time-out is no usual time.
+    usual_time_of_a_slow_engine => check_usual((0..100).map(|number| 150 + (number % 10) * 40), 400, 700);
     /// A second run for each of the first requests would double the load just when a server starts.
     too_few_samples_give_no_timeout => assert_eq!(estimator([40; 15]).timeout(), None);
     /// Servers that answer at once.
--- a/crates/fireflywheel_daemon/src/fleet/daemon.rs
+++ b/crates/fireflywheel_daemon/src/fleet/daemon.rs
@@ -149,7 +149,12 @@
         // Sending fails only if the door has closed already.
         let _ = self.stop.send(true);
         let left = grace.saturating_sub(self.node.now().since(started));
-        let completed = time::timeout(left, self.callers.join_next()).await.is_ok();
+        // Requests of other instances' callers may be in progress in the tunnels.
+        let ended = async {
+            self.callers.join_next().await;
+            self.node.wait_for_tunnels().await;
+        };
+        let completed = time::timeout(left, ended).await.is_ok();
         log::info!(whole = completed; "stopped");
         self.tasks.abort_all();
     }
--- a/crates/fireflywheel_daemon/src/fleet/gateway.rs
+++ b/crates/fireflywheel_daemon/src/fleet/gateway.rs
@@ -39,7 +39,7 @@
     let rejection = match outcome {
         Ok(Ok(accepted)) => {
             node.metrics.count_served_tunnel("opened");
-            forward(socket, accepted).await;
+            forward(node, socket, accepted).await;
             return;
         }
         Ok(Err(rejection)) => rejection,
@@ -117,8 +117,11 @@
 }
 
 /// Forwards bytes between an opener and a server until either connection ends.
-async fn forward<P>(socket: tunnel::Socket, served: node::ServedTunnel<P>)
-where
+async fn forward<P>(
+    node: &Arc<node::Node<P>>,
+    socket: tunnel::Socket,
+    served: node::ServedTunnel<P>,
+) where
     P: platform::Platform,
 {
     let (mut to_opener, mut from_opener) = socket.split();
@@ -145,20 +148,37 @@
     };
     tokio::select! {
         () = upstream => {}
-        () = forward_answers(&mut from_server, &mut to_opener) => {}
+        () = forward_answers(node, &mut from_server, &mut to_opener) => {}
     }
 }
 
 /// Forwards a server's bytes to the opener. The end of the server's connection is forwarded as such; a connection that
-/// breaks off is not, since an answer without length would look complete.
-async fn forward_answers(
+/// breaks off is not, since an answer without length would look complete. The opener is told when this instance stops.
+async fn forward_answers<P>(
+    node: &Arc<node::Node<P>>,
     from_server: &mut OwnedReadHalf,
     to_opener: &mut SplitSink<tunnel::Socket, WebSocketMessage>,
-) {
+) where
+    P: platform::Platform,
+{
     let mut buffer = BytesMut::with_capacity(CHUNK_BYTES);
+    let drain = node.wait_for_drain();
+    tokio::pin!(drain);
+    let mut is_told = false;
     loop {
         buffer.reserve(CHUNK_BYTES);
-        match from_server.read_buf(&mut buffer).await {
+        let read = tokio::select! {
+            read = from_server.read_buf(&mut buffer) => read,
+            _ = &mut drain, if !is_told => {
+                is_told = true;
+                let notice = WebSocketMessage::Text(tunnel::STOPPING);
+                if to_opener.send(notice).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
+        match read {
             Ok(0) => {
                 // The opener may have left.
                 let _ = to_opener
--- a/crates/fireflywheel_daemon/src/fleet/node.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node.rs
@@ -77,6 +77,8 @@
     pub store_recovered: Notify,
     /// The steward's reads of the store, as it reports them.
     pub steward_reads: watch::Sender<StewardReads>,
+    /// When a planned stop will be over, once one has begun.
+    stop_deadline: watch::Sender<Option<Instant>>,
     waiting: waiting::Waiting,
     state: Mutex<State>,
 }
@@ -188,6 +190,7 @@
             queries_changed: Notify::new(),
             store_recovered: Notify::new(),
             steward_reads: watch::Sender::new(StewardReads::default()),
+            stop_deadline: watch::Sender::new(None),
             waiting: waiting::Waiting::default(),
             state: Mutex::new(state),
         }
@@ -437,9 +440,18 @@
     pub fn drain(&self, grace: Duration) {
         let deadline = self.now().after(grace);
         self.lock().stop_deadline = Some(deadline);
+        self.stop_deadline.send_replace(Some(deadline));
         self.wake();
     }
 
+    /// Waits until a planned stop begins, and returns when it will be over.
+    pub async fn wait_for_drain(&self) -> Instant {
+        let mut deadline = self.stop_deadline.subscribe();
+        // The sender lives as long as `self`.
+        let known = deadline.wait_for(Option::is_some).await;
+        known.ok().and_then(|known| *known).unwrap_or_default()
+    }
+
     /// When a planned stop will be over, once one has begun.
     #[must_use]
     pub fn stop_deadline(&self) -> Option<Instant> {
--- a/crates/fireflywheel_daemon/src/fleet/node/path.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/path.rs
@@ -29,6 +29,8 @@
 /// How long a connection of its own may take to open until a tunnel is opened beside it. Servers answer within a round
 /// trip.
 const TUNNEL_DELAY: Duration = Duration::from_millis(100);
+/// Interval between checks whether this instance still serves tunnels.
+const TUNNEL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of paths that are probed at once.
 const MAX_PROBES: usize = 16;
 /// The share of its connections to a server up to which an instance lends some of them, those in use included.
@@ -496,6 +498,14 @@
         })
     }
 
+    /// Waits until this instance serves no tunnel.
+    pub async fn wait_for_tunnels(&self) {
+        let served = Arc::clone(&self.lock().paths.served);
+        while served.load(Ordering::Relaxed) > 0 {
+            time::sleep(TUNNEL_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Lends a place in this instance's window for a brittle server, if there is one to spare.
     fn lend_place(
         self: &Arc<Self>,
--- a/crates/fireflywheel_daemon/src/fleet/node/updates.rs
+++ b/crates/fireflywheel_daemon/src/fleet/node/updates.rs
@@ -296,6 +296,12 @@
         }
     }
 
+    /// The time within which most responses to requests of a route begin, as far as it is known.
+    #[must_use]
+    pub fn usual_response_time(&self, route: &str) -> Option<Duration> {
+        self.lock().response_times.get(route)?.usual()
+    }
+
     /// How long a request of a route can go without a response before it counts as lost, as far as it is
     /// known.
     #[must_use]
--- a/crates/fireflywheel_daemon/src/fleet/pool.rs
+++ b/crates/fireflywheel_daemon/src/fleet/pool.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -74,6 +74,11 @@
 
 /// What carries the bytes of a connection.
 pub trait Carrier: AsyncRead + AsyncWrite + Send + Unpin + 'static {
+    /// Becomes true once no further request may be sent, because an instance stops that carries the connection.
+    fn stop_notice(&self) -> Arc<AtomicBool> {
+        Arc::default()
+    }
+
     /// Tells whoever has lent the connection that the server has rejected a request for want of room, and closes it.
     fn report_rejection(self) -> impl Future<Output = ()> + Send;
 }
@@ -120,6 +125,8 @@
     head: Arc<head_limit::Allowance>,
     /// Whether a place at a brittle server is lent with it.
     has_place: bool,
+    /// Whether an instance stops that carries it.
+    is_stopping: Arc<AtomicBool>,
     /// Reports to the lender that the server has rejected a request.
     rejection: Option<oneshot::Sender<()>>,
     _reservation: Arc<OpenGuard>,
@@ -154,6 +161,11 @@
         self.opened.elapsed()
     }
 
+    /// Whether another request can be sent.
+    fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && !self.is_stopping.load(Ordering::Acquire)
+    }
+
     /// Closes the connection immediately.
     pub fn close(&self) {
         self.task.abort();
@@ -223,7 +235,7 @@
             stated.saturating_sub(KEEP_ALIVE_MARGIN)
         });
         let kept_for = kept_for.min(most);
-        if kept_for.is_zero() || connection.sender.is_closed() {
+        if kept_for.is_zero() || !connection.is_usable() {
             return;
         }
         let expires = now.after(kept_for);
@@ -241,7 +253,7 @@
         servers.retain(|_, server| {
             server
                 .idle
-                .retain(|idle| now < idle.expires && !idle.connection.sender.is_closed());
+                .retain(|idle| now < idle.expires && idle.connection.is_usable());
             !server.idle.is_empty() || server.open_count.load(Ordering::Relaxed) > 0
         });
     }
@@ -265,7 +277,7 @@
         let server = servers.get_mut(&address)?;
         server
             .idle
-            .retain(|idle| now < idle.expires && !idle.connection.sender.is_closed());
+            .retain(|idle| now < idle.expires && idle.connection.is_usable());
         // The most recently used connection is the least likely to be closed by its server at this moment.
         let ready = server.idle.iter().rposition(|idle| {
             let connection = &idle.connection;
@@ -373,6 +385,7 @@
     where
         T: Carrier,
     {
+        let is_stopping = stream.stop_notice();
         let head = Arc::new(head_limit::Allowance::default());
         let stream = head_limit::Stream::new(stream, Arc::clone(&head));
         let handshake = http1::handshake(TokioIo::new(stream)).await;
@@ -407,6 +420,7 @@
             task: task.abort_handle(),
             head,
             has_place: false,
+            is_stopping,
             rejection: Some(rejection),
             _reservation: reservation,
             _tunnel: tunnel,
--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -1,6 +1,7 @@
 //! Handles callers' requests from arrival to the one final response.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use fireflywheel::clock;
@@ -18,6 +19,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Uri};
 use smol_str::SmolStr;
+use tokio::time;
 use xxhash_rust::xxh3;
 
 use super::attempt;
@@ -25,6 +27,7 @@
 use super::node::quarantine::{self, Admission};
 use super::platform;
 use super::stream;
+use super::wait::STOP_REFUSAL_MARGIN;
 pub use super::wait::wait_for_server;
 use crate::callers::incoming;
 use crate::{backend, door, errors};
@@ -36,6 +39,11 @@
 const MAX_SENDS: usize = 5;
 /// The final response is sent this long before the caller's deadline, so that it arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+/// The last responses of a planned stop are sent this long before its end.
+const STOP_ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Retry delay for a caller whose request a planned stop overtakes: other instances take it, and callers are sent to them by
+/// then.
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Share of a caller's first-byte timeout that its request may spend waiting for a server. The rest is left for the
 /// caller to act on a 503 response.
 const QUEUE_TIMEOUT_RATIO: f64 = 0.9;
@@ -54,7 +62,11 @@
         let arrived = self.node.now();
         let (head, body) = request.into_parts();
         let mut call = platform::Call::default();
-        let result = self.serve(arrived, head, body, &mut call).await;
+        let is_sent = AtomicBool::new(false);
+        let result = tokio::select! {
+            result = self.serve(arrived, head, body, &mut call, &is_sent) => result,
+            () = self.wait_for_stop() => Err(stopped(is_sent.load(Ordering::Relaxed))),
+        };
         let mut response = match result {
             Ok(response) => response,
             Err(problem) => self.refuse(arrived, &call, &problem),
@@ -83,6 +95,7 @@
         mut head: Parts,
         body: Incoming,
         call: &mut platform::Call,
+        is_sent: &AtomicBool,
     ) -> Result<Response<door::Body>, errors::Problem> {
         if let Some(key) = head.headers.get_mut(AUTHORIZATION) {
             key.set_sensitive(true);
@@ -106,7 +119,10 @@
         };
         let organisation = self.identify_organisation(&config, route, call)?;
         let hold = self.node.memory.open(held_bytes::Use::Request);
+        self.check_stop(route)?;
         let body = incoming::read_held(body, &body_limits(&config.limits), &hold).await?;
+        // The body may have taken long.
+        self.check_stop(route)?;
         let queue = queue_key(&config, route, call);
         let request = quarantine::Request {
             group: &queue.group,
@@ -165,7 +181,7 @@
             arrived,
             deadline: arrived.after(limit.saturating_sub(ANSWER_MARGIN)),
         };
-        let result = self.dispatch(Arc::new(job)).await;
+        let result = self.dispatch(Arc::new(job), is_sent).await;
         if let (Err(problem), Some(charge)) = (&result, &charge)
             && problem.verdict == verdict::Verdict::NotRun
         {
@@ -174,6 +190,25 @@
         result
     }
 
+    /// Waits until the last responses of a planned stop have to be sent.
+    async fn wait_for_stop(&self) {
+        let deadline = self.node.wait_for_drain().await;
+        time::sleep(deadline.before(STOP_ANSWER_TIME).since(self.node.now())).await;
+    }
+
+    /// Refuses a request that would be cut off by a planned stop, by the time that responses of its route usually take.
+    fn check_stop(&self, route: &config::Route) -> Result<(), errors::Problem> {
+        let Some(deadline) = self.node.stop_deadline() else {
+            return Ok(());
+        };
+        let usual = self.node.usual_response_time(&route.name);
+        let needed = usual.unwrap_or(STOP_REFUSAL_MARGIN) + STOP_ANSWER_TIME;
+        if deadline.since(self.node.now()) < needed {
+            return Err(stopped(false));
+        }
+        Ok(())
+    }
+
     /// Finds the version at which the stream began that a caller takes up again.
     async fn find_origin(
         &self,
@@ -216,6 +251,7 @@
     async fn dispatch(
         &self,
         job: Arc<attempt::Job>,
+        is_sent: &AtomicBool,
     ) -> Result<Response<door::Body>, errors::Problem> {
         let mut tried: Vec<SmolStr> = Vec::new();
         let mut may_have_run = 0;
@@ -238,10 +274,12 @@
             } else if has_arrived && !self.node.try_retry(&job.queue.group) {
                 return Err(failure);
             }
+            is_sent.store(true, Ordering::Relaxed);
             let outcome = match self.send(&job, &chosen, send_index, may_have_run).await {
                 Ok(response) => return Ok(response),
                 // It may still wait for a place of this instance's own.
                 Err(attempt::Outcome::NoPlace) => {
+                    is_sent.store(may_have_run > 0, Ordering::Relaxed);
                     is_counted = true;
                     continue;
                 }
@@ -253,6 +291,7 @@
             has_arrived |= !matches!(outcome, attempt::Outcome::Unsent(_));
             match outcome {
                 attempt::Outcome::NotRun(why) | attempt::Outcome::Unsent(why) => {
+                    is_sent.store(may_have_run > 0, Ordering::Relaxed);
                     self.record_failed_attempt(&job, &chosen, "not run", why);
                     if may_have_run == 0 {
                         let wait = self
@@ -436,6 +475,19 @@
     .with_retry_after(wait)
 }
 
+/// The answer to a request that a planned stop overtakes.
+fn stopped(is_sent: bool) -> errors::Problem {
+    if is_sent {
+        let message = "the instance stops, and the response did not come in time";
+        errors::Problem::new(StatusCode::GATEWAY_TIMEOUT, "stopping", message)
+            .with_verdict(verdict::Verdict::MayHaveRun)
+    } else {
+        unavailable("stopping", "the instance stops")
+            .with_retry_after(STOP_RETRY_DELAY)
+            .with_close()
+    }
+}
+
 /// Returns the randomised delay after which a caller that has `left` until its deadline should retry, to find what will
 /// be ready after `wait`.
 pub(super) fn retry_after(wait: Duration, left: Duration) -> Duration {
--- a/crates/fireflywheel_daemon/src/fleet/tunnel.rs
+++ b/crates/fireflywheel_daemon/src/fleet/tunnel.rs
@@ -6,6 +6,8 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -43,6 +45,9 @@
     reason: Utf8Bytes::from_static("server ended"),
 };
 
+/// What a gateway says when it stops. The request in progress can end, and none may follow. Earlier releases ignore it.
+pub(super) const STOPPING: Utf8Bytes = Utf8Bytes::from_static("stopping");
+
 /// What an opener closes a tunnel with when the server has rejected a request for want of room.
 pub(super) const REJECTED: CloseFrame = CloseFrame {
     code: CloseCode::Library(4000),
@@ -87,6 +92,8 @@
     received: Bytes,
     /// Whether the gateway has said that the server ended its connection.
     has_ended: bool,
+    /// Whether the gateway has said that it stops.
+    is_stopping: Arc<AtomicBool>,
 }
 
 /// What an opener asks for.
@@ -214,6 +221,7 @@
             socket,
             received: Bytes::new(),
             has_ended: false,
+            is_stopping: Arc::default(),
         }),
         Ok(Ok(Err(error))) => Err(error),
         Ok(Err(_)) | Err(_) => Err(Error::NoAnswer),
@@ -221,6 +229,10 @@
 }
 
 impl pool::Carrier for Tunnel {
+    fn stop_notice(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.is_stopping)
+    }
+
     async fn report_rejection(mut self) {
         let closing = self.socket.close(Some(REJECTED));
         // The gateway may have closed it already.
@@ -246,6 +258,9 @@
                 Some(Ok(WebSocketMessage::Close(_))) | None => {
                     return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
                 }
+                Some(Ok(WebSocketMessage::Text(text))) if text == STOPPING => {
+                    self.is_stopping.store(true, Ordering::Release);
+                }
                 Some(Ok(_)) => {}
                 Some(Err(error)) => return Poll::Ready(Err(to_io_error(error))),
             }
--- a/crates/fireflywheel_daemon/src/fleet/wait.rs
+++ b/crates/fireflywheel_daemon/src/fleet/wait.rs
@@ -27,7 +27,7 @@
 const RETURN_MARGIN: Duration = Duration::from_secs(1);
 /// Waiting requests are refused this long before the end of a planned stop, so that none is cut off without a
 /// response and their callers still have time to act on it.
-const STOP_REFUSAL_MARGIN: Duration = Duration::from_millis(1500);
+pub(super) const STOP_REFUSAL_MARGIN: Duration = Duration::from_millis(1500);
 /// Retry delay for a caller whose group has no server. A server that restarts takes about as long.
 const NO_SERVER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
