Steward: the lease is handed over once orders have their answers

Cause: a hand-over passed the lease on at once, while orders of which the successor knows nothing were on their way.

Change: a steward that stops, or is to hand over, sends no further order and waits until each one has its answer or was given up after 0.7 s. Where engines check numbers, they refuse the late order, and nothing changes.

--- a/crates/fireflywheel_daemon/src/fleet/steward.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward.rs
@@ -15,6 +15,7 @@
 mod updates;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -84,6 +85,8 @@
     pub lease_wake: Notify,
     /// Notified when there may be streams to read from the store or to write to it.
     pub journal_wake: Notify,
+    /// The number of orders that are being sent or have no answer yet.
+    orders_in_flight: Arc<AtomicUsize>,
     state: Mutex<State>,
 }
 
@@ -124,6 +127,7 @@
             concurrency: plan::concurrency::Estimate::default(),
             standbys: Vec::new(),
             rival: None,
+            is_ceding: false,
             active_fencing: None,
             role_changed_at: clock::Instant::default(),
             last_heartbeat: None,
@@ -162,6 +166,7 @@
             plan_wake: Notify::new(),
             lease_wake: Notify::new(),
             journal_wake: Notify::new(),
+            orders_in_flight: Arc::default(),
             state: Mutex::new(state),
         }
     }
@@ -580,7 +585,8 @@
         }
         state.placement.set_in_force(self.node.parts().placement);
         let has_quarantined = self.node.has_quarantined();
-        let may_order = state.lease.order_fencing(now).is_some();
+        let is_ceding = state.is_ceding || self.node.is_draining();
+        let may_order = state.lease.order_fencing(now).is_some() && !is_ceding;
         for (name, engine) in engines(&config) {
             if version != tracked_versions {
                 state.update_engines(name, self.node.engines(name));
--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -133,6 +133,7 @@
     /// Hands the lease over to another instance by its link, or else releases it so that another instance can
     /// take it at once.
     pub async fn release(&self) {
+        self.settle_orders().await;
         if self.hand_over_by_link() {
             return;
         }
@@ -173,6 +174,10 @@
         let deadline = settings.leaving_deadline.min(settings.config_deadline);
         let (numbers, peers) = successor_candidates(now, state);
         let successor = successor::for_running(own, &peers, deadline).map(|index| numbers[index]);
+        state.is_ceding = successor.is_some();
+        if self.has_unsettled_orders() {
+            return false;
+        }
         successor.is_some_and(|number| hand_over_to(now, state, number))
     }
 
--- a/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/orders.rs
@@ -1,6 +1,7 @@
 //! Sends orders to engines and requests their reports.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +26,8 @@
 
 /// How long an engine may take to answer an order or a report request; it answers both from memory.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Interval between checks whether orders are still on their way.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum size of a report, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 /// Maximum number of connections to one engine for orders and reports, beside those for requests.
@@ -102,7 +105,24 @@
     /// Sends an order that is already counted as sent, in its own task.
     pub(super) fn spawn_order(self: &Arc<Self>, order: state::Order) {
         let steward = Arc::clone(self);
-        tokio::spawn(async move { steward.send_order(order).await });
+        let in_flight = pool::OpenGuard::new(Arc::clone(&self.orders_in_flight));
+        tokio::spawn(async move {
+            steward.send_order(order).await;
+            drop(in_flight);
+        });
+    }
+
+    /// Whether orders are on their way of which a successor would know nothing. Engines that check fencing numbers refuse
+    /// those that arrive after its own.
+    pub(super) fn has_unsettled_orders(&self) -> bool {
+        !self.node.settings.fenced && self.orders_in_flight.load(Ordering::Relaxed) > 0
+    }
+
+    /// Waits until no order is on its way. One without an answer ends after [`ANSWER_TIMEOUT`].
+    pub(super) async fn settle_orders(&self) {
+        while self.has_unsettled_orders() {
+            time::sleep(SETTLE_INTERVAL).await;
+        }
     }
 
     /// Requests a report from an engine, in its own task.
--- a/crates/fireflywheel_daemon/src/fleet/steward/state.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/state.rs
@@ -83,6 +83,8 @@
     pub(super) standbys: Vec<lease::Record>,
     /// The steward that another instance reports while this instance believes to be steward itself.
     pub(super) rival: Option<lease::Record>,
+    /// Whether the lease is about to be handed over, so that no further order may be sent.
+    pub(super) is_ceding: bool,
     /// The fencing number of this instance while it is the active steward.
     pub(super) active_fencing: Option<u64>,
     /// When this instance last became active or inactive as steward.
@@ -159,6 +161,7 @@
 impl State {
     /// Resets the state after the lease was won or lost.
     pub(super) fn change_role(&mut self, now: clock::Instant, active_fencing: Option<u64>) {
+        self.is_ceding = false;
         self.active_fencing = active_fencing;
         self.role_changed_at = now;
         self.trackers.clear();
