Steward: a lease that can't be handed over doesn't stop its orders

A steward that is to hand over sends no order until those on their way have their answers. If the hand-over then isn't possible, as its lease isn't certain, it went on sending none for as long as another instance was preferred. It now holds orders back only while some are on their way.

--- a/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
+++ b/crates/fireflywheel_daemon/src/fleet/steward/lease.rs
@@ -174,8 +174,9 @@
         let deadline = settings.leaving_deadline.min(settings.config_deadline);
         let (numbers, peers) = successor_candidates(now, state);
         let successor = successor::for_running(own, &peers, deadline).map(|index| numbers[index]);
-        state.is_ceding = successor.is_some();
-        if self.has_unsettled_orders() {
+        // A lease that can't be handed over must not keep this instance from sending orders.
+        state.is_ceding = successor.is_some() && self.has_unsettled_orders();
+        if state.is_ceding {
             return false;
         }
         successor.is_some_and(|number| hand_over_to(now, state, number))
