Planned stops: an answer that is ready is sent

As a stop ends, the answer of a request and the one that replaces it may be ready at once, and which was sent was drawn. The request's own answer now goes first.

--- a/crates/fireflywheel_daemon/src/fleet/relay.rs
+++ b/crates/fireflywheel_daemon/src/fleet/relay.rs
@@ -64,6 +64,8 @@
         let mut call = platform::Call::default();
         let is_sent = AtomicBool::new(false);
         let result = tokio::select! {
+            // An answer that is ready is sent.
+            biased;
             result = self.serve(arrived, head, body, &mut call, &is_sent) => result,
             () = self.wait_for_stop() => Err(stopped(is_sent.load(Ordering::Relaxed))),
         };
